--- /dev/null
+++ b/.ci/knownred/main.go
@@ -0,0 +1,151 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"slices"
+	"strings"
+)
+
+// event is the part of a `go test -json` line that is read here.
+type event struct {
+	Action  string
+	Package string
+	Test    string
+	Output  string
+}
+
+// tally counts what the test run has shown.
+type tally struct {
+	passed  int
+	skipped int
+	failed  []string
+	outputs map[string]*strings.Builder
+}
+
+func main() {
+	known, err := readKnown(os.Args[1])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	t, runErr := run()
+	os.Exit(report(t, runErr, known))
+}
+
+// readKnown returns the test names in the first column of the list.
+func readKnown(path string) ([]string, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	var names []string
+	for line := range strings.Lines(string(data)) {
+		line = strings.TrimSpace(line)
+		if line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		name, _, _ := strings.Cut(line, "|")
+		names = append(names, strings.TrimSpace(name))
+		fmt.Println("KNOWN RED:", line)
+	}
+	return names, nil
+}
+
+// run runs the README's test command and tallies its events.
+func run() (*tally, error) {
+	cmd := exec.Command("go", "test", "-json", "./...")
+	cmd.Stderr = os.Stderr
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	if err := cmd.Start(); err != nil {
+		return nil, err
+	}
+	t := &tally{outputs: map[string]*strings.Builder{}}
+	lines := bufio.NewScanner(out)
+	lines.Buffer(nil, 16<<20)
+	for lines.Scan() {
+		t.add(lines.Bytes())
+	}
+	return t, cmd.Wait()
+}
+
+func (t *tally) add(line []byte) {
+	var e event
+	if json.Unmarshal(line, &e) != nil {
+		fmt.Println(string(line))
+		return
+	}
+	name := e.Package + "." + e.Test
+	switch e.Action {
+	case "output", "build-output":
+		if t.outputs[name] == nil {
+			t.outputs[name] = &strings.Builder{}
+		}
+		t.outputs[name].WriteString(e.Output)
+	case "pass":
+		if e.Test != "" {
+			t.passed++
+		} else {
+			fmt.Println("ok  ", e.Package)
+		}
+		delete(t.outputs, name)
+	case "skip":
+		if e.Test != "" {
+			t.skipped++
+		}
+	case "fail", "build-fail":
+		t.failed = append(t.failed, name)
+		if out := t.outputs[name]; out != nil {
+			fmt.Printf("--- FAIL %s\n%s\n", name, out)
+		}
+	}
+}
+
+// report prints the closing line and returns the exit code.
+func report(t *tally, runErr error, known []string) int {
+	if t == nil {
+		fmt.Fprintln(os.Stderr, runErr)
+		return 1
+	}
+	unknown := slices.DeleteFunc(slices.Clone(t.failed), func(name string) bool { return isKnown(name, t.failed, known) })
+	for _, name := range unknown {
+		fmt.Println("FAILED:", name)
+	}
+	fmt.Printf("%d passed, %d failed, %d skipped\n", t.passed, len(t.failed), t.skipped)
+	if len(unknown) > 0 || (runErr != nil && len(t.failed) == 0) || t.passed == 0 {
+		return 1
+	}
+	return 0
+}
+
+// isKnown reports whether a failure is listed, or is the parent or package of listed failures alone.
+func isKnown(name string, failed, known []string) bool {
+	if slices.Contains(known, name) {
+		return true
+	}
+	below := 0
+	for _, other := range failed {
+		if other == name || !isBelow(other, name) {
+			continue
+		}
+		if !slices.Contains(known, other) && !isKnown(other, failed, known) {
+			return false
+		}
+		below++
+	}
+	return below > 0
+}
+
+// isBelow reports whether a test belongs to another test or to a package, whose name ends in a dot.
+func isBelow(test, above string) bool {
+	if strings.HasSuffix(above, ".") {
+		return strings.HasPrefix(test, above)
+	}
+	return strings.HasPrefix(test, above+"/")
+}
--- /dev/null
+++ b/internal/berylcall/request.go
@@ -0,0 +1,43 @@
+package berylcall
+
+import (
+	"time"
+
+	"berylroad.example/berylroad/internal/berylpermit"
+)
+
+// Request is one call to be made on behalf of a caller.
+type Request struct {
+	// ID is unique in the fleet; upstreams get it as X-Request-Id.
+	ID string
+	// Target is the model or plain service.
+	Target string
+	// Method is the HTTP method.
+	Method string
+	// Path is the path and query on the upstream, such as "/v1/chat/completions".
+	Path string
+	// ContentType is that of the body, or empty.
+	ContentType string
+	// Body is the request body; it is not changed and must not be reused by the caller until Do returns.
+	Body []byte
+	// Stream marks a request whose answer is a stream of server-sent events.
+	Stream bool
+	// Repeatable marks a request that may run more than once.
+	Repeatable bool
+	// Class is the priority class.
+	Class berylpermit.Class
+	// Deadline is when the answer must be whole.
+	Deadline time.Time
+	// Tokens is the estimated answer length in tokens.
+	Tokens int
+	// PrefixHash is the hash of the prompt's first blocks, or zero for no affinity.
+	PrefixHash uint64
+}
+
+// Sink takes an answer as it arrives; its calls come from one goroutine, and an error from it cancels the call.
+type Sink interface {
+	// Start is called once, before any Write, with the upstream's status and content type.
+	Start(status int, contentType string) error
+	// Write takes the next bytes of the body, for a stream one whole event, and does not keep them.
+	Write(body []byte) error
+}
--- /dev/null
+++ b/internal/berylconf/document.go
@@ -0,0 +1,186 @@
+package berylconf
+
+import "time"
+
+// Duration is a time span written in JSON as a string such as "250ms" or "1h30m".
+type Duration time.Duration
+
+// Std returns the span as the standard library's type.
+func (d Duration) Std() time.Duration {
+	return time.Duration(d)
+}
+
+// MarshalText writes the span in the form that UnmarshalText reads.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// UnmarshalText reads a span such as "250ms" and returns an error for anything else.
+func (d *Duration) UnmarshalText(text []byte) error {
+	span, err := time.ParseDuration(string(text))
+	if err != nil {
+		return err
+	}
+	*d = Duration(span)
+	return nil
+}
+
+// Document is one whole configuration; the platform's service holds the newest.
+type Document struct {
+	// Revision grows with every accepted change.
+	Revision int64 `json:"revision"`
+	// Inventory describes the fleet.
+	Inventory Inventory `json:"inventory"`
+	// Rules say what goes first and what is leaving.
+	Rules Rules `json:"rules"`
+}
+
+// Inventory describes the fleet as the operators' asset register has it.
+type Inventory struct {
+	// Hosts are berylroad's own hosts.
+	Hosts []Host `json:"hosts"`
+	// Upstreams are the replicas of model engines and plain services.
+	Upstreams []Upstream `json:"upstreams"`
+	// Services are the plain services that some upstreams are replicas of.
+	Services []Service `json:"services,omitempty"`
+	// Callers are the accounts that may send requests.
+	Callers []Caller `json:"callers"`
+}
+
+// Host is one of berylroad's own hosts.
+type Host struct {
+	// Name is unique in the fleet and stands in the host's certificate.
+	Name string `json:"name"`
+	// Region names the host's region.
+	Region string `json:"region"`
+	// FailureDomain names the host's failure domain.
+	FailureDomain string `json:"failure-domain"`
+	// PeerAddress is the IP address and UDP port where other hosts reach it.
+	PeerAddress string `json:"peer-address"`
+}
+
+// Upstream is one replica of a model engine or a plain service.
+type Upstream struct {
+	// Name is unique in the fleet.
+	Name string `json:"name"`
+	// URL is where it answers HTTP, without a path.
+	URL string `json:"url"`
+	// Region names the upstream's region.
+	Region string `json:"region"`
+	// FailureDomain names the upstream's failure domain.
+	FailureDomain string `json:"failure-domain"`
+	// Models names the models it serves; empty for a plain service.
+	Models []string `json:"models,omitempty"`
+	// Service names the plain service it is a replica of; empty for a model engine.
+	Service string `json:"service,omitempty"`
+	// Slots is how many calls it may have in flight.
+	Slots int `json:"slots"`
+	// Resume marks an engine that continues a stream from tokens already given.
+	Resume bool `json:"resume,omitempty"`
+}
+
+// Targets returns the models or the service that the upstream serves.
+func (u Upstream) Targets() []string {
+	if u.Service != "" {
+		return []string{u.Service}
+	}
+	return u.Models
+}
+
+// Service is one plain service that berylroad routes to.
+type Service struct {
+	// Name is unique among models and services.
+	Name string `json:"name"`
+	// NeverRepeat lists path prefixes, such as "/orders", whose calls run at most once.
+	NeverRepeat []string `json:"never-repeat,omitempty"`
+}
+
+// Caller is one account that may send requests.
+type Caller struct {
+	// Name is unique among callers.
+	Name string `json:"name"`
+	// KeyHash is the lower-case hex SHA-256 of the caller's API key.
+	KeyHash string `json:"key-hash"`
+	// RequestsPerSecond limits the caller over the whole fleet; zero is no limit.
+	RequestsPerSecond float64 `json:"requests-per-second,omitempty"`
+	// Concurrent limits the caller's requests in flight over the whole fleet; zero is no limit.
+	Concurrent int `json:"concurrent,omitempty"`
+	// TokensPerMinute limits the estimated tokens over the whole fleet; zero is no limit.
+	TokensPerMinute int `json:"tokens-per-minute,omitempty"`
+}
+
+// Routing names a way to choose an upstream.
+type Routing string
+
+const (
+	// RoutingOwner asks the owner of an upstream for a permit.
+	RoutingOwner Routing = "owner"
+	// RoutingLocalLeast sends to the upstream with the fewest calls of this host in flight; a baseline.
+	RoutingLocalLeast Routing = "local-least"
+	// RoutingRoundRobin sends to each upstream in turn; a baseline.
+	RoutingRoundRobin Routing = "round-robin"
+)
+
+// Rules say what goes first, what is leaving and what the limits are; a zero field means the default.
+type Rules struct {
+	// Routing is the way to choose an upstream.
+	Routing Routing `json:"routing,omitempty"`
+	// Leaving names hosts and upstreams that get no new work.
+	Leaving []string `json:"leaving,omitempty"`
+	// DefaultTimeout is the deadline of a request that names none.
+	DefaultTimeout Duration `json:"default-timeout,omitempty"`
+	// MaxTimeout is the longest deadline a request may name.
+	MaxTimeout Duration `json:"max-timeout,omitempty"`
+	// LongTokens is the estimated answer length in tokens from which a request counts as long.
+	LongTokens int `json:"long-tokens,omitempty"`
+	// LongShare is the share of an upstream's slots, from 0 to 1, that long online requests may hold.
+	LongShare float64 `json:"long-share,omitempty"`
+	// HedgePercent limits second calls, in percent of the calls made.
+	HedgePercent float64 `json:"hedge-percent,omitempty"`
+	// RetryPercent limits retries, in percent of the calls made.
+	RetryPercent float64 `json:"retry-percent,omitempty"`
+	// MaxAttempts is the most upstream calls for one online request.
+	MaxAttempts int `json:"max-attempts,omitempty"`
+	// MaxBodyBytes is the largest request body in bytes.
+	MaxBodyBytes int `json:"max-body-bytes,omitempty"`
+	// MaxAnswerBytes is the largest answer of an upstream in bytes.
+	MaxAnswerBytes int64 `json:"max-answer-bytes,omitempty"`
+	// PlatformCallsPerSecond is the fleet's budget of calls to the platform's service.
+	PlatformCallsPerSecond float64 `json:"platform-calls-per-second,omitempty"`
+}
+
+const (
+	defaultTimeout                = 60 * time.Second
+	defaultMaxTimeout             = 10 * time.Minute
+	defaultLongTokens             = 1024
+	defaultLongShare              = 0.5
+	defaultHedgePercent           = 5.0
+	defaultRetryPercent           = 10.0
+	defaultMaxAttempts            = 3
+	defaultMaxBodyBytes           = 8 << 20
+	defaultMaxAnswerBytes         = 64 << 20
+	defaultPlatformCallsPerSecond = 200
+)
+
+// WithDefaults returns the rules with every zero field set to its default.
+func (r Rules) WithDefaults() Rules {
+	setDefault(&r.Routing, RoutingOwner)
+	setDefault(&r.DefaultTimeout, Duration(defaultTimeout))
+	setDefault(&r.MaxTimeout, Duration(defaultMaxTimeout))
+	setDefault(&r.LongTokens, defaultLongTokens)
+	setDefault(&r.LongShare, defaultLongShare)
+	setDefault(&r.HedgePercent, defaultHedgePercent)
+	setDefault(&r.RetryPercent, defaultRetryPercent)
+	setDefault(&r.MaxAttempts, defaultMaxAttempts)
+	setDefault(&r.MaxBodyBytes, defaultMaxBodyBytes)
+	setDefault(&r.MaxAnswerBytes, defaultMaxAnswerBytes)
+	setDefault(&r.PlatformCallsPerSecond, defaultPlatformCallsPerSecond)
+	return r
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/beryloutcome/outcome.go
@@ -0,0 +1,108 @@
+package beryloutcome
+
+import "time"
+
+// Kind says how a call ended.
+type Kind uint8
+
+const (
+	// Unset is the zero value and marks a call that has not ended.
+	Unset Kind = iota
+	// Answered marks a call whose whole answer reached the caller's side.
+	Answered
+	// Failed marks a call that the upstream answered with an error or with garbage.
+	Failed
+	// NotRun marks a call of which no byte can have reached any upstream, or which an upstream has refused unrun.
+	NotRun
+	// Unknown marks a call that may have run without its answer arriving.
+	Unknown
+	// Cancelled marks a call whose caller gave up on it.
+	Cancelled
+	// Yielded marks a batch call stopped in favour of online work.
+	Yielded
+)
+
+// String returns the name used in errors, logs and metrics.
+func (k Kind) String() string {
+	switch k {
+	case Answered:
+		return "answered"
+	case Failed:
+		return "failed"
+	case NotRun:
+		return "not-run"
+	case Unknown:
+		return "outcome-unknown"
+	case Cancelled:
+		return "cancelled"
+	case Yielded:
+		return "yielded"
+	default:
+		return "unset"
+	}
+}
+
+// Code is the stable code of an error answer to a caller.
+type Code string
+
+const (
+	// CodeNotRun says that the request was not run and may be sent again.
+	CodeNotRun Code = "not-run"
+	// CodeUnknown says that the request may have run.
+	CodeUnknown Code = "outcome-unknown"
+	// CodeBadRequest says that the request itself is wrong.
+	CodeBadRequest Code = "bad-request"
+	// CodeUnauthorized says that the API key is missing or unknown.
+	CodeUnauthorized Code = "unauthorized"
+	// CodeOverLimit says that the caller has used up a limit; the request was not run.
+	CodeOverLimit Code = "over-limit"
+	// CodeInProgress says that a request with the same idempotency key is running.
+	CodeInProgress Code = "in-progress"
+	// CodeKeyReused says that an idempotency key came back with another body.
+	CodeKeyReused Code = "key-reused"
+	// CodeNotFound says that the model, service, job or file does not exist.
+	CodeNotFound Code = "not-found"
+	// CodeTooLarge says that the body or a header is over its limit.
+	CodeTooLarge Code = "too-large"
+	// CodeUpstream says that the upstream ran the request and failed it.
+	CodeUpstream Code = "upstream-failed"
+	// CodeCancelled says that the caller or an operator cancelled the request.
+	CodeCancelled Code = "cancelled"
+)
+
+// Refusal is an error answer to a caller; a nil *Refusal means none.
+type Refusal struct {
+	// Status is the HTTP status.
+	Status int
+	// Code is the stable code.
+	Code Code
+	// Message says what is wrong and what to do next.
+	Message string
+	// Param names the field at fault, or is empty.
+	Param string
+	// RetryAfter says when to come back, or is zero where coming back is of no use.
+	RetryAfter time.Duration
+}
+
+// Error returns the code and the message.
+func (r *Refusal) Error() string {
+	return string(r.Code) + ": " + r.Message
+}
+
+// Result is the end of one call.
+type Result struct {
+	// Kind says how the call ended.
+	Kind Kind
+	// Sent counts the request bytes that may have reached an upstream.
+	Sent int64
+	// Refusal is what to tell the caller when Kind is not Answered.
+	Refusal *Refusal
+	// Upstream names the upstream that answered last, or is empty.
+	Upstream string
+	// FirstToken is the time from the start of the upstream call to its first body byte.
+	FirstToken time.Duration
+	// Tokens counts the streamed events that reached the sink.
+	Tokens int
+	// Attempts counts the upstream calls, hedges included.
+	Attempts int
+}
