berylgate: callers' HTTP, first working gate

Cause: callers need chat, completions, models and plain services over HTTP with keys, deadlines and truthful errors before the path can be built.

Ruled out: fasthttp's stream writer. It ends every stream with a clean last chunk, so a cut answer would look whole; an own body reader that returns an error makes the server close the connection without it.

--- /dev/null
+++ b/internal/berylgate/gate.go
@@ -0,0 +1,204 @@
+package berylgate
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/gofiber/fiber/v3"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+
+	"berylroad.example/berylroad/internal/berylcall"
+	"berylroad.example/berylroad/internal/berylconf"
+	"berylroad.example/berylroad/internal/berylonce"
+	"berylroad.example/berylroad/internal/beryloutcome"
+)
+
+const (
+	// maxHeaderBytes bounds a request's first line and headers together.
+	maxHeaderBytes = 16 << 10
+	writeBuffer    = 8 << 10
+	maxConnections = 16 << 10
+
+	defaultReadTimeout   = 20 * time.Second
+	defaultMaxConcurrent = 2048
+
+	idleTimeout = 2 * time.Minute
+	// writeTimeout bounds a whole answer, and each gap of a streamed one.
+	writeTimeout = time.Minute
+)
+
+// Calls carries requests to upstreams.
+type Calls interface {
+	// Do makes one call and returns how it ended, at the latest soon after ctx or the request's deadline ends.
+	Do(ctx context.Context, request berylcall.Request, sink berylcall.Sink) beryloutcome.Result
+}
+
+// Limits admits or refuses callers' requests.
+type Limits interface {
+	// Take uses up the caller's limits for one request; release is called when the request has ended.
+	Take(ctx context.Context, caller *berylconf.Caller, tokens int) (release func(), refusal *beryloutcome.Refusal)
+}
+
+// Config says what a gate works with; Document and Calls must be set.
+type Config struct {
+	// Host names this host in request ids.
+	Host string
+	// Boot tells one run of this host from the next in request ids.
+	Boot uint64
+	// Document returns the configuration in force, or nil when there is none yet.
+	Document func() *berylconf.Document
+	// Calls carries requests to upstreams.
+	Calls Calls
+	// Once keeps keyed requests; nil refuses them as not run.
+	Once berylonce.Keeper
+	// Limits holds callers to their limits; nil holds them to none.
+	Limits Limits
+	// Ready reports whether this host can serve; nil means always.
+	Ready func() bool
+	// Metrics takes the gate's metrics; nil drops them.
+	Metrics *metrics.Set
+	// Log takes changes of state; nil drops them.
+	Log logrus.FieldLogger
+	// Mount registers further routes, which run after authentication; their handlers use CallerOf, RequestIDOf and Refuse.
+	Mount func(fiber.Router)
+	// ReadTimeout bounds the arrival of one whole request; zero is 20 s.
+	ReadTimeout time.Duration
+	// MaxConcurrent bounds the requests in flight on this host; zero is 2,048.
+	MaxConcurrent int
+	// Notice is how long a planned stop keeps serving after it has become unready.
+	Notice time.Duration
+}
+
+// Gate serves callers' HTTP.
+type Gate struct {
+	config   Config
+	lookups  lookups
+	server   *fasthttp.Server
+	meter    *meter
+	base     context.Context
+	cancel   context.CancelFunc
+	streams  conc.WaitGroup
+	sequence atomic.Uint64
+	inFlight atomic.Int64
+	stopping atomic.Bool
+}
+
+// New returns a gate that serves nothing yet.
+func New(config Config) *Gate {
+	if config.ReadTimeout == 0 {
+		config.ReadTimeout = defaultReadTimeout
+	}
+	if config.MaxConcurrent == 0 {
+		config.MaxConcurrent = defaultMaxConcurrent
+	}
+	if config.Log == nil {
+		config.Log = silentLog()
+	}
+	g := &Gate{config: config}
+	g.base, g.cancel = context.WithCancel(context.Background())
+	g.meter = newMeter(config.Metrics, func() float64 { return float64(g.inFlight.Load()) })
+	g.server = &fasthttp.Server{
+		Handler:                      g.routes().Handler(),
+		ErrorHandler:                 g.protocolError,
+		Logger:                       silentLog(),
+		Concurrency:                  maxConnections,
+		ReadBufferSize:               maxHeaderBytes,
+		WriteBufferSize:              writeBuffer,
+		ReadTimeout:                  config.ReadTimeout,
+		WriteTimeout:                 writeTimeout,
+		IdleTimeout:                  idleTimeout,
+		StreamRequestBody:            true,
+		DisablePreParseMultipartForm: true,
+		NoDefaultServerHeader:        true,
+		NoDefaultContentType:         true,
+		CloseOnShutdown:              true,
+	}
+	return g
+}
+
+// routes returns the application with all routes in place.
+func (g *Gate) routes() *fiber.App {
+	app := fiber.New(fiber.Config{CaseSensitive: true, StrictRouting: true})
+	app.Use(g.identify)
+	app.Get("/livez", g.live)
+	app.Get("/readyz", g.ready)
+	app.Use(g.authenticate)
+	app.Post("/v1/chat/completions", g.modelRoute("chat", "messages"))
+	app.Post("/v1/completions", g.modelRoute("completions", "prompt"))
+	app.Get("/v1/models", g.listModels)
+	app.Get("/v1/models/*", g.getModel)
+	app.All("/services/*", g.serveService)
+	if g.config.Mount != nil {
+		g.config.Mount(app)
+	}
+	return app
+}
+
+// Serve answers callers on the listener until Shutdown, and returns the listener's error if it fails before.
+func (g *Gate) Serve(listener net.Listener) error {
+	return g.server.Serve(listener)
+}
+
+// Shutdown stops as planned: it becomes unready, serves on for the notice time, then lets what runs finish.
+// When ctx ends first, the calls still in flight are cancelled and ctx's error is returned.
+func (g *Gate) Shutdown(ctx context.Context) error {
+	defer g.cancel()
+	g.stopping.Store(true)
+	g.config.Log.Info("gate: stopping, unready from now")
+	notice := time.NewTimer(g.config.Notice)
+	defer notice.Stop()
+	select {
+	case <-notice.C:
+	case <-ctx.Done():
+	}
+	err := g.server.ShutdownWithContext(ctx)
+	if err != nil {
+		g.cancel()
+	}
+	g.streams.Wait()
+	g.config.Log.Info("gate: stopped")
+	return err
+}
+
+func (g *Gate) live(c fiber.Ctx) error {
+	return c.SendString("live\n")
+}
+
+func (g *Gate) ready(c fiber.Ctx) error {
+	if g.stopping.Load() || !g.isReady() {
+		return c.Status(fiber.StatusServiceUnavailable).SendString("not ready\n")
+	}
+	return c.SendString("ready\n")
+}
+
+func (g *Gate) isReady() bool {
+	if g.config.Document() == nil {
+		return false
+	}
+	return g.config.Ready == nil || g.config.Ready()
+}
+
+// enter takes a place for one request in flight.
+func (g *Gate) enter() bool {
+	if g.inFlight.Add(1) <= int64(g.config.MaxConcurrent) {
+		return true
+	}
+	g.inFlight.Add(-1)
+	return false
+}
+
+func (g *Gate) leave() {
+	g.inFlight.Add(-1)
+}
+
+func silentLog() *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
--- /dev/null
+++ b/internal/berylgate/lookup.go
@@ -0,0 +1,87 @@
+package berylgate
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+	"sync/atomic"
+
+	"berylroad.example/berylroad/internal/berylconf"
+)
+
+// lookup is what requests are checked against, built once for each configuration.
+type lookup struct {
+	document *berylconf.Document
+	rules    berylconf.Rules
+	callers  map[[sha256.Size]byte]*berylconf.Caller
+	models   []string
+	services map[string]*berylconf.Service
+}
+
+// lookups keeps the lookup of the newest document.
+type lookups struct {
+	current atomic.Pointer[lookup]
+}
+
+// of returns the lookup of a document, or nil for a nil document.
+func (l *lookups) of(document *berylconf.Document) *lookup {
+	if document == nil {
+		return nil
+	}
+	if current := l.current.Load(); current != nil && current.document == document {
+		return current
+	}
+	built := newLookup(document)
+	l.current.Store(built)
+	return built
+}
+
+func newLookup(document *berylconf.Document) *lookup {
+	l := &lookup{
+		document: document,
+		rules:    document.Rules.WithDefaults(),
+		callers:  make(map[[sha256.Size]byte]*berylconf.Caller, len(document.Inventory.Callers)),
+		services: make(map[string]*berylconf.Service, len(document.Inventory.Services)),
+	}
+	for i := range document.Inventory.Callers {
+		l.addCaller(&document.Inventory.Callers[i])
+	}
+	for i := range document.Inventory.Services {
+		service := &document.Inventory.Services[i]
+		l.services[service.Name] = service
+	}
+	for _, u := range document.Inventory.Upstreams {
+		l.addUpstream(u)
+	}
+	slices.Sort(l.models)
+	l.models = slices.Compact(l.models)
+	return l
+}
+
+func (l *lookup) addCaller(caller *berylconf.Caller) {
+	hash, err := hex.DecodeString(caller.KeyHash)
+	if err != nil || len(hash) != sha256.Size {
+		return
+	}
+	l.callers[[sha256.Size]byte(hash)] = caller
+}
+
+func (l *lookup) addUpstream(u berylconf.Upstream) {
+	if u.Service == "" {
+		l.models = append(l.models, u.Models...)
+		return
+	}
+	if l.services[u.Service] == nil {
+		l.services[u.Service] = &berylconf.Service{Name: u.Service}
+	}
+}
+
+// caller returns the account of an API key, or nil.
+func (l *lookup) caller(key []byte) *berylconf.Caller {
+	return l.callers[sha256.Sum256(key)]
+}
+
+func (l *lookup) hasModel(name string) bool {
+	_, found := slices.BinarySearch(l.models, name)
+	return found
+}
--- /dev/null
+++ b/internal/berylgate/model.go
@@ -0,0 +1,128 @@
+package berylgate
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"net/url"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/valyala/fasthttp"
+
+	"berylroad.example/berylroad/internal/berylcall"
+	"berylroad.example/berylroad/internal/beryloutcome"
+)
+
+// modelEntry is one model in the shape that OpenAI clients read.
+type modelEntry struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// modelRoute returns the handler of a route whose prompt stands in promptField.
+func (g *Gate) modelRoute(route, promptField string) fiber.Handler {
+	return func(c fiber.Ctx) error {
+		return g.serveModel(c, route, promptField)
+	}
+}
+
+func (g *Gate) serveModel(c fiber.Ctx, route, promptField string) error {
+	x := exchangeOf(c)
+	x.route = route
+	t, refusal := x.terms(c)
+	if refusal != nil {
+		return refusal
+	}
+	if refusal := checkJSON(&c.RequestCtx().Request.Header); refusal != nil {
+		return refusal
+	}
+	body, refusal := readBody(c.RequestCtx(), x.lookup.rules.MaxBodyBytes)
+	if refusal != nil {
+		return refusal
+	}
+	model, refusal := parseModelCall(body, promptField)
+	if refusal != nil {
+		return refusal
+	}
+	if !x.lookup.hasModel(model.model) {
+		return unknownModel(model.model)
+	}
+	return g.serve(c, x, t, berylcall.Request{
+		ID:          x.id,
+		Target:      model.model,
+		Method:      http.MethodPost,
+		Path:        string(c.RequestCtx().URI().RequestURI()),
+		ContentType: contentTypeJSON,
+		Body:        body,
+		Stream:      model.stream,
+		Repeatable:  !t.never,
+		Class:       t.class,
+		Deadline:    t.deadline,
+		Tokens:      model.tokens,
+		PrefixHash:  model.prefix,
+	})
+}
+
+// terms reads the request's headers under the rules in force.
+func (x *exchange) terms(c fiber.Ctx) (terms, *beryloutcome.Refusal) {
+	t, refusal := readTerms(&c.RequestCtx().Request.Header, &x.lookup.rules, x.started)
+	x.class = t.class.String()
+	return t, refusal
+}
+
+// checkJSON refuses a body that is not plain JSON by its headers.
+func checkJSON(h *fasthttp.RequestHeader) *beryloutcome.Refusal {
+	kind, _, _ := bytes.Cut(h.ContentType(), []byte(";"))
+	if !bytes.EqualFold(bytes.TrimSpace(kind), []byte(contentTypeJSON)) {
+		return unsupported(fasthttp.HeaderContentType, "Content-Type must be application/json.")
+	}
+	encoding := h.Peek(fasthttp.HeaderContentEncoding)
+	if len(encoding) > 0 && !bytes.EqualFold(encoding, []byte("identity")) {
+		return unsupported(fasthttp.HeaderContentEncoding, "Content-Encoding must be left out; send the body uncompressed.")
+	}
+	return nil
+}
+
+func unsupported(param, message string) *beryloutcome.Refusal {
+	refusal := badRequest(param, message)
+	refusal.Status = http.StatusUnsupportedMediaType
+	return refusal
+}
+
+func unknownModel(name string) *beryloutcome.Refusal {
+	return &beryloutcome.Refusal{
+		Status:  http.StatusNotFound,
+		Code:    beryloutcome.CodeNotFound,
+		Message: fmt.Sprintf("The model %q is not served here; GET /v1/models lists those that are.", name),
+		Param:   "model",
+	}
+}
+
+func (g *Gate) listModels(c fiber.Ctx) error {
+	x := exchangeOf(c)
+	x.route = "models"
+	list := struct {
+		Object string       `json:"object"`
+		Data   []modelEntry `json:"data"`
+	}{Object: "list", Data: make([]modelEntry, 0, len(x.lookup.models))}
+	for _, name := range x.lookup.models {
+		list.Data = append(list.Data, entryOf(name))
+	}
+	return c.JSON(list)
+}
+
+func (g *Gate) getModel(c fiber.Ctx) error {
+	x := exchangeOf(c)
+	x.route = "models"
+	name, err := url.PathUnescape(c.Params("*"))
+	if err != nil || !x.lookup.hasModel(name) {
+		return unknownModel(name)
+	}
+	return c.JSON(entryOf(name))
+}
+
+func entryOf(name string) modelEntry {
+	return modelEntry{ID: name, Object: "model", OwnedBy: "berylroad"}
+}
--- /dev/null
+++ b/internal/berylgate/pipe.go
@@ -0,0 +1,130 @@
+package berylgate
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// pipeRoom is how many bytes of a stream wait for a slow caller before its upstream is held back.
+	pipeRoom = 64 << 10
+	// writeRenewal is how often a running stream moves its connection's write deadline.
+	writeRenewal = time.Second
+)
+
+var (
+	// errCallerGone ends a call whose caller has closed its connection.
+	errCallerGone = errors.New("the caller has closed its connection")
+	// errCut makes the server close a connection whose answer is not whole.
+	errCut = errors.New("the answer is not whole")
+)
+
+// pipe carries a stream from the goroutine that makes the call to the one that writes the answer.
+// Events that wait are read together.
+type pipe struct {
+	mu      sync.Mutex
+	changed sync.Cond
+	buffer  []byte
+	read    int
+	ended   bool
+	err     error
+	closed  bool
+
+	conn    net.Conn
+	renewed time.Time
+	onClose func()
+}
+
+func newPipe(conn net.Conn, onClose func()) *pipe {
+	p := &pipe{conn: conn, onClose: onClose}
+	p.changed.L = &p.mu
+	return p
+}
+
+// put appends bytes, waiting while too many are unread; it fails once the reader is gone.
+func (p *pipe) put(data []byte) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(p.buffer)-p.read >= pipeRoom && !p.closed && !p.ended {
+		p.changed.Wait()
+	}
+	if p.closed || p.ended {
+		return errCallerGone
+	}
+	p.append(data)
+	return nil
+}
+
+func (p *pipe) append(data []byte) {
+	if p.read > 0 && p.read == len(p.buffer) {
+		p.buffer = p.buffer[:0]
+		p.read = 0
+	}
+	p.buffer = append(p.buffer, data...)
+	p.changed.Broadcast()
+}
+
+// end lets the reader finish with the last bytes and then with err, or cleanly when err is nil.
+func (p *pipe) end(last []byte, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.append(last)
+	p.ended = true
+	p.err = err
+}
+
+// isClosed reports whether the reader is gone.
+func (p *pipe) isClosed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.closed
+}
+
+// Read waits for bytes and returns as many as fit.
+func (p *pipe) Read(data []byte) (int, error) {
+	p.renew()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for p.read == len(p.buffer) {
+		if p.ended {
+			return 0, p.endError()
+		}
+		p.changed.Wait()
+	}
+	n := copy(data, p.buffer[p.read:])
+	p.read += n
+	p.changed.Broadcast()
+	return n, nil
+}
+
+func (p *pipe) endError() error {
+	if p.err != nil {
+		return p.err
+	}
+	return io.EOF
+}
+
+// renew gives the next write its full time; it is called after each write that succeeded.
+func (p *pipe) renew() {
+	now := time.Now()
+	if now.Sub(p.renewed) < writeRenewal {
+		return
+	}
+	p.renewed = now
+	// A failure shows as the failure of the write itself.
+	_ = p.conn.SetWriteDeadline(now.Add(writeTimeout))
+}
+
+// Close is called by the server when the answer is written or can't be.
+func (p *pipe) Close() error {
+	p.mu.Lock()
+	p.closed = true
+	p.changed.Broadcast()
+	p.mu.Unlock()
+	p.onClose()
+	return nil
+}
--- /dev/null
+++ b/internal/berylgate/serve.go
@@ -0,0 +1,151 @@
+package berylgate
+
+import (
+	"context"
+	"crypto/sha256"
+	"net/http"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/valyala/fasthttp"
+
+	"berylroad.example/berylroad/internal/berylcall"
+	"berylroad.example/berylroad/internal/berylonce"
+	"berylroad.example/berylroad/internal/beryloutcome"
+)
+
+// finishTimeout bounds the recording of a keyed request's end, in addition to the request's own deadline.
+const finishTimeout = 10 * time.Second
+
+// serve runs an accepted request and answers it.
+func (g *Gate) serve(c fiber.Ctx, x *exchange, t terms, request berylcall.Request) error {
+	if !g.enter() {
+		return notRun("This host has too many requests in flight and has not run this one; send it again.")
+	}
+	release, refusal := g.take(x, request.Tokens)
+	if refusal != nil {
+		g.leave()
+		return refusal
+	}
+	done := func() {
+		release()
+		g.leave()
+	}
+	ticket, refusal, replayed := g.begin(c.RequestCtx(), x, t, request)
+	if refusal != nil || replayed {
+		done()
+		return asError(refusal)
+	}
+	if request.Stream {
+		return g.stream(c, x, request, ticket, done)
+	}
+	defer done()
+	return g.plain(c, x, request, ticket)
+}
+
+func (g *Gate) take(x *exchange, tokens int) (func(), *beryloutcome.Refusal) {
+	if g.config.Limits == nil {
+		return func() {}, nil
+	}
+	return g.config.Limits.Take(g.base, x.caller, tokens)
+}
+
+// begin asks whether a keyed request is to run, and answers it from the kept answer when it has run.
+func (g *Gate) begin(ctx *fasthttp.RequestCtx, x *exchange, t terms, request berylcall.Request) (berylonce.Ticket, *beryloutcome.Refusal, bool) {
+	if t.key == "" {
+		return nil, nil, false
+	}
+	if g.config.Once == nil {
+		return nil, notRun("Keyed requests can't be kept now and this one was not run; send it again."), false
+	}
+	bounded, cancel := context.WithDeadline(g.base, t.deadline)
+	defer cancel()
+	decision := g.config.Once.Begin(bounded, berylonce.Intent{
+		Caller:   x.caller.Name,
+		Key:      t.key,
+		BodyHash: bodyHash(request),
+		Never:    t.never,
+	})
+	switch {
+	case decision.Refusal != nil:
+		return nil, decision.Refusal, false
+	case decision.Replay != nil:
+		writeAnswer(ctx, *decision.Replay)
+		return nil, nil, true
+	default:
+		return decision.Run, nil, false
+	}
+}
+
+// bodyHash tells one request from another under the same key.
+func bodyHash(request berylcall.Request) [sha256.Size]byte {
+	h := sha256.New()
+	for _, part := range []string{request.Method, request.Target, request.Path, request.ContentType} {
+		h.Write([]byte(part))
+		h.Write([]byte{0})
+	}
+	h.Write(request.Body)
+	return [sha256.Size]byte(h.Sum(nil))
+}
+
+// plain runs a request whose answer is sent when it is whole.
+func (g *Gate) plain(c fiber.Ctx, x *exchange, request berylcall.Request, ticket berylonce.Ticket) error {
+	ctx, cancel := context.WithDeadline(g.base, request.Deadline)
+	defer cancel()
+	var r recorder
+	result := g.config.Calls.Do(ctx, request, &r)
+	if refusal := finish(ctx, ticket, result, r.answer); refusal != nil {
+		return refusal
+	}
+	if result.Kind != beryloutcome.Answered {
+		return refusalOf(result)
+	}
+	x.firstByte.Store(int64(time.Since(x.started)))
+	writeAnswer(c.RequestCtx(), r.answer)
+	return nil
+}
+
+// finish records the end of a keyed request before it is answered.
+func finish(ctx context.Context, ticket berylonce.Ticket, result beryloutcome.Result, answer berylonce.Answer) *beryloutcome.Refusal {
+	if ticket == nil {
+		return nil
+	}
+	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), finishTimeout)
+	defer cancel()
+	return ticket.Finish(bounded, result, answer)
+}
+
+func writeAnswer(ctx *fasthttp.RequestCtx, answer berylonce.Answer) {
+	ctx.Response.SetStatusCode(answer.Status)
+	ctx.Response.Header.SetContentType(answer.ContentType)
+	ctx.Response.SetBodyRaw(answer.Body)
+}
+
+// asError returns the refusal as a handler's error, and an untyped nil for none.
+func asError(refusal *beryloutcome.Refusal) error {
+	if refusal == nil {
+		return nil
+	}
+	return refusal
+}
+
+// recorder is a sink that keeps the whole answer.
+type recorder struct {
+	answer berylonce.Answer
+}
+
+// Start keeps the status and the content type.
+func (r *recorder) Start(status int, contentType string) error {
+	r.answer.Status = status
+	r.answer.ContentType = contentType
+	return nil
+}
+
+// Write appends to the kept body.
+func (r *recorder) Write(body []byte) error {
+	if r.answer.Status == 0 {
+		r.answer.Status = http.StatusOK
+	}
+	r.answer.Body = append(r.answer.Body, body...)
+	return nil
+}
--- /dev/null
+++ b/internal/berylgate/service.go
@@ -0,0 +1,117 @@
+package berylgate
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/valyala/fasthttp"
+
+	"berylroad.example/berylroad/internal/berylcall"
+	"berylroad.example/berylroad/internal/berylconf"
+	"berylroad.example/berylroad/internal/beryloutcome"
+)
+
+const servicesPrefix = "/services/"
+
+func (g *Gate) serveService(c fiber.Ctx) error {
+	x := exchangeOf(c)
+	x.route = "services"
+	t, refusal := x.terms(c)
+	if refusal != nil {
+		return refusal
+	}
+	ctx := c.RequestCtx()
+	service, path, refusal := x.servicePath(ctx.URI())
+	if refusal != nil {
+		return refusal
+	}
+	if isNeverRepeat(service, ctx.URI()) {
+		t.never = true
+	}
+	if t.never && t.key == "" {
+		return needsKey()
+	}
+	body, refusal := readBody(ctx, x.lookup.rules.MaxBodyBytes)
+	if refusal != nil {
+		return refusal
+	}
+	return g.serve(c, x, t, berylcall.Request{
+		ID:          x.id,
+		Target:      service.Name,
+		Method:      strings.Clone(c.Method()),
+		Path:        path,
+		ContentType: string(ctx.Request.Header.ContentType()),
+		Body:        body,
+		Stream:      bytes.Contains(ctx.Request.Header.Peek(fasthttp.HeaderAccept), []byte(contentTypeStream)),
+		Repeatable:  !t.never && (t.key != "" || isIdempotent(c.Method())),
+		Class:       t.class,
+		Deadline:    t.deadline,
+	})
+}
+
+// servicePath returns the service that the path names and the path and query on its upstreams, as the caller wrote them.
+func (x *exchange) servicePath(uri *fasthttp.URI) (*berylconf.Service, string, *beryloutcome.Refusal) {
+	original := string(uri.PathOriginal())
+	if !isCanonical(original) {
+		return nil, "", badRequest("path", `The path must not hold "//", ".", "..", "\" or their escaped forms; send it in its plain form.`)
+	}
+	name, rest, _ := strings.Cut(strings.TrimPrefix(original, servicesPrefix), "/")
+	service := x.lookup.services[name]
+	if service == nil {
+		return nil, "", &beryloutcome.Refusal{
+			Status:  http.StatusNotFound,
+			Code:    beryloutcome.CodeNotFound,
+			Message: fmt.Sprintf("The service %q is not in the inventory; check the name in the path.", name),
+			Param:   "path",
+		}
+	}
+	path := "/" + rest
+	if query := uri.QueryString(); len(query) > 0 {
+		path += "?" + string(query)
+	}
+	return service, path, nil
+}
+
+// isCanonical reports whether a path means the same to every server, so that never-repeat paths can't be dodged.
+func isCanonical(path string) bool {
+	lower := strings.ToLower(path)
+	for _, escaped := range []string{"%2e", "%2f", "%5c", "%00", `\`, "//"} {
+		if strings.Contains(lower, escaped) {
+			return false
+		}
+	}
+	for segment := range strings.SplitSeq(path, "/") {
+		if segment == "." || segment == ".." {
+			return false
+		}
+	}
+	return true
+}
+
+// isNeverRepeat reports whether the inventory marks the path as one whose calls run at most once.
+// It compares without regard to case, since some servers do.
+func isNeverRepeat(service *berylconf.Service, uri *fasthttp.URI) bool {
+	path := string(uri.Path()[len(servicesPrefix)-1+len(service.Name)+1:])
+	if path == "" {
+		path = "/"
+	}
+	for _, prefix := range service.NeverRepeat {
+		if len(path) >= len(prefix) && strings.EqualFold(path[:len(prefix)], prefix) {
+			return true
+		}
+	}
+	return false
+}
+
+// isIdempotent reports whether HTTP defines the method as idempotent.
+func isIdempotent(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodPut, http.MethodDelete, http.MethodOptions, http.MethodTrace:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/berylgate/stream.go
@@ -0,0 +1,161 @@
+package berylgate
+
+import (
+	"bytes"
+	"context"
+	"runtime/debug"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+
+	"berylroad.example/berylroad/internal/berylcall"
+	"berylroad.example/berylroad/internal/berylonce"
+	"berylroad.example/berylroad/internal/beryloutcome"
+)
+
+// doneEvent is what a whole stream of an OpenAI-style engine ends with.
+const doneEvent = "data: [DONE]"
+
+// streamed is one answer that is passed on as it arrives.
+type streamed struct {
+	exchange *exchange
+	pipe     *pipe
+	ticket   berylonce.Ticket
+	// head gets the status line once the first byte is there or the stream has ended well.
+	head chan berylonce.Answer
+	// refused gets the refusal of a call that ended before its first byte.
+	refused chan *beryloutcome.Refusal
+	begun   bool
+	start   berylonce.Answer
+	record  recorder
+	// last is a keyed stream's end marker, held back until the run is recorded.
+	last []byte
+}
+
+// stream runs a request whose answer is passed on as it arrives; done is called when the call has ended.
+func (g *Gate) stream(c fiber.Ctx, x *exchange, request berylcall.Request, ticket berylonce.Ticket, done func()) error {
+	ctx, cancel := context.WithDeadline(g.base, request.Deadline)
+	onClose := cancel
+	if ticket != nil {
+		onClose = func() {} // A keyed run goes on to its end, so that a resend finds its answer.
+	}
+	s := &streamed{
+		exchange: x,
+		pipe:     newPipe(c.RequestCtx().Conn(), onClose),
+		ticket:   ticket,
+		head:     make(chan berylonce.Answer, 1),
+		refused:  make(chan *beryloutcome.Refusal, 1),
+	}
+	x.detached = true
+	g.streams.Go(func() {
+		defer done()
+		defer cancel()
+		s.run(ctx, request)
+	})
+	select {
+	case refusal := <-s.refused:
+		return refusal
+	case head := <-s.head:
+		c.RequestCtx().Response.SetStatusCode(head.Status)
+		c.RequestCtx().Response.Header.SetContentType(head.ContentType)
+		c.RequestCtx().Response.Header.Set(fiber.HeaderCacheControl, "no-cache")
+		c.RequestCtx().Response.SetBodyStream(s.pipe, -1)
+		return nil
+	}
+}
+
+// run makes the call and ends the answer.
+func (s *streamed) run(ctx context.Context, request berylcall.Request) {
+	gate := s.exchange.gate
+	defer func() {
+		if v := recover(); v != nil {
+			gate.meter.panics.Inc()
+			gate.config.Log.WithField("request", s.exchange.id).Errorf("gate: stream failed: %v\n%s", v, debug.Stack())
+			s.fail(broken())
+		}
+	}()
+	result := gate.config.Calls.Do(ctx, request, s)
+	refusal := finish(ctx, s.ticket, result, s.record.answer)
+	if refusal == nil && result.Kind != beryloutcome.Answered {
+		refusal = refusalOf(result)
+	}
+	if refusal != nil {
+		s.fail(refusal)
+		return
+	}
+	s.succeed()
+}
+
+// Start keeps the status line until the first byte arrives.
+func (s *streamed) Start(status int, contentType string) error {
+	s.start = berylonce.Answer{Status: status, ContentType: contentType}
+	return s.record.Start(status, contentType)
+}
+
+// Write passes an event on.
+func (s *streamed) Write(event []byte) error {
+	s.begin()
+	if s.ticket == nil {
+		return s.pipe.put(event)
+	}
+	return s.writeKeyed(event)
+}
+
+// writeKeyed passes an event on and keeps it; it goes on keeping when the caller is gone.
+func (s *streamed) writeKeyed(event []byte) error {
+	if err := s.record.Write(event); err != nil {
+		return err
+	}
+	if bytes.HasPrefix(event, []byte(doneEvent)) {
+		s.last = bytes.Clone(event)
+		return nil
+	}
+	_ = s.pipe.put(event)
+	return nil
+}
+
+// begin lets the handler send the status line.
+func (s *streamed) begin() {
+	if s.begun {
+		return
+	}
+	s.begun = true
+	s.exchange.firstByte.Store(int64(time.Since(s.exchange.started)))
+	s.head <- s.start
+}
+
+func (s *streamed) succeed() {
+	s.begin()
+	gone := s.pipe.isClosed()
+	s.pipe.end(s.last, nil)
+	if gone {
+		s.exchange.end(outcomeGone)
+		return
+	}
+	s.exchange.end(outcomeOK)
+}
+
+// fail ends the answer with its own status while none is sent, and else with an error event and a cut connection.
+func (s *streamed) fail(refusal *beryloutcome.Refusal) {
+	if !s.begun {
+		s.exchange.end(string(refusal.Code))
+		s.refused <- refusal
+		return
+	}
+	if s.pipe.isClosed() {
+		s.pipe.end(nil, errCut)
+		s.exchange.end(outcomeGone)
+		return
+	}
+	s.pipe.end(errorEvent(s.start.ContentType, refusal), errCut)
+	s.exchange.end(string(refusal.Code))
+}
+
+// errorEvent returns the event that tells a client of a stream's failure; only event streams can carry one.
+func errorEvent(contentType string, refusal *beryloutcome.Refusal) []byte {
+	if !bytes.HasPrefix([]byte(contentType), []byte(contentTypeStream)) {
+		return nil
+	}
+	event := append([]byte("data: "), errorBody(refusal)...)
+	return append(event, "\n\n"...)
+}
