Platform client and its stand-in: compare-and-swap, leases, faults

A client library for the published gateway can't be had, so this is a small one over fasthttp. A write that was cut or timed out is Unknown; it is Unavailable only when no byte left or the service refused it with a 4xx answer. A used connection that the peer has closed is noticed before the request goes out: without that, the first write after every restart of the service came back Unknown in the contract test.

SwapSettled reads back and does not send again: a read that finds the old revision does not prove that the write is not still under way.

--- /dev/null
+++ b/internal/berylfake/platform.go
@@ -0,0 +1,139 @@
+package berylfake
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+)
+
+// platformTick is how often the stand-in looks for expired leases.
+const platformTick = 100 * time.Millisecond
+
+// Platform is a stand-in for the platform's key-value service, with scripted faults.
+type Platform struct {
+	store  *platformStore
+	script *platformScript
+	counts *platformCounts
+
+	mu       sync.Mutex
+	address  string
+	server   *http.Server
+	closing  chan struct{}
+	closed   sync.Once
+	routines conc.WaitGroup
+}
+
+// StartPlatform starts a stand-in on the address, such as "127.0.0.1:0".
+func StartPlatform(address string) (*Platform, error) {
+	p := &Platform{
+		store:   newPlatformStore(),
+		script:  newPlatformScript(),
+		counts:  &platformCounts{},
+		closing: make(chan struct{}),
+		address: address,
+	}
+	if err := p.listen(); err != nil {
+		return nil, err
+	}
+	p.routines.Go(p.expireLeases)
+	return p, nil
+}
+
+// URL is the base URL of the gateway.
+func (p *Platform) URL() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return "http://" + p.address
+}
+
+// SetFault puts the fault in force in place of the one before; the zero Fault ends all faults.
+func (p *Platform) SetFault(f Fault) error {
+	if err := f.check(); err != nil {
+		return err
+	}
+	p.script.set(f)
+	if f.Compact {
+		p.store.compact()
+	}
+	if f.DropWatches {
+		p.script.dropWatches()
+	}
+	if f.Mode != ModeRefuse {
+		return p.listen()
+	}
+	p.unlisten()
+	if f.ForMillis > 0 {
+		p.routines.Go(func() { p.endRefusal(time.Duration(f.ForMillis) * time.Millisecond) })
+	}
+	return nil
+}
+
+// Calls returns what was asked of the stand-in so far.
+func (p *Platform) Calls() PlatformCalls {
+	return p.counts.snapshot()
+}
+
+// Close stops the stand-in and cuts what is open.
+func (p *Platform) Close() {
+	p.closed.Do(func() {
+		close(p.closing)
+		p.unlisten()
+		p.routines.Wait()
+	})
+}
+
+// listen opens the listener unless it is open.
+func (p *Platform) listen() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.server != nil {
+		return nil
+	}
+	listener, err := net.Listen("tcp", p.address)
+	if err != nil {
+		return errors.Wrap(err, "platform stand-in")
+	}
+	p.address = listener.Addr().String()
+	server := &http.Server{Handler: p.handler(), ReadHeaderTimeout: 10 * time.Second}
+	p.server = server
+	p.routines.Go(func() { _ = server.Serve(listener) })
+	return nil
+}
+
+// unlisten closes the listener and every connection.
+func (p *Platform) unlisten() {
+	p.mu.Lock()
+	server := p.server
+	p.server = nil
+	p.mu.Unlock()
+	if server != nil {
+		_ = server.Close()
+	}
+}
+
+// endRefusal listens again after the wait.
+func (p *Platform) endRefusal(wait time.Duration) {
+	select {
+	case <-time.After(wait):
+		_ = p.SetFault(Fault{})
+	case <-p.closing:
+	}
+}
+
+// expireLeases removes expired leases until Close.
+func (p *Platform) expireLeases() {
+	ticker := time.NewTicker(platformTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			p.store.expire(now)
+		case <-p.closing:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/berylfake/platformwire.go
@@ -0,0 +1,129 @@
+package berylfake
+
+// kvHeader heads every answer.
+type kvHeader struct {
+	ClusterID uint64 `json:"cluster_id,string"`
+	MemberID  uint64 `json:"member_id,string"`
+	Revision  int64  `json:"revision,string"`
+	RaftTerm  uint64 `json:"raft_term,string"`
+}
+
+// kvRecord is one key on the wire; zero fields are left out, as the gateway does.
+type kvRecord struct {
+	Key            []byte `json:"key,omitempty"`
+	CreateRevision int64  `json:"create_revision,string,omitempty"`
+	ModRevision    int64  `json:"mod_revision,string,omitempty"`
+	Version        int64  `json:"version,string,omitempty"`
+	Value          []byte `json:"value,omitempty"`
+	Lease          int64  `json:"lease,string,omitempty"`
+}
+
+// kvRange asks for keys.
+type kvRange struct {
+	Key      []byte `json:"key"`
+	RangeEnd []byte `json:"range_end"`
+	Limit    int64  `json:"limit,string"`
+	Revision int64  `json:"revision,string"`
+}
+
+// kvPage answers a kvRange.
+type kvPage struct {
+	Header kvHeader   `json:"header"`
+	Kvs    []kvRecord `json:"kvs,omitempty"`
+	More   bool       `json:"more,omitempty"`
+	Count  int64      `json:"count,string,omitempty"`
+}
+
+// kvPut writes a key.
+type kvPut struct {
+	Key   []byte `json:"key"`
+	Value []byte `json:"value"`
+	Lease int64  `json:"lease,string"`
+}
+
+// kvOp is one step of a transaction.
+type kvOp struct {
+	Put    *kvPut   `json:"request_put"`
+	Range  *kvRange `json:"request_range"`
+	Delete *kvRange `json:"request_delete_range"`
+}
+
+// kvCompare is a condition of a transaction.
+type kvCompare struct {
+	Result         string `json:"result"`
+	Target         string `json:"target"`
+	Key            []byte `json:"key"`
+	ModRevision    int64  `json:"mod_revision,string"`
+	CreateRevision int64  `json:"create_revision,string"`
+	Version        int64  `json:"version,string"`
+	Value          []byte `json:"value"`
+}
+
+// kvTxn is a transaction.
+type kvTxn struct {
+	Compare []kvCompare `json:"compare"`
+	Success []kvOp      `json:"success"`
+	Failure []kvOp      `json:"failure"`
+}
+
+// kvOpAnswer answers one step.
+type kvOpAnswer struct {
+	Put    *kvPutAnswer    `json:"response_put,omitempty"`
+	Range  *kvPage         `json:"response_range,omitempty"`
+	Delete *kvDeleteAnswer `json:"response_delete_range,omitempty"`
+}
+
+// kvPutAnswer answers a kvPut.
+type kvPutAnswer struct {
+	Header kvHeader `json:"header"`
+}
+
+// kvDeleteAnswer answers a delete.
+type kvDeleteAnswer struct {
+	Header  kvHeader `json:"header"`
+	Deleted int64    `json:"deleted,string,omitempty"`
+}
+
+// kvTxnAnswer answers a kvTxn.
+type kvTxnAnswer struct {
+	Header    kvHeader     `json:"header"`
+	Succeeded bool         `json:"succeeded,omitempty"`
+	Responses []kvOpAnswer `json:"responses,omitempty"`
+}
+
+// kvLease asks for, renews or ends a lease.
+type kvLease struct {
+	TTL int64 `json:"TTL,string"`
+	ID  int64 `json:"ID,string"`
+}
+
+// kvLeaseAnswer answers a grant or a renewal.
+type kvLeaseAnswer struct {
+	Header kvHeader `json:"header"`
+	ID     int64    `json:"ID,string,omitempty"`
+	TTL    int64    `json:"TTL,string,omitempty"`
+}
+
+// kvWatch opens a watch.
+type kvWatch struct {
+	Create *struct {
+		Key           []byte `json:"key"`
+		RangeEnd      []byte `json:"range_end"`
+		StartRevision int64  `json:"start_revision,string"`
+	} `json:"create_request"`
+}
+
+// kvEvent is one change.
+type kvEvent struct {
+	Type string   `json:"type,omitempty"`
+	Kv   kvRecord `json:"kv"`
+}
+
+// kvWatchAnswer is one message of a watch.
+type kvWatchAnswer struct {
+	Header          kvHeader  `json:"header"`
+	Created         bool      `json:"created,omitempty"`
+	Canceled        bool      `json:"canceled,omitempty"`
+	CompactRevision int64     `json:"compact_revision,string,omitempty"`
+	Events          []kvEvent `json:"events,omitempty"`
+}
--- /dev/null
+++ b/internal/berylplatform/breaker.go
@@ -0,0 +1,48 @@
+package berylplatform
+
+import "time"
+
+const (
+	// breakerTrips is the number of failures in a row that opens a breaker.
+	breakerTrips = 5
+	// breakerLeast is the shortest time that a breaker stays open.
+	breakerLeast = 200 * time.Millisecond
+	// breakerMost is the longest time that a breaker stays open, jitter apart.
+	breakerMost = 5 * time.Second
+)
+
+// breaker keeps calls away from an endpoint that fails; it has no clock of its own.
+type breaker struct {
+	failures int
+	openTill time.Time
+	pause    time.Duration
+	probing  bool
+}
+
+// allow reports whether a call may go out; after an open period one call at a time may.
+func (b *breaker) allow(now time.Time) bool {
+	if b.failures < breakerTrips {
+		return true
+	}
+	if now.Before(b.openTill) || b.probing {
+		return false
+	}
+	b.probing = true
+	return true
+}
+
+// succeed closes the breaker.
+func (b *breaker) succeed() {
+	*b = breaker{}
+}
+
+// fail counts a failure; jitter in [0, 1) spreads the end of the open period.
+func (b *breaker) fail(now time.Time, jitter float64) {
+	b.failures++
+	b.probing = false
+	if b.failures < breakerTrips {
+		return
+	}
+	b.pause = min(max(2*b.pause, breakerLeast), breakerMost)
+	b.openTill = now.Add(b.pause + time.Duration(jitter*float64(b.pause)))
+}
--- /dev/null
+++ b/internal/berylplatform/budget.go
@@ -0,0 +1,38 @@
+package berylplatform
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// budget is the share of the service's call rate that this process may use; the zero value is unlimited.
+type budget struct {
+	limiter *rate.Limiter
+}
+
+// newBudget returns an unlimited budget.
+func newBudget() budget {
+	return budget{limiter: rate.NewLimiter(rate.Inf, 1)}
+}
+
+// set makes the rate callsPerSecond, with bursts of up to one second's worth.
+func (b budget) set(callsPerSecond float64) {
+	b.limiter.SetLimit(rate.Limit(callsPerSecond))
+	b.limiter.SetBurst(max(1, int(math.Ceil(callsPerSecond))))
+}
+
+// wait takes one call from the budget, waiting until the context's deadline or for at most longest where it has none.
+func (b budget) wait(ctx context.Context, longest time.Duration) error {
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, longest)
+		defer cancel()
+	}
+	if err := b.limiter.Wait(ctx); err != nil {
+		return ErrOverBudget
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/berylplatform/call.go
@@ -0,0 +1,157 @@
+package berylplatform
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// fate is what is certain about one request to the gateway.
+type fate uint8
+
+const (
+	// fateUnsent means that no byte of the request left this process.
+	fateUnsent fate = iota
+	// fateRefused means that the service answered that it did nothing.
+	fateRefused
+	// fateUncertain means that the request may have been carried out.
+	fateUncertain
+	// fateAnswered means that the whole answer arrived.
+	fateAnswered
+)
+
+// isRead reports whether a call changes nothing, so that it may be sent again elsewhere.
+func (n callName) isRead() bool {
+	return n == callGet || n == callList
+}
+
+// call sends in to an endpoint and decodes the answer into out. A request that was not sent is tried at the next
+// endpoint, a read also when its answer was lost.
+func (c *Client) call(ctx context.Context, name callName, path string, in, out any) (fate, error) {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return fateUnsent, err
+	}
+	last := error(ErrBreakerOpen)
+	first := c.preferred.Load()
+	for i := range c.endpoints {
+		index := (int(first) + i) % len(c.endpoints)
+		e := c.endpoints[index]
+		if !e.allow(time.Now()) {
+			continue
+		}
+		f, err := c.callAt(ctx, e, path, body, out)
+		if f == fateAnswered || f == fateRefused {
+			c.preferred.CompareAndSwap(first, int64(index))
+			return f, err
+		}
+		if f == fateUncertain && !name.isRead() || ctx.Err() != nil {
+			return f, err
+		}
+		last = err
+	}
+	return fateUnsent, last
+}
+
+// callAt sends one request to one endpoint, within the budget; it passes over used connections that the peer has closed,
+// and does not hold a context that ended early against the endpoint.
+func (c *Client) callAt(ctx context.Context, e *endpoint, path string, body []byte, out any) (fate, error) {
+	if err := c.budget.wait(ctx, c.config.Timeout); err != nil {
+		e.release()
+		c.counters.overBudget.Inc()
+		return fateUnsent, err
+	}
+	c.counters.sent.Inc()
+	f, err := c.roundTrip(ctx, e, path, body, out)
+	for tries := 0; tries < maxConns && errors.Is(err, net.ErrClosed); tries++ {
+		f, err = c.roundTrip(ctx, e, path, body, out)
+	}
+	switch {
+	case f == fateAnswered || f == fateRefused:
+		e.succeed()
+	case ctx.Err() != nil:
+		e.release()
+	default:
+		e.fail(time.Now(), c.jitter())
+	}
+	return f, err
+}
+
+// roundTrip makes one HTTP request and judges its answer.
+func (c *Client) roundTrip(ctx context.Context, e *endpoint, path string, body []byte, out any) (fate, error) {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI(e.base + path)
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.Header.SetContentType("application/json")
+	request.SetBodyRaw(body)
+	c.counters.sentBytes.Add(len(body))
+	if err := e.http.DoDeadline(request, response, c.deadline(ctx)); err != nil {
+		return errorFate(err), errors.Wrapf(err, "platform %s%s", e.base, path)
+	}
+	c.counters.readBytes.Add(len(response.Body()))
+	if status := response.StatusCode(); status != fasthttp.StatusOK {
+		return refusalFate(status), refusalError(status, response.Body())
+	}
+	if err := json.Unmarshal(response.Body(), out); err != nil {
+		return fateUncertain, errors.Wrapf(err, "platform %s%s answered garbage", e.base, path)
+	}
+	return fateAnswered, nil
+}
+
+// deadline is the earlier of the context's deadline and the call's timeout.
+func (c *Client) deadline(ctx context.Context) time.Time {
+	limit := time.Now().Add(c.config.Timeout)
+	if d, ok := ctx.Deadline(); ok && d.Before(limit) {
+		return d
+	}
+	return limit
+}
+
+// errorFate judges a request that ended without an HTTP answer; only where certainly nothing was written it is unsent.
+func errorFate(err error) fate {
+	var dial *dialError
+	if errors.As(err, &dial) || errors.Is(err, fasthttp.ErrNoFreeConns) {
+		return fateUnsent
+	}
+	return fateUncertain
+}
+
+// refusalFate judges an HTTP error answer: the gateway's 4xx answers mean that the service did nothing, but for a request
+// timeout, and its 5xx answers leave that open.
+func refusalFate(status int) fate {
+	if status >= 400 && status < 500 && status != fasthttp.StatusRequestTimeout && status != statusClientClosed {
+		return fateRefused
+	}
+	return fateUncertain
+}
+
+const (
+	// statusClientClosed is how the gateway reports a cancelled call.
+	statusClientClosed = 499
+	// codeNotFound is the gateway's error code of a lease that is not there.
+	codeNotFound = 5
+	// maxMessageBytes is how much of an error message is kept.
+	maxMessageBytes = 200
+)
+
+// refusalError turns an HTTP error answer into an error.
+func refusalError(status int, body []byte) error {
+	var refusal struct {
+		Code    int    `json:"code"`
+		Message string `json:"message"`
+	}
+	if json.Unmarshal(body, &refusal) == nil && refusal.Code == codeNotFound {
+		return ErrLeaseGone
+	}
+	message := refusal.Message
+	if len(message) > maxMessageBytes {
+		message = message[:maxMessageBytes]
+	}
+	return errors.Newf("platform answered %d: %s", status, message)
+}
--- /dev/null
+++ b/internal/berylplatform/client.go
@@ -0,0 +1,244 @@
+package berylplatform
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// defaultTimeout bounds one call where the settings give none.
+	defaultTimeout = 2 * time.Second
+	// defaultWatchRenew is the silence after which a watch is opened anew where the settings give none.
+	defaultWatchRenew = 30 * time.Second
+)
+
+// Config is what a Client is made from.
+type Config struct {
+	// Endpoints are base URLs of the service such as "http://10.0.0.5:2379", asked in turn when one fails.
+	Endpoints []string
+	// Timeout bounds one call at one endpoint; zero means 2 s.
+	Timeout time.Duration
+	// WatchRenew is the silence after which a watch is opened anew; zero means 30 s.
+	WatchRenew time.Duration
+	// TLS is used with https endpoints.
+	TLS *tls.Config
+	// Seed seeds the jitter and the choice of lease names; zero takes a random seed.
+	Seed uint64
+	// Metrics takes the counters; nil keeps them to the client.
+	Metrics *metrics.Set
+}
+
+// Client calls the platform's key-value service; it is safe for concurrent use.
+type Client struct {
+	config    Config
+	endpoints []*endpoint
+	budget    budget
+	counters  *counters
+	// preferred is the index of the endpoint to ask first.
+	preferred atomic.Int64
+	mu        sync.Mutex
+	random    *rand.Rand
+	seen      seenRevision
+}
+
+// New returns a client for the config; it makes no call. It fails when an endpoint is not a base URL.
+func New(config Config) (*Client, error) {
+	if config.Timeout <= 0 {
+		config.Timeout = defaultTimeout
+	}
+	if config.WatchRenew <= 0 {
+		config.WatchRenew = defaultWatchRenew
+	}
+	if config.Seed == 0 {
+		config.Seed = rand.Uint64()
+	}
+	if config.Metrics == nil {
+		config.Metrics = metrics.NewSet()
+	}
+	if len(config.Endpoints) == 0 {
+		return nil, errors.New("no platform endpoint given")
+	}
+	c := &Client{
+		config:   config,
+		budget:   newBudget(),
+		counters: newCounters(config.Metrics),
+		random:   rand.New(rand.NewPCG(config.Seed, config.Seed)),
+	}
+	for _, base := range config.Endpoints {
+		e, err := newEndpoint(base, config)
+		if err != nil {
+			return nil, err
+		}
+		c.endpoints = append(c.endpoints, e)
+	}
+	return c, nil
+}
+
+// SetShare sets the calls a second that this process may make; until then there is no limit.
+func (c *Client) SetShare(callsPerSecond float64) {
+	c.budget.set(callsPerSecond)
+}
+
+// Close drops the idle connections.
+func (c *Client) Close() {
+	for _, e := range c.endpoints {
+		e.http.CloseIdleConnections()
+	}
+}
+
+// Get reads one key.
+func (c *Client) Get(ctx context.Context, key string) Read {
+	page, err := c.page(ctx, callGet, wireRange{Key: []byte(key)})
+	if err != nil {
+		return Read{Status: Unavailable, Err: err}
+	}
+	read := Read{Status: Done, Revision: page.Header.Revision}
+	if len(page.Kvs) > 0 {
+		read.Record = page.Kvs[0].record()
+	}
+	return read
+}
+
+// List reads up to limit keys with the prefix, starting at the key from; a limit of zero or below means MaxPage.
+func (c *Client) List(ctx context.Context, prefix string, limit int, from string) Listing {
+	return c.listAt(ctx, prefix, limit, from, 0)
+}
+
+// listAt is List at an old revision, or at the present one when revision is zero; it halves the page when the answer
+// would be over the limit of one answer.
+func (c *Client) listAt(ctx context.Context, prefix string, limit int, from string, revision int64) Listing {
+	if limit <= 0 || limit > MaxPage {
+		limit = MaxPage
+	}
+	ask := wireRange{Key: []byte(max(prefix, from)), RangeEnd: prefixEnd(prefix), Limit: int64(limit), Revision: revision}
+	page, err := c.page(ctx, callList, ask)
+	for errors.Is(err, errAnswerTooLarge) && ask.Limit > 1 {
+		ask.Limit /= 2
+		page, err = c.page(ctx, callList, ask)
+	}
+	if err != nil {
+		return Listing{Status: Unavailable, Err: err}
+	}
+	listing := Listing{Status: Done, Revision: page.Header.Revision}
+	for _, w := range page.Kvs {
+		listing.Records = append(listing.Records, w.record())
+	}
+	if n := len(listing.Records); page.More && n > 0 {
+		listing.Next = listing.Records[n-1].Key + "\x00"
+	}
+	return listing
+}
+
+// page asks for a range and refuses an answer from an older state than the client has seen.
+func (c *Client) page(ctx context.Context, name callName, ask wireRange) (wirePage, error) {
+	if len(ask.Key) > MaxKeyBytes {
+		return wirePage{}, ErrTooLarge
+	}
+	before := c.seen.load()
+	var page wirePage
+	fate, err := c.call(ctx, name, "/v3/kv/range", ask, &page)
+	if fate == fateAnswered && !c.seen.note(page.Header, before) {
+		c.counters.stale.Inc()
+		fate, err = fateUncertain, ErrStale
+	}
+	if fate != fateAnswered {
+		c.counters.count(name, Unavailable)
+		return wirePage{}, err
+	}
+	c.counters.count(name, Done)
+	return page, nil
+}
+
+// Swap writes the value if the key's revision is expect, where zero means that the key must be absent; the record expires
+// with the lease unless that is zero. It is sent once; an Unknown write is not sent again.
+func (c *Client) Swap(ctx context.Context, key string, value []byte, expect, lease int64) Outcome {
+	if len(value) > MaxValueBytes || len(key) > MaxKeyBytes {
+		c.counters.count(callSwap, Unavailable)
+		return Outcome{Status: Unavailable, Err: ErrTooLarge}
+	}
+	put := wireOp{Put: &wirePut{Key: []byte(key), Value: value, Lease: lease}}
+	return c.change(ctx, callSwap, key, expect, put)
+}
+
+// Remove deletes the key if its revision is expect; it is sent once.
+func (c *Client) Remove(ctx context.Context, key string, expect int64) Outcome {
+	return c.change(ctx, callRemove, key, expect, wireOp{Delete: &wireRange{Key: []byte(key)}})
+}
+
+// change runs one compare-and-set transaction that reads the key where the compare fails.
+func (c *Client) change(ctx context.Context, name callName, key string, expect int64, op wireOp) Outcome {
+	ask := wireTxn{
+		Compare: []wireCompare{{Result: "EQUAL", Target: "MOD", Key: []byte(key), ModRevision: expect}},
+		Success: []wireOp{op},
+		Failure: []wireOp{{Range: &wireRange{Key: []byte(key)}}},
+	}
+	var answer wireTxnAnswer
+	fate, err := c.call(ctx, name, "/v3/kv/txn", ask, &answer)
+	outcome := writeOutcome(fate, err, answer)
+	if fate == fateAnswered {
+		c.seen.note(answer.Header, seenAt{})
+	}
+	c.counters.count(name, outcome.Status)
+	return outcome
+}
+
+// writeOutcome turns what is known about a transaction into its outcome.
+func writeOutcome(fate fate, err error, answer wireTxnAnswer) Outcome {
+	switch fate {
+	case fateUnsent, fateRefused:
+		return Outcome{Status: Unavailable, Err: err}
+	case fateUncertain:
+		return Outcome{Status: Unknown, Err: err}
+	}
+	if answer.Succeeded {
+		return Outcome{Status: Done, Revision: answer.Header.Revision}
+	}
+	outcome := Outcome{Status: Conflict}
+	if len(answer.Responses) == 1 && answer.Responses[0].Range != nil && len(answer.Responses[0].Range.Kvs) == 1 {
+		outcome.Current = answer.Responses[0].Range.Kvs[0].record()
+	}
+	return outcome
+}
+
+// SwapSettled is Swap, and when the answer is lost reads the key back once: its own value means Done, another revision
+// than expect means Conflict, and anything else stays Unknown since the write may still be under way. The value must
+// hold something that no other writer writes, such as a nonce. A Conflict after a lost answer can also mean that the
+// write took effect and was overwritten since.
+func (c *Client) SwapSettled(ctx context.Context, key string, value []byte, expect, lease int64) Outcome {
+	outcome := c.Swap(ctx, key, value, expect, lease)
+	if outcome.Status != Unknown {
+		return outcome
+	}
+	read := c.Get(ctx, key)
+	settled := settle(outcome, read, value, expect)
+	c.counters.settled[settled.Status].Inc()
+	return settled
+}
+
+// settle decides what a read says about a write whose answer was lost.
+func settle(lost Outcome, read Read, value []byte, expect int64) Outcome {
+	found := read.Record
+	switch {
+	case read.Status != Done || found.Revision <= expect:
+		return lost
+	case bytes.Equal(found.Value, value):
+		return Outcome{Status: Done, Revision: found.Revision}
+	default:
+		return Outcome{Status: Conflict, Current: found}
+	}
+}
+
+// jitter returns a number in [0, 1).
+func (c *Client) jitter() float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.random.Float64()
+}
--- /dev/null
+++ b/internal/berylplatform/conn.go
@@ -0,0 +1,59 @@
+package berylplatform
+
+import (
+	"net"
+	"syscall"
+	"time"
+)
+
+// checkedConn looks, before a request goes out on a used connection, whether the peer has closed it meanwhile; a request
+// that finds it closed was certainly not sent. It is used by one request at a time.
+type checkedConn struct {
+	net.Conn
+	// used is set once an answer was read since the last write.
+	used bool
+}
+
+// dialTCP connects and marks its failures as such.
+func dialTCP(address string, timeout time.Duration) (net.Conn, error) {
+	conn, err := net.DialTimeout("tcp", address, timeout)
+	if err != nil {
+		return nil, &dialError{cause: err}
+	}
+	return &checkedConn{Conn: conn}, nil
+}
+
+// Read notes that the connection was used.
+func (c *checkedConn) Read(p []byte) (int, error) {
+	c.used = true
+	return c.Conn.Read(p)
+}
+
+// Write fails with a dialError when the peer has closed a used connection before this request.
+func (c *checkedConn) Write(p []byte) (int, error) {
+	if c.used && closedByPeer(c.Conn) {
+		return 0, &dialError{cause: net.ErrClosed}
+	}
+	c.used = false
+	return c.Conn.Write(p)
+}
+
+// closedByPeer reports whether the peer has closed or reset an idle connection; it does not wait.
+func closedByPeer(conn net.Conn) bool {
+	s, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	closed := false
+	err = raw.Read(func(fd uintptr) bool {
+		var peek [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), peek[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		closed = n == 0 && err == nil || err != nil && err != syscall.EAGAIN && err != syscall.EINTR
+		return true
+	})
+	return closed || err != nil
+}
--- /dev/null
+++ b/internal/berylplatform/contract_test.go
@@ -0,0 +1,153 @@
+package berylplatform_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
+
+	"berylroad.example/berylroad/internal/berylfake"
+	"berylroad.example/berylroad/internal/berylplatform"
+)
+
+const (
+	// patient is a timeout that no answer in these tests comes near.
+	patient = 20 * time.Second
+	// hasty is the timeout for cases in which no answer ever comes.
+	hasty = 50 * time.Millisecond
+)
+
+// contract runs the scripts in testdata/contract against one stand-in and its clients.
+type contract struct {
+	t       *testing.T
+	fake    *berylfake.Platform
+	client  *berylplatform.Client
+	hurried *berylplatform.Client
+	lease   int64
+}
+
+// TestContract holds the client and the stand-in to the gateway's contract, faults included.
+func TestContract(t *testing.T) {
+	datadriven.Walk(t, "testdata/contract", func(t *testing.T, path string) {
+		is := is.New(t)
+		fake, err := berylfake.StartPlatform("127.0.0.1:0")
+		is.NoErr(err)
+		defer fake.Close()
+		c := &contract{t: t, fake: fake, client: newClient(t, patient, fake.URL()), hurried: newClient(t, hasty, fake.URL())}
+		datadriven.RunTest(t, path, c.run)
+	})
+}
+
+// newClient returns a client of the endpoints.
+func newClient(t *testing.T, timeout time.Duration, endpoints ...string) *berylplatform.Client {
+	t.Helper()
+	client, err := berylplatform.New(berylplatform.Config{Endpoints: endpoints, Timeout: timeout, Seed: 1})
+	is.New(t).NoErr(err)
+	t.Cleanup(client.Close)
+	return client
+}
+
+// run carries out one directive and describes its end.
+func (c *contract) run(t *testing.T, d *datadriven.TestData) string {
+	ctx := context.Background()
+	client := c.client
+	if d.HasArg("hasty") {
+		client = c.hurried
+	}
+	var key, value string
+	var expect, lease int64
+	var limit int
+	d.MaybeScanArgs(t, "key", &key)
+	d.MaybeScanArgs(t, "value", &value)
+	d.MaybeScanArgs(t, "expect", &expect)
+	d.MaybeScanArgs(t, "limit", &limit)
+	if d.HasArg("lease") {
+		lease = c.lease
+	}
+	switch d.Cmd {
+	case "fault":
+		return c.fault(d.Input, d.HasArg("keep"))
+	case "get":
+		return describeRead(client.Get(ctx, key))
+	case "list":
+		from := ""
+		d.MaybeScanArgs(t, "from", &from)
+		return describeListing(client.List(ctx, key, limit, from))
+	case "swap":
+		return describeOutcome(client.Swap(ctx, key, []byte(value), expect, lease))
+	case "swap-settled":
+		return describeOutcome(client.SwapSettled(ctx, key, []byte(value), expect, lease))
+	case "remove":
+		return describeOutcome(client.Remove(ctx, key, expect))
+	case "grant":
+		granted := client.Grant(ctx, time.Minute)
+		c.lease = granted.ID
+		return fmt.Sprintf("%s ttl=%s\n", granted.Status, granted.TTL)
+	case "keep-alive":
+		kept := client.KeepAlive(ctx, c.lease)
+		return fmt.Sprintf("%s ttl=%s gone=%t\n", kept.Status, kept.TTL, kept.Err == berylplatform.ErrLeaseGone)
+	case "revoke":
+		return fmt.Sprintf("%s\n", client.Revoke(ctx, c.lease).Status)
+	default:
+		t.Fatalf("unknown directive %s", d.Cmd)
+		return ""
+	}
+}
+
+// fault sets the fault that the JSON describes and starts with fresh clients, whose breakers are closed,
+// unless the ones before are to be kept.
+func (c *contract) fault(text string, keep bool) string {
+	var f berylfake.Fault
+	if text != "" {
+		is.New(c.t).NoErr(json.Unmarshal([]byte(text), &f))
+	}
+	is.New(c.t).NoErr(c.fake.SetFault(f))
+	if keep {
+		return ""
+	}
+	c.client, c.hurried = newClient(c.t, patient, c.fake.URL()), newClient(c.t, hasty, c.fake.URL())
+	return ""
+}
+
+// describeRead writes the end of a Get.
+func describeRead(r berylplatform.Read) string {
+	if r.Status != berylplatform.Done {
+		return fmt.Sprintf("%s\n", r.Status)
+	}
+	return fmt.Sprintf("%s %s\n", r.Status, describeRecord(r.Record))
+}
+
+// describeListing writes the end of a List.
+func describeListing(l berylplatform.Listing) string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "%s next=%q\n", l.Status, l.Next)
+	for _, r := range l.Records {
+		fmt.Fprintln(&text, describeRecord(r))
+	}
+	return text.String()
+}
+
+// describeOutcome writes the end of a write.
+func describeOutcome(o berylplatform.Outcome) string {
+	switch o.Status {
+	case berylplatform.Done:
+		return fmt.Sprintf("%s revision=%d\n", o.Status, o.Revision)
+	case berylplatform.Conflict:
+		return fmt.Sprintf("%s current: %s\n", o.Status, describeRecord(o.Current))
+	default:
+		return fmt.Sprintf("%s\n", o.Status)
+	}
+}
+
+// describeRecord writes a record.
+func describeRecord(r berylplatform.Record) string {
+	if r.Revision == 0 {
+		return "absent"
+	}
+	return fmt.Sprintf("%s=%s revision=%d leased=%t", r.Key, r.Value, r.Revision, r.Lease != 0)
+}
--- /dev/null
+++ b/internal/berylplatform/lease.go
@@ -0,0 +1,82 @@
+package berylplatform
+
+import (
+	"context"
+	"math"
+	"time"
+)
+
+// Grant makes a lease that lives for ttl, rounded up to seconds, unless kept alive.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) Lease {
+	id := c.leaseID()
+	ask := struct {
+		TTL int64 `json:"TTL,string"`
+		ID  int64 `json:"ID,string"`
+	}{TTL: wholeSeconds(ttl), ID: id}
+	var answer wireLease
+	fate, err := c.call(ctx, callGrant, "/v3/lease/grant", ask, &answer)
+	lease := leaseOutcome(fate, err, id, answer)
+	c.counters.count(callGrant, lease.Status)
+	return lease
+}
+
+// KeepAlive starts the lease's time to live anew.
+func (c *Client) KeepAlive(ctx context.Context, id int64) Lease {
+	ask := struct {
+		ID int64 `json:"ID,string"`
+	}{ID: id}
+	var answer struct {
+		Result wireLease `json:"result"`
+	}
+	fate, err := c.call(ctx, callKeepAlive, "/v3/lease/keepalive", ask, &answer)
+	lease := leaseOutcome(fate, err, id, answer.Result)
+	c.counters.count(callKeepAlive, lease.Status)
+	return lease
+}
+
+// Revoke ends the lease and removes its records; a lease that is gone already counts as Done.
+func (c *Client) Revoke(ctx context.Context, id int64) Lease {
+	ask := struct {
+		ID int64 `json:"ID,string"`
+	}{ID: id}
+	var answer struct{}
+	fate, err := c.call(ctx, callRevoke, "/v3/lease/revoke", ask, &answer)
+	if fate == fateRefused && err == ErrLeaseGone {
+		fate = fateAnswered
+	}
+	lease := leaseOutcome(fate, err, id, wireLease{TTL: 1})
+	c.counters.count(callRevoke, lease.Status)
+	return lease
+}
+
+// wireLease is the answer to a grant or keep-alive.
+type wireLease struct {
+	TTL int64 `json:"TTL,string"`
+}
+
+// leaseOutcome turns what is known about a lease call into its end; the gateway answers a keep-alive of a lease that is
+// gone with a zero time to live.
+func leaseOutcome(fate fate, err error, id int64, answer wireLease) Lease {
+	switch {
+	case fate == fateUnsent || fate == fateRefused:
+		return Lease{Status: Unavailable, ID: id, Err: err}
+	case fate == fateUncertain:
+		return Lease{Status: Unknown, ID: id, Err: err}
+	case answer.TTL <= 0:
+		return Lease{Status: Unavailable, ID: id, Err: ErrLeaseGone}
+	default:
+		return Lease{Status: Done, ID: id, TTL: time.Duration(answer.TTL) * time.Second}
+	}
+}
+
+// leaseID returns a positive name that no other lease is likely to have.
+func (c *Client) leaseID() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.random.Int64N(math.MaxInt64) + 1
+}
+
+// wholeSeconds rounds up to whole seconds, at least one.
+func wholeSeconds(d time.Duration) int64 {
+	return max(1, int64(math.Ceil(d.Seconds())))
+}
--- /dev/null
+++ b/internal/berylplatform/wire.go
@@ -0,0 +1,85 @@
+package berylplatform
+
+// wireHeader heads every answer of the gateway.
+type wireHeader struct {
+	ClusterID uint64 `json:"cluster_id,string"`
+	Revision  int64  `json:"revision,string"`
+}
+
+// wireRecord is a record as the gateway writes it.
+type wireRecord struct {
+	Key         []byte `json:"key"`
+	Value       []byte `json:"value"`
+	ModRevision int64  `json:"mod_revision,string"`
+	Lease       int64  `json:"lease,string"`
+}
+
+// record converts to the public type.
+func (w wireRecord) record() Record {
+	return Record{Key: string(w.Key), Value: w.Value, Revision: w.ModRevision, Lease: w.Lease}
+}
+
+// wireRange asks for a key or for the keys from Key up to, not including, RangeEnd.
+type wireRange struct {
+	Key      []byte `json:"key"`
+	RangeEnd []byte `json:"range_end,omitempty"`
+	Limit    int64  `json:"limit,string,omitempty"`
+	Revision int64  `json:"revision,string,omitempty"`
+}
+
+// wirePage answers a wireRange.
+type wirePage struct {
+	Header wireHeader   `json:"header"`
+	Kvs    []wireRecord `json:"kvs"`
+	More   bool         `json:"more"`
+}
+
+// wirePut writes a key inside a transaction.
+type wirePut struct {
+	Key   []byte `json:"key"`
+	Value []byte `json:"value"`
+	Lease int64  `json:"lease,string,omitempty"`
+}
+
+// wireOp is one step of a transaction; exactly one field is set.
+type wireOp struct {
+	Put    *wirePut   `json:"request_put,omitempty"`
+	Range  *wireRange `json:"request_range,omitempty"`
+	Delete *wireRange `json:"request_delete_range,omitempty"`
+}
+
+// wireCompare demands that Key has ModRevision; zero means absent.
+type wireCompare struct {
+	Result      string `json:"result"`
+	Target      string `json:"target"`
+	Key         []byte `json:"key"`
+	ModRevision int64  `json:"mod_revision,string"`
+}
+
+// wireTxn runs Success when every Compare holds and Failure otherwise.
+type wireTxn struct {
+	Compare []wireCompare `json:"compare"`
+	Success []wireOp      `json:"success"`
+	Failure []wireOp      `json:"failure"`
+}
+
+// wireTxnAnswer answers a wireTxn.
+type wireTxnAnswer struct {
+	Header    wireHeader `json:"header"`
+	Succeeded bool       `json:"succeeded"`
+	Responses []struct {
+		Range *wirePage `json:"response_range"`
+	} `json:"responses"`
+}
+
+// prefixEnd returns the first key after all keys with the prefix, or a zero byte, which means to the end, when there is none.
+func prefixEnd(prefix string) []byte {
+	end := []byte(prefix)
+	for i := len(end) - 1; i >= 0; i-- {
+		if end[i] < 0xff {
+			end[i]++
+			return end[:i+1]
+		}
+	}
+	return []byte{0}
+}
