Wire, keys and membership: first working form

The other slices need to reach peers, so the API comes first: typed calls over QUIC with mutual TLS, certificates and credentials that reload, and a SWIM-like table of live hosts with its duty.

--- /dev/null
+++ b/internal/berylhost/news.go
@@ -0,0 +1,51 @@
+package berylhost
+
+import (
+	"cmp"
+	"math/bits"
+	"slices"
+)
+
+const maxFresh = 256
+
+// news is the queue of members whose news is still to be spread.
+type news struct {
+	items  []newsItem
+	picked []string
+}
+
+type newsItem struct {
+	name string
+	sent int
+}
+
+// add puts a member's news at the front of the queue.
+func (n *news) add(name string) {
+	n.items = slices.DeleteFunc(n.items, func(i newsItem) bool { return i.name == name })
+	if len(n.items) >= maxFresh {
+		n.items = n.items[:maxFresh-1]
+	}
+	n.items = slices.Insert(n.items, 0, newsItem{name: name})
+}
+
+// pick returns up to count names, the least often sent first, and drops those that have been sent limit times; the slice
+// is valid until the next pick.
+func (n *news) pick(count, limit int) []string {
+	n.picked = n.picked[:0]
+	count = min(count, len(n.items))
+	for i := range count {
+		n.picked = append(n.picked, n.items[i].name)
+		n.items[i].sent++
+	}
+	if count == 0 {
+		return nil
+	}
+	n.items = slices.DeleteFunc(n.items, func(i newsItem) bool { return i.sent >= limit })
+	slices.SortStableFunc(n.items, func(a, b newsItem) int { return cmp.Compare(a.sent, b.sent) })
+	return n.picked
+}
+
+// spread returns how often a piece of news is sent, which grows with the logarithm of the members.
+func (t *Table) spread() int {
+	return spreadFactor * bits.Len(uint(len(t.views.others)+1))
+}
--- /dev/null
+++ b/internal/berylhost/table.go
@@ -0,0 +1,233 @@
+package berylhost
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// TickInterval is the time between two ticks.
+	TickInterval = 100 * time.Millisecond
+	// PauseTimeout is the time between two ticks from which a host counts as having been paused.
+	PauseTimeout = suspicionTimeout
+
+	probeInterval    = time.Second
+	probeTimeout     = 400 * time.Millisecond
+	relayTimeout     = 900 * time.Millisecond
+	relayProbe       = 400 * time.Millisecond
+	syncTimeout      = time.Second
+	suspicionTimeout = 1500 * time.Millisecond
+	seekInterval     = time.Second
+	seekDeadInterval = 5 * time.Second
+	joinTimeout      = 3 * time.Second
+	forgetTimeout    = 2 * time.Minute
+
+	relayCount   = 3
+	seekCount    = 3
+	ringCount    = 2
+	leaveCount   = 8
+	maxPending   = 64
+	maxFillers   = 3
+	spreadFactor = 3
+)
+
+// Table is one host's view of the members, as a state machine without clock, goroutine or I/O.
+type Table struct {
+	// Self is this host; Boot must grow from run to run.
+	Self Member
+	// Seed makes the random choices repeatable.
+	Seed uint64
+
+	random   *rand.Rand
+	entries  map[string]*entry
+	views    views
+	suspects map[string]*entry
+	news     news
+	pending  map[uint64]*pending
+	seq      uint64
+
+	started   time.Time
+	lastTick  time.Time
+	nextRing  time.Time
+	nextProbe time.Time
+	nextSeek  time.Time
+	nextDead  time.Time
+	joined    bool
+	needSync  bool
+	syncing   bool
+	replaced  bool
+
+	actions []Action
+}
+
+// entry is one other member.
+type entry struct {
+	Member
+	candidate bool
+	since     time.Time // when the state was taken on
+}
+
+// purpose says what a probe is for.
+type purpose uint8
+
+const (
+	toCheck purpose = iota // a lost one leads to relays and suspicion
+	toSeek                 // a lost one leads to nothing
+	toRelay
+	toSync
+)
+
+// pending is a probe, with its relays, or a sync without its answer.
+type pending struct {
+	purpose     purpose
+	target      string
+	incarnation uint64
+	relays      int
+	parent      uint64 // for one relay, the probe it belongs to
+}
+
+// Step takes an event at a time and returns what is to be done; the slice is valid until the next Step.
+func (t *Table) Step(now time.Time, e Event) []Action {
+	t.actions = t.actions[:0]
+	if t.random == nil {
+		t.start(now)
+	}
+	switch e := e.(type) {
+	case Tick:
+		t.tick(now)
+	case Candidates:
+		t.setCandidates(now, e.Members)
+	case Heard:
+		t.heard(now, e)
+	case Acked:
+		t.acked(now, e)
+	case Missed:
+		t.missed(now, e.Seq)
+	case RelayAsked:
+		t.relayAsked(e.Target)
+	case SyncAsked:
+		t.syncAsked(now, e)
+	case Leave:
+		t.leave()
+	}
+	t.refresh()
+	return t.actions
+}
+
+func (t *Table) start(now time.Time) {
+	t.random = rand.New(rand.NewPCG(t.Seed, t.Self.Boot))
+	t.entries = map[string]*entry{}
+	t.suspects = map[string]*entry{}
+	t.pending = map[uint64]*pending{}
+	t.Self.State = Alive
+	t.Self.Incarnation = t.Self.Boot
+	t.started = now
+	t.lastTick = now
+	t.nextRing = now.Add(t.jitter(probeInterval))
+	t.nextProbe = now.Add(t.jitter(probeInterval))
+	t.nextSeek = now
+	t.nextDead = now.Add(t.jitter(seekDeadInterval))
+	t.views.dirty = true
+}
+
+func (t *Table) jitter(span time.Duration) time.Duration {
+	return time.Duration(t.random.Int64N(int64(span)))
+}
+
+func (t *Table) do(a Action) {
+	t.actions = append(t.actions, a)
+}
+
+func (t *Table) tick(now time.Time) {
+	if pause := now.Sub(t.lastTick); pause > PauseTimeout {
+		t.woke(pause)
+	}
+	t.lastTick = now
+	if t.Self.State == Left {
+		return
+	}
+	t.confirm(now)
+	t.checkJoined(now)
+	t.probeDue(now)
+	t.seekDue(now)
+	if t.needSync && !t.syncing {
+		t.sendSync()
+	}
+}
+
+// woke drops all that was measured across a pause of this host itself.
+func (t *Table) woke(pause time.Duration) {
+	t.do(Woke{Pause: pause})
+	clear(t.pending)
+	t.syncing = false
+	t.needSync = true
+	for _, e := range t.suspects {
+		e.since = e.since.Add(pause)
+	}
+}
+
+// confirm declares suspects dead whose time to refute is over.
+func (t *Table) confirm(now time.Time) {
+	for _, e := range t.suspects {
+		if now.Sub(e.since) < suspicionTimeout {
+			continue
+		}
+		m := e.Member
+		m.State = Dead
+		t.set(now, e, m)
+	}
+}
+
+func (t *Table) checkJoined(now time.Time) {
+	if t.joined || now.Sub(t.started) < joinTimeout {
+		return
+	}
+	t.joined = true
+	t.do(Joined{Alone: true})
+}
+
+func (t *Table) setCandidates(now time.Time, members []Member) {
+	for _, e := range t.entries {
+		e.candidate = false
+	}
+	for _, m := range members {
+		if m.Name == t.Self.Name || m.Name == "" {
+			continue
+		}
+		e := t.entries[m.Name]
+		if e == nil {
+			if e = t.add(now, m.Name); e == nil {
+				return
+			}
+		}
+		e.candidate = true
+		if !e.State.live() {
+			e.PeerAddress = m.PeerAddress
+			e.Region = m.Region
+			e.FailureDomain = m.FailureDomain
+		}
+	}
+	t.views.dirty = true
+}
+
+// add makes an entry, unless the table is full.
+func (t *Table) add(now time.Time, name string) *entry {
+	if len(t.entries) >= maxMembers {
+		return nil
+	}
+	e := &entry{Member: Member{Name: name}, since: now}
+	t.entries[name] = e
+	return e
+}
+
+func (t *Table) leave() {
+	if t.Self.State == Left {
+		return
+	}
+	t.Self.State = Left
+	t.Self.Incarnation++
+	t.views.dirty = true
+	for range min(leaveCount, len(t.views.others)) {
+		t.probe(t.views.nextRandom(t.random), toSeek)
+	}
+}
--- /dev/null
+++ b/internal/berylhost/views.go
@@ -0,0 +1,156 @@
+package berylhost
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// views are lists drawn from the entries, rebuilt when those change.
+type views struct {
+	dirty   bool // hosts, runs or addresses have changed
+	changed bool // a state has changed
+
+	live    []Member // sorted by name, this host included
+	others  []*entry // live, shuffled
+	ring    []*entry // live, in the order of the ring from this host on
+	unknown []*entry // candidates that nobody has heard of
+	gone    []*entry // dead or left candidates
+	known   []*entry // all that are not unknown
+
+	atOther, atRing, atUnknown, atKnown int
+}
+
+// refresh rebuilds the views after a step and says that they changed.
+func (t *Table) refresh() {
+	v := &t.views
+	if !v.dirty && !v.changed {
+		return
+	}
+	if v.dirty {
+		t.rebuild()
+	}
+	t.rebuildLive()
+	t.do(Changed{Set: v.dirty})
+	v.dirty = false
+	v.changed = false
+}
+
+func (t *Table) rebuild() {
+	v := &t.views
+	v.others, v.ring, v.unknown, v.gone, v.known = v.others[:0], v.ring[:0], v.unknown[:0], v.gone[:0], v.known[:0]
+	for _, e := range t.entries {
+		if e.State != Unknown {
+			v.known = append(v.known, e)
+		}
+		switch {
+		case e.State.live():
+			v.others = append(v.others, e)
+		case e.State == Unknown && e.candidate:
+			v.unknown = append(v.unknown, e)
+		case e.candidate:
+			v.gone = append(v.gone, e)
+		}
+	}
+	byName := func(a, b *entry) int { return cmp.Compare(a.Name, b.Name) }
+	for _, list := range [][]*entry{v.others, v.unknown, v.gone, v.known} {
+		slices.SortFunc(list, byName)
+	}
+	v.ring = append(v.ring, v.others...)
+	self := xxhash.Sum64String(t.Self.Name)
+	slices.SortStableFunc(v.ring, func(a, b *entry) int {
+		return cmp.Compare(xxhash.Sum64String(a.Name)-self, xxhash.Sum64String(b.Name)-self)
+	})
+	shuffle(t.random, v.others)
+	shuffle(t.random, v.known)
+}
+
+func (t *Table) rebuildLive() {
+	live := make([]Member, 0, len(t.views.others)+1)
+	if t.Self.State.live() {
+		live = append(live, t.Self)
+	}
+	for _, e := range t.views.others {
+		live = append(live, e.Member)
+	}
+	slices.SortFunc(live, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	t.views.live = live
+}
+
+// Live returns the members that are up, suspects and this host included, sorted by name; the slice must not be changed.
+func (t *Table) Live() []Member {
+	return t.views.live
+}
+
+func shuffle(r *rand.Rand, list []*entry) {
+	r.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+}
+
+// nextRandom returns each other member once in a random order, then again in another one.
+func (v *views) nextRandom(r *rand.Rand) *entry {
+	if len(v.others) == 0 {
+		return nil
+	}
+	if v.atOther >= len(v.others) {
+		v.atOther = 0
+		shuffle(r, v.others)
+	}
+	v.atOther++
+	return v.others[v.atOther-1]
+}
+
+// nextSuccessor returns this host's next alive members on the ring in turn, with the suspects between them.
+func (v *views) nextSuccessor() *entry {
+	reach := 0
+	for alive := 0; reach < len(v.ring) && alive < ringCount; reach++ {
+		if v.ring[reach].State == Alive {
+			alive++
+		}
+	}
+	return next(v.ring[:reach], &v.atRing)
+}
+
+func (v *views) nextUnknown() *entry {
+	return next(v.unknown, &v.atUnknown)
+}
+
+func (v *views) nextKnown() *entry {
+	return next(v.known, &v.atKnown)
+}
+
+func (v *views) nextGone(r *rand.Rand) *entry {
+	if len(v.gone) == 0 {
+		return nil
+	}
+	return v.gone[r.IntN(len(v.gone))]
+}
+
+// pick returns up to count random alive members, without the excluded one.
+func (v *views) pick(r *rand.Rand, count int, exclude string) []*entry {
+	var picked []*entry
+	if len(v.others) == 0 {
+		return nil
+	}
+	start := r.IntN(len(v.others))
+	for i := range v.others {
+		e := v.others[(start+i)%len(v.others)]
+		if e.Name == exclude || e.State != Alive {
+			continue
+		}
+		picked = append(picked, e)
+		if len(picked) == count {
+			break
+		}
+	}
+	return picked
+}
+
+func next(list []*entry, at *int) *entry {
+	if len(list) == 0 {
+		return nil
+	}
+	*at++
+	return list[*at%len(list)]
+}
--- /dev/null
+++ b/internal/berylkey/caller.go
@@ -0,0 +1,27 @@
+package berylkey
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/hex"
+)
+
+const (
+	callerKeyPrefix = "bk-"
+	callerKeyBytes  = 32
+)
+
+// NewCallerKey makes an API key for a caller and the hash that goes into the inventory.
+func NewCallerKey() (key, hash string) {
+	var secret [callerKeyBytes]byte
+	_, _ = rand.Read(secret[:]) // never fails: the process stops without a source of randomness
+	key = callerKeyPrefix + base64.RawURLEncoding.EncodeToString(secret[:])
+	return key, HashCallerKey(key)
+}
+
+// HashCallerKey returns the lower-case hex SHA-256 of an API key.
+func HashCallerKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/internal/berylkey/create.go
@@ -0,0 +1,150 @@
+package berylkey
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	caLifetime   = 10 * 365 * 24 * time.Hour
+	hostLifetime = 365 * 24 * time.Hour
+	// clockSkew is how far a host's clock may be behind that of the machine that made the certificate.
+	clockSkew      = time.Hour
+	serialBits     = 127
+	maxNameBytes   = 63
+	typeCert       = "CERTIFICATE"
+	typePrivateKey = "PRIVATE KEY"
+)
+
+// Pair is a certificate and its private key, both in PEM.
+type Pair struct {
+	// Cert is the certificate.
+	Cert []byte
+	// Key is the private key in PKCS #8.
+	Key []byte
+}
+
+// CreateCA makes a certificate authority for a fleet, valid from now on.
+func CreateCA(now time.Time) (Pair, error) {
+	template := &x509.Certificate{
+		Subject:               pkix.Name{CommonName: "berylroad fleet"},
+		NotBefore:             now.Add(-clockSkew),
+		NotAfter:              now.Add(caLifetime),
+		KeyUsage:              x509.KeyUsageCertSign,
+		BasicConstraintsValid: true,
+		IsCA:                  true,
+		MaxPathLenZero:        true,
+	}
+	return create(template, nil, nil)
+}
+
+// CreateHost makes a certificate for the host of that name and returns an error for a name that is no host name.
+func (p Pair) CreateHost(now time.Time, name string, ips ...net.IP) (Pair, error) {
+	return p.createHost(now, now.Add(hostLifetime), name, ips)
+}
+
+func (p Pair) createHost(now, until time.Time, name string, ips []net.IP) (Pair, error) {
+	if err := CheckName(name); err != nil {
+		return Pair{}, err
+	}
+	parent, err := parseCert(p.Cert)
+	if err != nil {
+		return Pair{}, errors.Wrap(err, "certificate authority")
+	}
+	signer, err := parseKey(p.Key)
+	if err != nil {
+		return Pair{}, errors.Wrap(err, "key of the certificate authority")
+	}
+	template := &x509.Certificate{
+		Subject:     pkix.Name{CommonName: name},
+		DNSNames:    []string{name},
+		IPAddresses: ips,
+		NotBefore:   now.Add(-clockSkew),
+		NotAfter:    until,
+		KeyUsage:    x509.KeyUsageDigitalSignature,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	return create(template, parent, signer)
+}
+
+// CheckName returns an error unless the name is made of lower-case letters, digits, hyphens and dots, is no IP address
+// and has at most 63 bytes.
+func CheckName(name string) error {
+	if name == "" || len(name) > maxNameBytes {
+		return errors.Newf("host name %q must have 1 to %d bytes", name, maxNameBytes)
+	}
+	if net.ParseIP(name) != nil {
+		return errors.Newf("host name %q must not be an IP address", name)
+	}
+	for i, c := range []byte(name) {
+		letter := c >= 'a' && c <= 'z' || c >= '0' && c <= '9'
+		edge := i == 0 || i == len(name)-1
+		if letter || !edge && (c == '-' || c == '.') {
+			continue
+		}
+		return errors.Newf("host name %q may hold lower-case letters, digits and, inside, hyphens and dots", name)
+	}
+	return nil
+}
+
+// create signs the template with the parent, or with its own key when there is no parent.
+func create(template, parent *x509.Certificate, signer *ecdsa.PrivateKey) (Pair, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return Pair{}, errors.Wrap(err, "make a key")
+	}
+	if parent == nil {
+		parent = template
+		signer = key
+	}
+	template.SerialNumber, err = rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
+	if err != nil {
+		return Pair{}, errors.Wrap(err, "make a serial number")
+	}
+	cert, err := x509.CreateCertificate(rand.Reader, template, parent, &key.PublicKey, signer)
+	if err != nil {
+		return Pair{}, errors.Wrap(err, "sign the certificate")
+	}
+	private, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return Pair{}, errors.Wrap(err, "encode the key")
+	}
+	return Pair{
+		Cert: pem.EncodeToMemory(&pem.Block{Type: typeCert, Bytes: cert}),
+		Key:  pem.EncodeToMemory(&pem.Block{Type: typePrivateKey, Bytes: private}),
+	}, nil
+}
+
+func parseCert(text []byte) (*x509.Certificate, error) {
+	block, _ := pem.Decode(text)
+	if block == nil || block.Type != typeCert {
+		return nil, errors.New("no PEM block of type " + typeCert)
+	}
+	cert, err := x509.ParseCertificate(block.Bytes)
+	return cert, errors.Wrap(err, "parse the certificate")
+}
+
+func parseKey(text []byte) (*ecdsa.PrivateKey, error) {
+	block, _ := pem.Decode(text)
+	if block == nil || block.Type != typePrivateKey {
+		return nil, errors.New("no PEM block of type " + typePrivateKey)
+	}
+	parsed, err := x509.ParsePKCS8PrivateKey(block.Bytes)
+	if err != nil {
+		return nil, errors.Wrap(err, "parse the key")
+	}
+	key, ok := parsed.(*ecdsa.PrivateKey)
+	if !ok {
+		return nil, errors.Newf("the key is a %T and must be an ECDSA key", parsed)
+	}
+	return key, nil
+}
--- /dev/null
+++ b/internal/berylwire/call.go
@@ -0,0 +1,112 @@
+package berylwire
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+	"github.com/quic-go/quic-go"
+)
+
+// Call sends a request to a peer and waits for its answer until the context ends; the error is an *Error.
+//
+// Ending the context also ends that of the handler.
+func Call[Req, Reply any](ctx context.Context, e *Endpoint, peer Peer, kind string, req Req) (Reply, error) {
+	return call[Req, Reply](ctx, e, peer, kind, req, false)
+}
+
+// CallIdempotent is Call for a request that may be handled twice: it is sent again once when its connection was lost.
+func CallIdempotent[Req, Reply any](ctx context.Context, e *Endpoint, peer Peer, kind string, req Req) (Reply, error) {
+	return call[Req, Reply](ctx, e, peer, kind, req, true)
+}
+
+func call[Req, Reply any](ctx context.Context, e *Endpoint, peer Peer, kind string, req Req, idempotent bool) (Reply, error) {
+	var answer Reply
+	body, fault, err := e.exchange(ctx, peer, kind, req, idempotent)
+	if err == nil {
+		err = e.codec.dec.Unmarshal(body, &answer)
+		fault = BadReply
+	}
+	if err != nil {
+		e.countCall(kind, fault.String())
+		return answer, &Error{Fault: fault, Peer: peer.Name, Kind: kind, Cause: err}
+	}
+	e.countCall(kind, "answered")
+	return answer, nil
+}
+
+func (e *Endpoint) countCall(kind, result string) {
+	e.config.Metrics.GetOrCreateCounter(fmt.Sprintf(`berylroad_wire_calls_total{kind=%q,result=%q}`, kind, result)).Inc()
+}
+
+// exchange sends a request and returns the body of the answer, over a second connection if the first was already dead.
+func (e *Endpoint) exchange(ctx context.Context, peer Peer, kind string, req any, idempotent bool) ([]byte, Fault, error) {
+	body, err := e.codec.enc.Marshal(req)
+	if err != nil {
+		return nil, Unreachable, errors.Wrap(err, "encode")
+	}
+	frame, err := e.codec.enc.Marshal(request{Kind: kind, Body: body})
+	if err != nil {
+		return nil, Unreachable, errors.Wrap(err, "encode")
+	}
+	if len(frame) > e.config.MaxFrame {
+		return nil, Unreachable, errTooLarge(e.config.MaxFrame)
+	}
+	answer, fault, stale, err := e.attempt(ctx, peer, frame)
+	if stale && ctx.Err() == nil && (fault == Unreachable || idempotent) {
+		answer, fault, _, err = e.attempt(ctx, peer, frame)
+	}
+	return answer, fault, err
+}
+
+// attempt sends a frame over the link to the peer; stale says that the link had been made earlier and has died since.
+func (e *Endpoint) attempt(ctx context.Context, peer Peer, frame []byte) (body []byte, fault Fault, stale bool, err error) {
+	l, err := e.pool.acquire(peer, func(l *link) { e.dial(peer, l) })
+	if err != nil {
+		return nil, Unreachable, false, err
+	}
+	defer e.pool.release(l)
+	select {
+	case <-ctx.Done():
+		return nil, Unreachable, false, ctx.Err()
+	case <-l.ready:
+	}
+	if l.err != nil {
+		return nil, Unreachable, false, errors.Wrap(l.err, "connect")
+	}
+	body, fault, err = e.transfer(ctx, l.conn, frame)
+	return body, fault, err != nil && l.conn.Context().Err() != nil, err
+}
+
+// transfer sends a frame over a connection and reads the answer.
+func (e *Endpoint) transfer(ctx context.Context, conn *quic.Conn, frame []byte) ([]byte, Fault, error) {
+	stream, err := conn.OpenStreamSync(ctx)
+	if err != nil {
+		return nil, Unreachable, errors.Wrap(err, "open a stream")
+	}
+	stop := context.AfterFunc(ctx, func() {
+		stream.CancelRead(cancelCode)
+		stream.CancelWrite(cancelCode)
+	})
+	defer stop()
+	if _, err := stream.Write(frame); err != nil && ctx.Err() == nil && conn.Context().Err() != nil {
+		return nil, Lost, err
+	}
+	_ = stream.Close()
+	received, err := readFrame(stream, e.config.MaxFrame)
+	if ctx.Err() != nil && err != nil {
+		return nil, Lost, ctx.Err()
+	}
+	if err != nil {
+		stream.CancelRead(cancelCode)
+		return nil, Lost, err
+	}
+	var answer reply
+	if err := e.codec.dec.Unmarshal(received, &answer); err != nil {
+		return nil, BadReply, err
+	}
+	if answer.Status != statusOK {
+		return nil, answer.Status.fault(), errors.Newf("%s", bounded(answer.Text, maxErrorBytes))
+	}
+	return answer.Body, 0, nil
+}
--- /dev/null
+++ b/internal/berylwire/call_test.go
@@ -0,0 +1,81 @@
+package berylwire_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"berylroad.example/berylroad/internal/berylkey"
+	"berylroad.example/berylroad/internal/berylwire"
+)
+
+// fleet is a certificate authority with hosts on loopback.
+type fleet struct {
+	t  testing.TB
+	ca berylkey.Pair
+}
+
+type question struct {
+	Text string `cbor:"1,keyasint"`
+}
+
+func newFleet(t testing.TB) fleet {
+	ca, err := berylkey.CreateCA(time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fleet{t: t, ca: ca}
+}
+
+func (f fleet) credentials(name string) *berylkey.Credentials {
+	pair, err := f.ca.CreateHost(time.Now(), name)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	credentials, err := berylkey.New(time.Now(), f.ca.Cert, pair)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return credentials
+}
+
+// listen opens an endpoint of that name; the test's end closes it.
+func (f fleet) listen(config berylwire.Config) *berylwire.Endpoint {
+	if config.Credentials == nil {
+		config.Credentials = f.credentials(config.Name)
+	}
+	if config.Address == "" {
+		config.Address = "127.0.0.1:0"
+	}
+	e, err := berylwire.Listen(config)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(e.Close)
+	return e
+}
+
+// serve answers "echo" at the endpoint until the test ends.
+func (f fleet) serve(e *berylwire.Endpoint) berylwire.Peer {
+	berylwire.Handle(e, "echo", func(_ context.Context, peer string, q question) (question, error) {
+		if q.Text == "fail" {
+			return question{}, errors.New("asked to fail")
+		}
+		return question{Text: peer + ":" + q.Text}, nil
+	})
+	go e.Serve(context.Background())
+	return berylwire.Peer{Name: e.Name(), Address: e.Addr()}
+}
+
+func TestCallReachesThePeerUnderTheCallersName(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	peer := f.serve(f.listen(berylwire.Config{Name: "host-b"}))
+	a := f.listen(berylwire.Config{Name: "host-a"})
+	answer, err := berylwire.Call[question, question](t.Context(), a, peer, "echo", question{Text: "hello"})
+	is.NoErr(err)
+	is.Equal(answer.Text, "host-a:hello")
+}
--- /dev/null
+++ b/internal/berylwire/endpoint.go
@@ -0,0 +1,182 @@
+package berylwire
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/tls"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/quic-go/quic-go"
+	"github.com/sourcegraph/conc"
+)
+
+const (
+	protocol            = "berylroad/1"
+	defaultMaxFrame     = 1 << 20
+	defaultMaxPerKind   = 4096
+	maxStreamsPerConn   = 4096
+	maxIncomingConns    = 2048
+	handshakeTimeout    = 2 * time.Second
+	silenceTimeout      = 3 * time.Second
+	keepAliveInterval   = time.Second
+	idleDropTimeout     = 10 * time.Second
+	idleSweepInterval   = time.Second
+	frameTimeout        = 10 * time.Second
+	closeCode           = quic.ApplicationErrorCode(0)
+	cancelCode          = quic.StreamErrorCode(1)
+	refusedFrameCode    = quic.StreamErrorCode(2)
+	initialStreamWindow = 64 << 10
+)
+
+// Credentials prove the host's name to peers and check theirs.
+type Credentials interface {
+	// ServerConfig returns a configuration that demands certificates of the fleet.
+	ServerConfig(protocol string) *tls.Config
+	// ClientConfig returns a configuration for one connection to the peer of that name.
+	ClientConfig(peer, protocol string) *tls.Config
+	// ResetKey returns a secret that stays the same over restarts.
+	ResetKey() [sha256.Size]byte
+}
+
+// Config describes an endpoint; the numbers have defaults.
+type Config struct {
+	// Name is the host's own name.
+	Name string
+	// Address is the IP address and UDP port to listen on; port 0 takes a free one.
+	Address string
+	// Credentials prove the name.
+	Credentials Credentials
+	// MaxFrame is the largest request or answer in bytes.
+	MaxFrame int
+	// MaxPerKind is how many requests of one kind are handled at once.
+	MaxPerKind int
+	// Metrics takes the counters; nil keeps them to the endpoint.
+	Metrics *metrics.Set
+}
+
+// Peer names another host and where it listens.
+type Peer struct {
+	// Name is the host's name; its certificate must bear it.
+	Name string
+	// Address is its IP address and UDP port.
+	Address string
+}
+
+// Endpoint calls peers and answers their calls over one UDP socket.
+type Endpoint struct {
+	config    Config
+	codec     codec
+	transport *quic.Transport
+	listener  *quic.Listener
+	quic      *quic.Config
+	handlers  map[string]*handler
+	pool      pool
+	done      chan struct{}
+	closeOnce sync.Once
+}
+
+// Listen opens the socket; register handlers, then call Serve.
+func Listen(config Config) (*Endpoint, error) {
+	if config.MaxFrame == 0 {
+		config.MaxFrame = defaultMaxFrame
+	}
+	if config.MaxPerKind == 0 {
+		config.MaxPerKind = defaultMaxPerKind
+	}
+	if config.Metrics == nil {
+		config.Metrics = metrics.NewSet()
+	}
+	codec, err := newCodec()
+	if err != nil {
+		return nil, err
+	}
+	address, err := net.ResolveUDPAddr("udp", config.Address)
+	if err != nil {
+		return nil, errors.Wrap(err, "peer address")
+	}
+	socket, err := net.ListenUDP("udp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for peers")
+	}
+	e := &Endpoint{
+		config:   config,
+		codec:    codec,
+		quic:     quicConfig(),
+		handlers: map[string]*handler{},
+		done:     make(chan struct{}),
+	}
+	resetKey := quic.StatelessResetKey(config.Credentials.ResetKey())
+	e.transport = &quic.Transport{Conn: socket, StatelessResetKey: &resetKey}
+	e.listener, err = e.transport.Listen(config.Credentials.ServerConfig(protocol), e.quic)
+	if err != nil {
+		_ = socket.Close()
+		return nil, errors.Wrap(err, "listen for peers")
+	}
+	return e, nil
+}
+
+func quicConfig() *quic.Config {
+	return &quic.Config{
+		HandshakeIdleTimeout:       handshakeTimeout,
+		MaxIdleTimeout:             silenceTimeout,
+		KeepAlivePeriod:            keepAliveInterval,
+		MaxIncomingStreams:         maxStreamsPerConn,
+		MaxIncomingUniStreams:      -1,
+		InitialStreamReceiveWindow: initialStreamWindow,
+	}
+}
+
+// Name returns the host's own name.
+func (e *Endpoint) Name() string {
+	return e.config.Name
+}
+
+// Addr returns the IP address and UDP port it listens on.
+func (e *Endpoint) Addr() string {
+	return e.transport.Conn.LocalAddr().String()
+}
+
+// Serve answers peers until the context ends or Close is called, then closes the endpoint.
+func (e *Endpoint) Serve(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var duties conc.WaitGroup
+	duties.Go(func() { e.accept(ctx) })
+	duties.Go(func() { e.sweep(ctx) })
+	select {
+	case <-ctx.Done():
+	case <-e.done:
+	}
+	cancel()
+	e.Close()
+	duties.Wait()
+}
+
+// Close ends all connections and closes the socket; calls in flight fail as lost.
+func (e *Endpoint) Close() {
+	e.closeOnce.Do(func() {
+		close(e.done)
+		_ = e.listener.Close()
+		e.pool.closeAll()
+		_ = e.transport.Close()
+		_ = e.transport.Conn.Close()
+	})
+}
+
+// sweep drops connections that have not been used for a while.
+func (e *Endpoint) sweep(ctx context.Context) {
+	ticker := time.NewTicker(idleSweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			e.pool.dropIdle(now.Add(-idleDropTimeout))
+		}
+	}
+}
--- /dev/null
+++ b/internal/berylwire/error.go
@@ -0,0 +1,90 @@
+package berylwire
+
+import (
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Fault says what kept a call from its answer.
+type Fault uint8
+
+const (
+	// Unreachable means that nothing of the request was sent.
+	Unreachable Fault = iota + 1
+	// Lost means that the request was sent and may have been handled.
+	Lost
+	// Remote means that the peer's handler returned an error.
+	Remote
+	// Malformed means that the peer could not read the request and did not handle it.
+	Malformed
+	// UnknownKind means that the peer has no handler for the request's kind.
+	UnknownKind
+	// Busy means that the peer already handles as many requests of the kind as it may and did not handle this one.
+	Busy
+	// BadReply means that the peer's answer could not be read; the request was handled.
+	BadReply
+)
+
+// String returns the name used in errors and metrics.
+func (f Fault) String() string {
+	switch f {
+	case Unreachable:
+		return "unreachable"
+	case Lost:
+		return "lost"
+	case Remote:
+		return "remote-error"
+	case Malformed:
+		return "malformed"
+	case UnknownKind:
+		return "unknown-kind"
+	case Busy:
+		return "busy"
+	case BadReply:
+		return "bad-reply"
+	default:
+		return "none"
+	}
+}
+
+// Error is the error of every failed call.
+type Error struct {
+	// Fault says what went wrong.
+	Fault Fault
+	// Peer is the name of the asked host.
+	Peer string
+	// Kind is the kind of the request.
+	Kind string
+	// Cause is the error below, for Remote the bounded text of the handler's error.
+	Cause error
+}
+
+// Error names the fault, the peer, the kind and the cause.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s to %s: %s: %v", e.Kind, e.Peer, e.Fault, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.Cause
+}
+
+// FaultOf returns the fault of a failed call, or zero for an error that is none.
+func FaultOf(err error) Fault {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Fault
+	}
+	return 0
+}
+
+// MayHaveRun says whether the peer may have handled the request of a failed call.
+func MayHaveRun(err error) bool {
+	switch FaultOf(err) {
+	case Unreachable, Malformed, UnknownKind, Busy:
+		return false
+	default:
+		return err != nil
+	}
+}
--- /dev/null
+++ b/internal/berylwire/pool.go
@@ -0,0 +1,111 @@
+package berylwire
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/quic-go/quic-go"
+)
+
+// link is a connection to a peer, or the attempt to make one.
+type link struct {
+	ready  chan struct{} // closed when conn or err is set
+	conn   *quic.Conn
+	err    error
+	used   time.Time
+	active int
+}
+
+// alive says whether the link is being made or can carry calls.
+func (l *link) alive() bool {
+	select {
+	case <-l.ready:
+		return l.err == nil && l.conn.Context().Err() == nil
+	default:
+		return true
+	}
+}
+
+// pool keeps the connections to peers.
+type pool struct {
+	mu     sync.Mutex
+	links  map[Peer]*link
+	closed bool
+}
+
+// acquire returns the link to a peer, making one if there is none alive; release it after the call.
+func (p *pool) acquire(peer Peer, dial func(*link)) (*link, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, errors.New("the endpoint is closed")
+	}
+	l := p.links[peer]
+	if l == nil || !l.alive() {
+		l = &link{ready: make(chan struct{})}
+		if p.links == nil {
+			p.links = map[Peer]*link{}
+		}
+		p.links[peer] = l
+		go dial(l)
+	}
+	l.active++
+	return l, nil
+}
+
+func (p *pool) release(l *link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l.active--
+	l.used = time.Now()
+}
+
+// dropIdle closes links that no call has used since the given time, and forgets dead ones.
+func (p *pool) dropIdle(before time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for peer, l := range p.links {
+		if l.active > 0 || l.alive() && l.used.After(before) {
+			continue
+		}
+		l.close()
+		delete(p.links, peer)
+	}
+}
+
+func (p *pool) closeAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, l := range p.links {
+		l.close()
+	}
+	p.links = nil
+}
+
+// close ends the connection if it has been made.
+func (l *link) close() {
+	select {
+	case <-l.ready:
+		if l.err == nil {
+			_ = l.conn.CloseWithError(closeCode, "closing")
+		}
+	default:
+	}
+}
+
+// dial makes the connection of a link.
+func (e *Endpoint) dial(peer Peer, l *link) {
+	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
+	defer cancel()
+	defer close(l.ready)
+	address, err := net.ResolveUDPAddr("udp", peer.Address)
+	if err != nil {
+		l.err = err
+		return
+	}
+	l.conn, l.err = e.transport.Dial(ctx, address, e.config.Credentials.ClientConfig(peer.Name, protocol), e.quic)
+}
