Configuration and settings read strictly, every problem placed

Cause: operators edit the inventory and rules by hand; the standard decoder stops at the first unknown key and names no line.

Ruled out: the standard decoder's DisallowUnknownFields alone (no position, one error at a time).

--- /dev/null
+++ b/internal/beryljson/doc.go
@@ -0,0 +1,2 @@
+// Package beryljson reads JSON with comments strictly and names each problem by line and column.
+package beryljson
