--- a/internal/berylpermit/permit.go
+++ b/internal/berylpermit/permit.go
@@ -57,6 +57,8 @@
 	Queue bool `cbor:"9,keyasint,omitempty"`
 	// Hedge marks a second permit for a request that already holds one; it is never queued and never preempts.
 	Hedge bool `cbor:"10,keyasint,omitempty"`
+	// PrefixHash is the hash of the prompt's first blocks, or zero for no affinity.
+	PrefixHash uint64 `cbor:"11,keyasint,omitempty"`
 }
 
 // Verdict is the owner's answer to an ask.
@@ -69,6 +71,8 @@
 	Granted
 	// NotOwner means that the asked host owns no upstream of that target.
 	NotOwner
+	// Queued means that the ask keeps its place in the owner's queue as long as it is sent again now and then.
+	Queued
 )
 
 // Reply answers an Ask.
@@ -103,6 +107,10 @@
 	Wait time.Duration `cbor:"6,keyasint"`
 	// Straggler marks an upstream set aside as slow.
 	Straggler bool `cbor:"7,keyasint,omitempty"`
+	// FirstToken is the moving mean of the time to the first body byte, or zero when unknown.
+	FirstToken time.Duration `cbor:"8,keyasint,omitempty"`
+	// TokenGap is the moving mean of the time between streamed events, or zero when unknown.
+	TokenGap time.Duration `cbor:"9,keyasint,omitempty"`
 }
 
 // Withdraw tells an owner that an ask is no longer wanted; a permit already granted for it is released.
--- /dev/null
+++ b/internal/berylsched/broker.go
@@ -0,0 +1,263 @@
+package berylsched
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"berylroad.example/berylroad/internal/berylconf"
+	"berylroad.example/berylroad/internal/beryloutcome"
+	"berylroad.example/berylroad/internal/berylpermit"
+)
+
+const (
+	// askTimeout is how long an owner may take to answer an ask that does not wait.
+	askTimeout = 250 * time.Millisecond
+	// firstTries is how many owners are asked before the ask waits at any.
+	firstTries = 2
+	// waitingPlaces is at how many owners one ask waits at once.
+	waitingPlaces = 2
+	// localAllowance is how many online permits a host takes for each upstream while it reaches no owner.
+	localAllowance = 1
+	// reaskPause is the time between two tries to reach any owner.
+	reaskPause = 100 * time.Millisecond
+	// leastRetry is the shortest time after which a refused caller is told to come back.
+	leastRetry = time.Second
+	// retryJitter is the largest share added to that time, so that callers do not come back together.
+	retryJitter = 0.3
+	// statusCancelled is the status of a request whose caller went away; nobody reads it.
+	statusCancelled = 499
+)
+
+var _ berylpermit.Broker = (*Scheduler)(nil)
+
+// Acquire waits for a permit until ctx ends or the owners predict that the deadline cannot be met.
+func (s *Scheduler) Acquire(ctx context.Context, ask berylpermit.Ask) (*berylpermit.Permit, *beryloutcome.Refusal) {
+	start := time.Now()
+	permit, refusal := s.acquire(ctx, start, ask)
+	s.counts.acquire(ask.Class, permit != nil, time.Since(start))
+	return permit, refusal
+}
+
+func (s *Scheduler) acquire(ctx context.Context, start time.Time, ask berylpermit.Ask) (*berylpermit.Permit, *beryloutcome.Refusal) {
+	t := s.table.Load()
+	if len(t.targets[ask.Target]) == 0 {
+		return nil, notFound(ask.Target)
+	}
+	if ask.Remaining <= 0 {
+		ask.Remaining = t.timeout
+	}
+	if end, ok := ctx.Deadline(); ok {
+		ask.Remaining = min(ask.Remaining, end.Sub(start))
+	}
+	if t.routing != berylconf.RoutingOwner {
+		return s.acquireAlone(t, ask)
+	}
+	a := acquisition{Scheduler: s, ask: ask, deadline: start.Add(ask.Remaining)}
+	ctx, cancel := context.WithDeadline(ctx, a.deadline)
+	defer cancel()
+	return a.run(ctx)
+}
+
+// acquisition is one Acquire on its way through the owners.
+type acquisition struct {
+	*Scheduler
+	ask      berylpermit.Ask
+	deadline time.Time
+	// wait is the shortest wait that an owner has predicted, if refused is set.
+	wait    time.Duration
+	refused bool
+}
+
+// verdict is what one owner has said, or that it could not be reached.
+type verdict struct {
+	host  string
+	ask   berylpermit.Ask
+	reply berylpermit.Reply
+	err   error
+}
+
+var errNotOwner = errors.New("host owns no upstream of the target")
+
+func (a *acquisition) run(ctx context.Context) (*berylpermit.Permit, *beryloutcome.Refusal) {
+	for {
+		if ctx.Err() != nil {
+			return nil, a.ended(ctx)
+		}
+		t := a.table.Load()
+		hosts := a.route(time.Now(), t, &a.ask)
+		permit, reached := a.tryFirst(ctx, hosts)
+		if permit != nil {
+			return permit, nil
+		}
+		if a.ask.Hedge {
+			return nil, a.refuse()
+		}
+		if len(reached) > 0 {
+			permit, final := a.queue(ctx, t, reached)
+			if permit != nil {
+				return permit, nil
+			}
+			if final {
+				return nil, a.refuse()
+			}
+			continue
+		}
+		if permit := a.takeUnowned(t); permit != nil {
+			return permit, nil
+		}
+		a.pause(ctx, t)
+	}
+}
+
+// tryFirst asks owners in turn without waiting; it returns those to wait at if none grants.
+func (a *acquisition) tryFirst(ctx context.Context, hosts []string) (*berylpermit.Permit, []string) {
+	var reached []string
+	for i, host := range hosts {
+		if len(reached) == firstTries {
+			return nil, append(reached, hosts[i:]...)
+		}
+		if ctx.Err() != nil {
+			return nil, nil
+		}
+		v := a.send(ctx, host, a.next(false), askTimeout)
+		if v.err != nil {
+			a.counts.reasked.Inc()
+			continue
+		}
+		if v.reply.Verdict == berylpermit.Granted {
+			return a.granted(&v), nil
+		}
+		a.noteRefusal(v.reply.Wait)
+		reached = append(reached, host)
+	}
+	return nil, reached
+}
+
+// next returns the ask under a new ID.
+func (a *acquisition) next(queue bool) berylpermit.Ask {
+	ask := a.ask
+	ask.ID = a.nextID()
+	ask.Queue = queue
+	return ask
+}
+
+// send asks one owner once; a refusal for want of ownership counts as not reached.
+func (s *Scheduler) send(ctx context.Context, host string, ask berylpermit.Ask, timeout time.Duration) verdict {
+	v := verdict{host: host, ask: ask}
+	now := time.Now()
+	s.peers.asking(now, host)
+	sending, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	if host == s.Host {
+		v.reply, v.err = s.HandleAsk(sending, host, ask)
+	} else {
+		v.reply, v.err = s.Transport.Ask(sending, host, ask)
+	}
+	if v.err != nil {
+		if ctx.Err() == nil {
+			s.peers.silent(time.Now(), host)
+		}
+		s.withdraw(&v)
+		return v
+	}
+	s.peers.answered(host)
+	s.loads.note(time.Now(), v.reply.Loads)
+	if v.reply.Verdict == berylpermit.NotOwner || v.reply.ID != ask.ID {
+		v.err = errNotOwner
+	}
+	return v
+}
+
+func (s *Scheduler) withdraw(v *verdict) {
+	s.outbox.send(v.host, parcel{withdraw: &berylpermit.Withdraw{ID: v.ask.ID}})
+}
+
+func (a *acquisition) granted(v *verdict) *berylpermit.Permit {
+	a.loads.bump(v.reply.Upstream, v.ask.Class)
+	return a.hold(&v.ask, v.reply.Upstream, v.host)
+}
+
+func (a *acquisition) noteRefusal(wait time.Duration) {
+	if !a.refused || wait < a.wait {
+		a.wait = wait
+	}
+	a.refused = true
+}
+
+// takeUnowned lets online work go on at a small rate while no owner can be reached.
+func (a *acquisition) takeUnowned(t *table) *berylpermit.Permit {
+	if a.ask.Class == berylpermit.Batch {
+		return nil
+	}
+	places := t.targets[a.ask.Target]
+	first := rand.IntN(len(places) + 1)
+	for i := range places {
+		p := places[(first+i)%len(places)]
+		if p.leaving || p.slots == 0 || avoids(&a.ask, p.upstream) || a.local.get(p.upstream) >= localAllowance {
+			continue
+		}
+		ask := a.next(false)
+		a.counts.unowned.Inc()
+		return a.hold(&ask, p.upstream, "")
+	}
+	return nil
+}
+
+func avoids(ask *berylpermit.Ask, upstream string) bool {
+	for _, name := range ask.Avoid {
+		if name == upstream {
+			return true
+		}
+	}
+	return false
+}
+
+// pause waits a moment, or until the table changes.
+func (a *acquisition) pause(ctx context.Context, t *table) {
+	timer := time.NewTimer(reaskPause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-t.stale:
+	}
+}
+
+func (a *acquisition) refuse() *beryloutcome.Refusal {
+	return notRun(a.wait)
+}
+
+func (a *acquisition) ended(ctx context.Context) *beryloutcome.Refusal {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return &beryloutcome.Refusal{
+			Status:  statusCancelled,
+			Code:    beryloutcome.CodeCancelled,
+			Message: "the request was cancelled before it ran",
+		}
+	}
+	return notRun(a.wait)
+}
+
+func notRun(wait time.Duration) *beryloutcome.Refusal {
+	wait = max(wait, leastRetry)
+	wait += time.Duration(rand.Float64() * retryJitter * float64(wait))
+	return &beryloutcome.Refusal{
+		Status:     http.StatusServiceUnavailable,
+		Code:       beryloutcome.CodeNotRun,
+		Message:    "no upstream can run the request within its deadline; it was not run: retry later or with a longer deadline",
+		RetryAfter: wait,
+	}
+}
+
+func notFound(target string) *beryloutcome.Refusal {
+	return &beryloutcome.Refusal{
+		Status:  http.StatusNotFound,
+		Code:    beryloutcome.CodeNotFound,
+		Message: "no upstream serves " + target + ": check the name against the list of models and services",
+		Param:   "model",
+	}
+}
--- /dev/null
+++ b/internal/berylsched/failure_test.go
@@ -0,0 +1,138 @@
+package berylsched_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"berylroad.example/berylroad/internal/beryloutcome"
+	"berylroad.example/berylroad/internal/berylpermit"
+	"berylroad.example/berylroad/internal/berylsched"
+)
+
+var names = []string{"h1", "h2", "h3"}
+
+// others returns the fleet's hosts without one.
+func others(gone string) []string {
+	var rest []string
+	for _, name := range names {
+		if name != gone {
+			rest = append(rest, name)
+		}
+	}
+	return rest
+}
+
+// acquireLater starts an Acquire and returns where its permit arrives; a refusal closes the channel.
+func acquireLater(s *berylsched.Scheduler, ask berylpermit.Ask) <-chan *berylpermit.Permit {
+	c := make(chan *berylpermit.Permit, 1)
+	go func() {
+		defer close(c)
+		if p, _ := s.Acquire(context.Background(), ask); p != nil {
+			c <- p
+		}
+	}()
+	return c
+}
+
+func TestOwnerLostWhileAsksWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(document(1, 1), names...)
+		defer f.stop()
+		owner := berylsched.RendezvousOwner("u1", names)
+		rest := others(owner)
+		ask := berylpermit.Ask{Target: "m", Remaining: time.Minute}
+		held, refusal := f.hosts[rest[0]].Acquire(context.Background(), ask)
+		is.Equal(refusal, nil)
+		waiting := acquireLater(f.hosts[rest[1]], ask)
+		time.Sleep(100 * time.Millisecond)
+
+		f.lose(owner)
+		f.setMembers(rest...)
+		time.Sleep(2 * time.Second)
+		select {
+		case <-waiting:
+			t.Fatal("the new owner granted a slot that is still held")
+		default:
+		}
+		held.Release(berylpermit.Report{Kind: beryloutcome.Answered})
+		released := time.Now()
+		p := <-waiting
+		is.True(p != nil)
+		is.True(time.Since(released) <= 4*hop)
+	})
+}
+
+func TestOwnerFrozenWithAsksWaiting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		doc := document(8, 1)
+		f := newFleet(doc, names...)
+		defer f.stop()
+		frozen := berylsched.RendezvousOwner("u1", names)
+		f.freeze(frozen, true)
+		s := f.hosts[others(frozen)[0]]
+		start := time.Now()
+		var wg sync.WaitGroup
+		for range 20 {
+			wg.Go(func() {
+				p, refusal := s.Acquire(context.Background(), berylpermit.Ask{Target: "m", Remaining: 30 * time.Second})
+				is.Equal(refusal, nil)
+				time.Sleep(100 * time.Millisecond)
+				p.Release(berylpermit.Report{Kind: beryloutcome.Answered, Busy: 100 * time.Millisecond})
+			})
+		}
+		wg.Wait()
+		is.True(time.Since(start) < 5*time.Second) // the other owners' slots serve all
+	})
+}
+
+func TestNoOwnerReachable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(document(4, 4), names...)
+		defer f.stop()
+		s := f.hosts["h1"]
+		f.setMembers("h2", "h3")
+		f.lose("h2")
+		f.lose("h3")
+		for range 4 {
+			_, refusal := s.Acquire(context.Background(), berylpermit.Ask{Target: "m", Remaining: 5 * time.Second})
+			is.Equal(refusal, nil)
+		}
+		_, refusal := s.Acquire(context.Background(), berylpermit.Ask{Target: "m", Remaining: 2 * time.Second})
+		is.True(refusal != nil) // the allowance is one for each upstream
+		start := time.Now()
+		batch := acquireLater(s, berylpermit.Ask{Target: "m", Class: berylpermit.Batch, Remaining: time.Hour})
+		time.Sleep(10 * time.Second)
+		f.setMembers("h1")
+		is.True(<-batch != nil)
+		is.True(time.Since(start) >= 10*time.Second) // batch work waits for an owner
+	})
+}
+
+func TestCallerGoesWhileWaiting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(document(1, 1), names...)
+		defer f.stop()
+		ask := berylpermit.Ask{Target: "m", Remaining: time.Minute}
+		held, refusal := f.hosts["h1"].Acquire(context.Background(), ask)
+		is.Equal(refusal, nil)
+		ctx, cancel := context.WithCancel(context.Background())
+		time.AfterFunc(50*time.Millisecond, cancel)
+		_, refusal = f.hosts["h2"].Acquire(ctx, ask)
+		is.Equal(refusal.Code, beryloutcome.CodeCancelled)
+		time.Sleep(10 * time.Millisecond)
+		held.Release(berylpermit.Report{})
+		start := time.Now()
+		_, refusal = f.hosts["h3"].Acquire(context.Background(), ask)
+		is.Equal(refusal, nil)
+		is.True(time.Since(start) <= 4*hop) // the slot did not go to the caller that left
+	})
+}
--- /dev/null
+++ b/internal/berylsched/fleet_test.go
@@ -0,0 +1,157 @@
+package berylsched_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"berylroad.example/berylroad/internal/berylconf"
+	"berylroad.example/berylroad/internal/berylpermit"
+	"berylroad.example/berylroad/internal/berylsched"
+)
+
+// hop is the time one way between two hosts of the test fleet.
+const hop = time.Millisecond
+
+var errGone = errors.New("host is gone")
+
+// fleet is a few Schedulers joined in memory; it must be made and used in a synctest bubble.
+type fleet struct {
+	mu     sync.Mutex
+	hosts  map[string]*berylsched.Scheduler
+	gone   map[string]bool
+	frozen map[string]bool
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+func newFleet(doc berylconf.Document, names ...string) *fleet {
+	f := &fleet{hosts: map[string]*berylsched.Scheduler{}, gone: map[string]bool{}, frozen: map[string]bool{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	f.cancel = cancel
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	for _, name := range names {
+		s := berylsched.New(berylsched.Settings{Host: name, Boot: 1, Transport: link{f, name}, Log: log})
+		f.hosts[name] = s
+		s.SetConfig(doc)
+		f.wg.Go(func() { s.Run(ctx) })
+	}
+	f.setMembers(names...)
+	return f
+}
+
+func (f *fleet) setMembers(names ...string) {
+	var members []berylsched.Member
+	for _, name := range names {
+		members = append(members, berylsched.Member{Name: name, Boot: 1})
+	}
+	for _, s := range f.hosts {
+		s.SetMembers(members)
+	}
+}
+
+func (f *fleet) stop() {
+	f.cancel()
+	f.wg.Wait()
+}
+
+func (f *fleet) lose(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.gone[name] = true
+}
+
+// freeze makes a host take messages without ever answering them, or answer again.
+func (f *fleet) freeze(name string, frozen bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.frozen[name] = frozen
+}
+
+// cross takes a message to a host, or fails as the network would.
+func (f *fleet) cross(ctx context.Context, from, to string) (*berylsched.Scheduler, error) {
+	time.Sleep(hop)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.gone[to] || f.gone[from] {
+		return nil, errGone
+	}
+	if f.frozen[to] {
+		f.mu.Unlock()
+		<-ctx.Done()
+		f.mu.Lock()
+		return nil, ctx.Err()
+	}
+	return f.hosts[to], nil
+}
+
+// link is the transport of one host of the fleet.
+type link struct {
+	fleet *fleet
+	from  string
+}
+
+func (l link) Ask(ctx context.Context, host string, ask berylpermit.Ask) (berylpermit.Reply, error) {
+	s, err := l.fleet.cross(ctx, l.from, host)
+	if err != nil {
+		return berylpermit.Reply{}, err
+	}
+	reply, err := s.HandleAsk(ctx, l.from, ask)
+	if err != nil {
+		return reply, err
+	}
+	_, err = l.fleet.cross(ctx, host, l.from)
+	return reply, err
+}
+
+func (l link) Withdraw(ctx context.Context, host string, m berylpermit.Withdraw) error {
+	s, err := l.fleet.cross(ctx, l.from, host)
+	if err != nil {
+		return err
+	}
+	return s.HandleWithdraw(l.from, m)
+}
+
+func (l link) Release(ctx context.Context, host string, m berylpermit.Release) error {
+	s, err := l.fleet.cross(ctx, l.from, host)
+	if err != nil {
+		return err
+	}
+	return s.HandleRelease(l.from, m)
+}
+
+func (l link) SendYield(ctx context.Context, host string, m berylpermit.Yield) error {
+	s, err := l.fleet.cross(ctx, l.from, host)
+	if err != nil {
+		return err
+	}
+	return s.HandleYield(l.from, m)
+}
+
+func (l link) SendHeld(ctx context.Context, host string, m berylpermit.Held) error {
+	s, err := l.fleet.cross(ctx, l.from, host)
+	if err != nil {
+		return err
+	}
+	return s.HandleHeld(l.from, m)
+}
+
+// document is a configuration with that many upstreams, all for the target "m".
+func document(upstreams, slots int) berylconf.Document {
+	var doc berylconf.Document
+	doc.Revision = 1
+	for i := range upstreams {
+		doc.Inventory.Upstreams = append(doc.Inventory.Upstreams, berylconf.Upstream{
+			Name:   fmt.Sprintf("u%d", i+1),
+			Models: []string{"m"},
+			Slots:  slots,
+		})
+	}
+	return doc
+}
--- /dev/null
+++ b/internal/berylsched/held.go
@@ -0,0 +1,135 @@
+package berylsched
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"berylroad.example/berylroad/internal/berylpermit"
+)
+
+const (
+	// reportEvery is the time between two reports of held permits.
+	reportEvery = time.Second
+	// reportFor is how long an owner gets reports after the last ask.
+	reportFor = 20 * time.Second
+)
+
+// hold is a permit that this host holds.
+type hold struct {
+	berylpermit.HeldPermit
+	// owner is the host that granted it, or empty when this host took it without an owner.
+	owner string
+	since time.Time
+	stop  chan struct{}
+	once  sync.Once
+}
+
+// holds is the table of the permits that this host holds; the zero value is empty.
+type holds struct {
+	mu   sync.Mutex
+	byID map[berylpermit.ID]*hold
+}
+
+func (t *holds) add(h *hold) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.byID == nil {
+		t.byID = make(map[berylpermit.ID]*hold)
+	}
+	t.byID[h.ID] = h
+}
+
+// remove returns false if the permit was released before.
+func (t *holds) remove(id berylpermit.ID) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.byID[id] == nil {
+		return false
+	}
+	delete(t.byID, id)
+	return true
+}
+
+// yield closes the channel of a batch permit; an unknown one was released before.
+func (t *holds) yield(id berylpermit.ID) {
+	t.mu.Lock()
+	h := t.byID[id]
+	t.mu.Unlock()
+	if h != nil && h.Class == berylpermit.Batch {
+		h.once.Do(func() { close(h.stop) })
+	}
+}
+
+// snapshot lists the held permits and the upstreams they are for.
+func (t *holds) snapshot(now time.Time) []berylpermit.HeldPermit {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := make([]berylpermit.HeldPermit, 0, len(t.byID))
+	for _, h := range t.byID {
+		hp := h.HeldPermit
+		hp.Age = now.Sub(h.since)
+		list = append(list, hp)
+	}
+	return list
+}
+
+// hold enters a granted permit and returns what the caller gets.
+func (s *Scheduler) hold(ask *berylpermit.Ask, upstream, owner string) *berylpermit.Permit {
+	h := &hold{owner: owner, since: time.Now(), stop: make(chan struct{})}
+	h.HeldPermit = berylpermit.HeldPermit{ID: ask.ID, Upstream: upstream, Class: ask.Class, Long: ask.Long}
+	s.holds.add(h)
+	s.local.add(upstream, 1)
+	return &berylpermit.Permit{
+		ID:       ask.ID,
+		Upstream: upstream,
+		Class:    ask.Class,
+		Yield:    h.stop,
+		Release:  func(r berylpermit.Report) { s.release(h, r) },
+	}
+}
+
+// release gives a permit back to the owner that granted it and to the one that counts it now.
+func (s *Scheduler) release(h *hold, report berylpermit.Report) {
+	if !s.holds.remove(h.ID) {
+		return
+	}
+	s.local.add(h.Upstream, -1)
+	r := berylpermit.Release{ID: h.ID, Upstream: h.Upstream, Report: report}
+	if h.owner != "" {
+		s.outbox.send(h.owner, parcel{release: &r})
+	}
+	p := s.table.Load().places[h.Upstream]
+	if p != nil && p.owner != "" && p.owner != h.owner {
+		s.outbox.send(p.owner, parcel{release: &r})
+	}
+}
+
+// reportHeld reports held permits to their owners, every second and at each change of ownership, until ctx ends.
+func (s *Scheduler) reportHeld(ctx context.Context) {
+	ticker := time.NewTicker(reportEvery)
+	defer ticker.Stop()
+	for {
+		t := s.table.Load()
+		s.sendHeld(t, time.Now())
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-t.stale:
+		}
+	}
+}
+
+func (s *Scheduler) sendHeld(t *table, now time.Time) {
+	held := berylpermit.Held{Host: s.Host, Boot: s.Boot, Permits: s.holds.snapshot(now)}
+	owners := s.peers.askedSince(now.Add(-reportFor))
+	for _, hp := range held.Permits {
+		if p := t.places[hp.Upstream]; p != nil && p.owner != "" {
+			owners[p.owner] = true
+		}
+	}
+	for host := range owners {
+		s.outbox.send(host, parcel{held: &held})
+	}
+}
--- /dev/null
+++ b/internal/berylsched/metrics.go
@@ -0,0 +1,65 @@
+package berylsched
+
+import (
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"berylroad.example/berylroad/internal/berylpermit"
+)
+
+// counts are the counters of one Scheduler.
+type counts struct {
+	verdicts   [berylpermit.Queued + 1]*metrics.Counter
+	acquired   [2]*metrics.Counter
+	refused    [2]*metrics.Counter
+	waits      [2]*metrics.Histogram
+	yields     *metrics.Counter
+	paused     *metrics.Counter
+	ringFull   *metrics.Counter
+	dropped    *metrics.Counter
+	sendFailed *metrics.Counter
+	reasked    *metrics.Counter
+	unowned    *metrics.Counter
+	waiting    *atomic.Int64
+}
+
+func newCounts(set *metrics.Set) counts {
+	c := counts{
+		yields:     set.NewCounter("berylroad_owner_yields_total"),
+		paused:     set.NewCounter("berylroad_owner_pauses_total"),
+		ringFull:   set.NewCounter("berylroad_owner_ring_full_total"),
+		dropped:    set.NewCounter("berylroad_broker_messages_dropped_total"),
+		sendFailed: set.NewCounter("berylroad_broker_messages_failed_total"),
+		reasked:    set.NewCounter("berylroad_broker_reasked_total"),
+		unowned:    set.NewCounter("berylroad_broker_unowned_permits_total"),
+		waiting:    new(atomic.Int64),
+	}
+	waiting := c.waiting
+	set.NewGauge("berylroad_owner_waiting", func() float64 { return float64(waiting.Load()) })
+	for v, name := range []string{"refused", "granted", "not-owner", "queued"} {
+		c.verdicts[v] = set.NewCounter(fmt.Sprintf("berylroad_owner_replies_total{verdict=%q}", name))
+	}
+	for _, class := range []berylpermit.Class{berylpermit.Online, berylpermit.Batch} {
+		c.acquired[class] = set.NewCounter(fmt.Sprintf("berylroad_broker_permits_total{class=%q}", class))
+		c.refused[class] = set.NewCounter(fmt.Sprintf("berylroad_broker_refusals_total{class=%q}", class))
+		c.waits[class] = set.NewHistogram(fmt.Sprintf("berylroad_broker_wait_seconds{class=%q}", class))
+	}
+	return c
+}
+
+func (c *counts) verdict(v berylpermit.Verdict) {
+	c.verdicts[v].Inc()
+}
+
+// acquire counts the end of one Acquire.
+func (c *counts) acquire(class berylpermit.Class, granted bool, wait time.Duration) {
+	if !granted {
+		c.refused[class&1].Inc()
+		return
+	}
+	c.acquired[class&1].Inc()
+	c.waits[class&1].Update(wait.Seconds())
+}
--- /dev/null
+++ b/internal/berylsched/owner_fleet.go
@@ -0,0 +1,229 @@
+package berylsched
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"berylroad.example/berylroad/internal/berylpermit"
+)
+
+// Configure installs the inventory's upstreams and the rules.
+func (o *Owner) Configure(now time.Time, c Config) []Action {
+	o.begin(now)
+	o.longShare = c.LongShare
+	known := make(map[string]bool, len(c.Upstreams))
+	for _, cu := range c.Upstreams {
+		known[cu.Name] = true
+		u := o.upstreams[cu.Name]
+		if u == nil {
+			u = &upstream{name: cu.Name}
+			o.upstreams[cu.Name] = u
+		}
+		u.slots = cu.Slots
+		u.leaving = cu.Leaving
+		u.targets = o.targetsNamed(cu.Targets)
+	}
+	for name, u := range o.upstreams {
+		if !known[name] {
+			o.forget(u)
+			delete(o.upstreams, name)
+		}
+	}
+	o.ups = o.ups[:0]
+	for _, u := range o.upstreams {
+		o.ups = append(o.ups, u)
+	}
+	slices.SortFunc(o.ups, func(a, b *upstream) int { return cmp.Compare(a.name, b.name) })
+	o.relist(now)
+	return o.actions
+}
+
+func (o *Owner) targetsNamed(names []string) []*target {
+	list := make([]*target, 0, len(names))
+	for _, name := range names {
+		t := o.targets[name]
+		if t == nil {
+			t = &target{name: name}
+			o.targets[name] = t
+		}
+		list = append(list, t)
+	}
+	return list
+}
+
+// Owned tells which upstreams this host owns now.
+func (o *Owner) Owned(now time.Time, names []string) []Action {
+	o.begin(now)
+	owned := make(map[string]bool, len(names))
+	for _, name := range names {
+		owned[name] = true
+	}
+	for _, u := range o.ups {
+		if owned[u.name] && !u.owned {
+			u.owned = true
+			u.term = uint64(now.UnixNano())
+			u.settled = now.Add(settleTime)
+		}
+		if !owned[u.name] && u.owned {
+			o.forget(u)
+		}
+	}
+	o.relist(now)
+	return o.actions
+}
+
+// forget drops the permits of an upstream that this host owns no longer.
+func (o *Owner) forget(u *upstream) {
+	u.owned = false
+	for _, p := range o.permitsOf(u) {
+		o.uncount(p)
+	}
+	u.health = health{}
+}
+
+func (o *Owner) permitsOf(u *upstream) []*permit {
+	var list []*permit
+	for _, p := range o.permits {
+		if p.up == u {
+			list = append(list, p)
+		}
+	}
+	return list
+}
+
+// relist rebuilds the targets' lists of owned upstreams and answers the asks that have lost all of theirs.
+func (o *Owner) relist(now time.Time) {
+	o.tgts = o.tgts[:0]
+	for name, t := range o.targets {
+		t.ups = t.ups[:0]
+		for _, u := range o.ups {
+			if u.owned && slices.Contains(u.targets, t) {
+				t.ups = append(t.ups, u)
+			}
+		}
+		if len(t.ups) > 0 {
+			o.tgts = append(o.tgts, t)
+			continue
+		}
+		o.disown(t)
+		if !o.named(t) {
+			delete(o.targets, name)
+		}
+	}
+	slices.SortFunc(o.tgts, func(a, b *target) int { return cmp.Compare(a.name, b.name) })
+	for _, t := range o.tgts {
+		t.refresh(now, o)
+	}
+	o.dispatchAll(now)
+}
+
+func (o *Owner) named(t *target) bool {
+	return slices.ContainsFunc(o.ups, func(u *upstream) bool { return slices.Contains(u.targets, t) })
+}
+
+// disown sends the waiting asks of a target to look for its new owner.
+func (o *Owner) disown(t *target) {
+	for k := range t.queues {
+		for q := &t.queues[k]; q.len() > 0; {
+			w := q.live()[0]
+			o.unqueue(w)
+			o.reply(berylpermit.Reply{ID: w.ask.ID, Verdict: berylpermit.NotOwner})
+		}
+	}
+}
+
+// Tick does what is due: it repeats orders to yield, refuses asks that cannot be in time and frees lost permits.
+func (o *Owner) Tick(now time.Time) []Action {
+	o.begin(now)
+	for _, u := range o.ups {
+		if u.owned {
+			o.repeatYields(now, u)
+		}
+	}
+	for _, p := range o.permits {
+		if now.Sub(p.seen) > permitLease {
+			o.ended.add(p.id)
+			o.uncount(p)
+		}
+	}
+	for _, t := range o.tgts {
+		t.refresh(now, o)
+		o.dropLate(now, t)
+	}
+	o.dispatchAll(now)
+	return o.actions
+}
+
+func (o *Owner) repeatYields(now time.Time, u *upstream) {
+	for _, p := range u.yielding {
+		if now.Sub(p.yielded) >= yieldGrace {
+			u.markOverdue(p)
+		}
+		if now.Sub(p.asked) >= yieldAgain {
+			p.asked = now
+			o.sendYield(p)
+		}
+	}
+}
+
+// dropLate refuses the waiting asks that cannot be in time and drops those that are not asked for any more.
+func (o *Owner) dropLate(now time.Time, t *target) {
+	for k := shortOnline; k < kinds; k++ {
+		q := &t.queues[k]
+		for i := 0; i < q.len(); {
+			w := q.live()[i]
+			wait := t.pace.wait(now, k, i)
+			wanted := now.Sub(w.renewed) <= askLease
+			if wanted && t.pace.inTime(k, w.deadline.Sub(now), wait) {
+				i++
+				continue
+			}
+			o.unqueue(w)
+			o.refuse(t, w.ask.ID, wait)
+		}
+	}
+}
+
+// dispatchAll grants whatever waiting asks can have.
+func (o *Owner) dispatchAll(now time.Time) {
+	for _, t := range o.tgts {
+		for k := shortOnline; k <= longOnline; k++ {
+			o.drain(now, t, k)
+		}
+	}
+	for _, t := range o.tgts {
+		o.drain(now, t, batchWork)
+	}
+}
+
+// drain grants a queue's first waiters as long as there is room for them.
+func (o *Owner) drain(now time.Time, t *target, k kind) {
+	for i := 0; i < min(maxSkip, t.queues[k].len()); {
+		w := t.queues[k].live()[i]
+		u := o.room(now, t, &w.ask, k)
+		if u == nil {
+			i++
+			continue
+		}
+		o.unqueue(w)
+		o.grant(now, t, u, &w.ask)
+	}
+}
+
+// PeerLoads takes what other owners say of their upstreams, to tell stragglers by the fleet's median.
+func (o *Owner) PeerLoads(now time.Time, loads []berylpermit.Load) []Action {
+	o.begin(now)
+	return o.actions
+}
+
+// Loads describes the owned upstreams, for other hosts; its result is a copy.
+func (o *Owner) Loads() []berylpermit.Load {
+	var loads []berylpermit.Load
+	for _, u := range o.ups {
+		if u.owned && len(u.targets) > 0 {
+			loads = append(loads, u.load(o.now, u.targets[0]))
+		}
+	}
+	return loads
+}
--- /dev/null
+++ b/internal/berylsched/owner_test.go
@@ -0,0 +1,233 @@
+package berylsched_test
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"berylroad.example/berylroad/internal/berylpermit"
+	"berylroad.example/berylroad/internal/berylsched"
+)
+
+// TestOwner runs the scripts in testdata/owner: each event with the actions that the owner answers it with.
+func TestOwner(t *testing.T) {
+	datadriven.Walk(t, "testdata/owner", func(t *testing.T, path string) {
+		s := &script{now: time.Unix(1000, 0)}
+		datadriven.RunTest(t, path, s.run)
+	})
+}
+
+type script struct {
+	owner berylsched.Owner
+	now   time.Time
+}
+
+func (s *script) run(t *testing.T, d *datadriven.TestData) string {
+	switch d.Cmd {
+	case "configure":
+		return s.show(s.owner.Configure(s.now, s.config(t, d)))
+	case "own":
+		var names []string
+		for _, a := range d.CmdArgs {
+			names = append(names, a.Key)
+		}
+		return s.show(s.owner.Owned(s.now, names))
+	case "ask":
+		return s.show(s.owner.Ask(s.now, s.ask(t, d)))
+	case "withdraw":
+		return s.show(s.owner.Withdraw(s.now, parseID(t, d.CmdArgs[0].Key)))
+	case "release":
+		return s.show(s.owner.Release(s.now, s.release(t, d)))
+	case "held":
+		return s.show(s.owner.Held(s.now, s.held(t, d)))
+	case "gone":
+		return s.show(s.owner.HostGone(s.now, d.CmdArgs[0].Key, 1))
+	case "paused":
+		return s.show(s.owner.Paused(s.now))
+	case "peers":
+		return s.show(s.owner.PeerLoads(s.now, s.peers(t, d)))
+	case "wait":
+		s.now = s.now.Add(duration(t, d.CmdArgs[0].Key))
+		return s.show(s.owner.Tick(s.now))
+	case "loads":
+		return showLoads(s.owner.Loads())
+	default:
+		t.Fatalf("%s: unknown command %q", d.Pos, d.Cmd)
+		return ""
+	}
+}
+
+// config reads "long-share=0.5" and lines such as "u1 slots=2 targets=m,n leaving".
+func (s *script) config(t *testing.T, d *datadriven.TestData) berylsched.Config {
+	c := berylsched.Config{LongShare: 0.5}
+	if d.HasArg("long-share") {
+		var share string
+		d.ScanArgs(t, "long-share", &share)
+		c.LongShare, _ = strconv.ParseFloat(share, 64)
+	}
+	for _, line := range strings.Split(d.Input, "\n") {
+		var u berylsched.Upstream
+		for _, field := range strings.Fields(line) {
+			key, value, _ := strings.Cut(field, "=")
+			switch key {
+			case "slots":
+				u.Slots, _ = strconv.Atoi(value)
+			case "targets":
+				u.Targets = strings.Split(value, ",")
+			case "leaving":
+				u.Leaving = true
+			default:
+				u.Name = field
+			}
+		}
+		c.Upstreams = append(c.Upstreams, u)
+	}
+	return c
+}
+
+// ask reads "h1/7 batch long queue hedge remaining=5s avoid=u1,u2 prefer=u3 target=m".
+func (s *script) ask(t *testing.T, d *datadriven.TestData) berylpermit.Ask {
+	ask := berylpermit.Ask{Target: "m", Remaining: time.Minute, ID: parseID(t, d.CmdArgs[0].Key)}
+	for _, a := range d.CmdArgs[1:] {
+		switch a.Key {
+		case "batch":
+			ask.Class = berylpermit.Batch
+		case "long":
+			ask.Long = true
+		case "queue":
+			ask.Queue = true
+		case "hedge":
+			ask.Hedge = true
+		case "remaining":
+			ask.Remaining = duration(t, a.Vals[0])
+		case "avoid":
+			ask.Avoid = a.Vals
+		case "prefer":
+			ask.Prefer = a.Vals
+		case "target":
+			ask.Target = a.Vals[0]
+		default:
+			t.Fatalf("%s: unknown argument %q", d.Pos, a.Key)
+		}
+	}
+	return ask
+}
+
+// release reads "h1/7 busy=1s first=10ms gap=5ms fault".
+func (s *script) release(t *testing.T, d *datadriven.TestData) berylpermit.Release {
+	r := berylpermit.Release{ID: parseID(t, d.CmdArgs[0].Key)}
+	for _, a := range d.CmdArgs[1:] {
+		switch a.Key {
+		case "busy":
+			r.Report.Busy = duration(t, a.Vals[0])
+		case "first":
+			r.Report.FirstToken = duration(t, a.Vals[0])
+		case "gap":
+			r.Report.TokenGap = duration(t, a.Vals[0])
+		case "fault":
+			r.Report.Fault = true
+		}
+	}
+	return r
+}
+
+// held reads "h1" and lines such as "h1/7 u1 batch long age=2s".
+func (s *script) held(t *testing.T, d *datadriven.TestData) berylpermit.Held {
+	h := berylpermit.Held{Host: d.CmdArgs[0].Key, Boot: 1}
+	for _, line := range strings.Split(d.Input, "\n") {
+		fields := strings.Fields(line)
+		if len(fields) < 2 {
+			continue
+		}
+		p := berylpermit.HeldPermit{ID: parseID(t, fields[0]), Upstream: fields[1]}
+		for _, f := range fields[2:] {
+			switch {
+			case f == "batch":
+				p.Class = berylpermit.Batch
+			case f == "long":
+				p.Long = true
+			case strings.HasPrefix(f, "age="):
+				p.Age = duration(t, f[len("age="):])
+			}
+		}
+		h.Permits = append(h.Permits, p)
+	}
+	return h
+}
+
+// peers reads lines such as "u4 first=10ms gap=5ms".
+func (s *script) peers(t *testing.T, d *datadriven.TestData) []berylpermit.Load {
+	var loads []berylpermit.Load
+	for _, line := range strings.Split(d.Input, "\n") {
+		var l berylpermit.Load
+		for _, field := range strings.Fields(line) {
+			key, value, _ := strings.Cut(field, "=")
+			switch key {
+			case "first":
+				l.FirstToken = duration(t, value)
+			case "gap":
+				l.TokenGap = duration(t, value)
+			default:
+				l.Upstream = field
+			}
+		}
+		loads = append(loads, l)
+	}
+	return loads
+}
+
+func (s *script) show(actions []berylsched.Action) string {
+	var b strings.Builder
+	for _, a := range actions {
+		if a.Kind == berylsched.ActionYield {
+			fmt.Fprintf(&b, "yield %s on %s\n", showID(a.Yield.ID), a.Yield.Upstream)
+			continue
+		}
+		switch r := a.Reply; r.Verdict {
+		case berylpermit.Granted:
+			fmt.Fprintf(&b, "grant %s on %s\n", showID(r.ID), r.Upstream)
+		case berylpermit.Refused:
+			fmt.Fprintf(&b, "refuse %s wait=%s\n", showID(r.ID), r.Wait.Round(time.Millisecond))
+		case berylpermit.NotOwner:
+			fmt.Fprintf(&b, "not-owner %s\n", showID(r.ID))
+		}
+	}
+	return b.String()
+}
+
+func showLoads(loads []berylpermit.Load) string {
+	var b strings.Builder
+	for _, l := range loads {
+		fmt.Fprintf(&b, "%s slots=%d online=%d batch=%d", l.Upstream, l.Slots, l.Online, l.Batch)
+		if l.Straggler {
+			b.WriteString(" straggler")
+		}
+		b.WriteString("\n")
+	}
+	return b.String()
+}
+
+func parseID(t *testing.T, name string) berylpermit.ID {
+	host, seq, _ := strings.Cut(name, "/")
+	n, err := strconv.ParseUint(seq, 10, 64)
+	if err != nil {
+		t.Fatalf("bad id %q", name)
+	}
+	return berylpermit.ID{Host: host, Boot: 1, Seq: n}
+}
+
+func showID(id berylpermit.ID) string {
+	return fmt.Sprintf("%s/%d", id.Host, id.Seq)
+}
+
+func duration(t *testing.T, text string) time.Duration {
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
--- /dev/null
+++ b/internal/berylsched/pace.go
@@ -0,0 +1,174 @@
+package berylsched
+
+import (
+	"math"
+	"time"
+
+	"berylroad.example/berylroad/internal/berylpermit"
+)
+
+const (
+	// reserveWindow is the span of online arrivals for which batch work leaves slots idle.
+	reserveWindow = 100 * time.Millisecond
+	// reserveLeast is the number of arrivals expected in the window below which nothing is kept idle.
+	reserveLeast = 0.05
+	// arrivalMemory is the time constant of the arrival rate.
+	arrivalMemory = 2 * time.Second
+	// askLease is how long a waiting ask lives without being sent again.
+	askLease = 4 * time.Second
+	// unknownBusy stands for the busy time of calls before any has ended.
+	unknownBusy = 500 * time.Millisecond
+	// longestWait bounds predicted waits.
+	longestWait = time.Hour
+)
+
+// rate is an exponentially decayed arrival rate.
+type rate struct {
+	perSecond float64
+	at        time.Time
+}
+
+func (r *rate) add(now time.Time) {
+	r.perSecond = r.value(now) + 1/arrivalMemory.Seconds()
+	r.at = now
+}
+
+func (r *rate) value(now time.Time) float64 {
+	if r.at.IsZero() {
+		return 0
+	}
+	return r.perSecond * math.Exp(-now.Sub(r.at).Seconds()/arrivalMemory.Seconds())
+}
+
+// reserve is how many slots batch work leaves idle for the online requests of the next moment.
+func (t *target) reserve(now time.Time) int {
+	expected := t.arrivals.value(now) * reserveWindow.Seconds()
+	if expected < reserveLeast {
+		return 0
+	}
+	return min(int(math.Ceil(expected)), t.pace.slots/4)
+}
+
+// idle counts the free slots of the target.
+func (t *target) idle(now time.Time, o *Owner) int {
+	var none berylpermit.Ask
+	idle := 0
+	for _, u := range t.ups {
+		if free := u.free(); free > 0 && o.fits(now, u, &none, shortOnline) {
+			idle += free
+		}
+	}
+	return idle
+}
+
+// pace is how fast a target's slots free, as of its last refresh.
+type pace struct {
+	// slots counts the slots of the upstreams in use.
+	slots int
+	// perSecond is how many slots free in a second for each kind of work.
+	perSecond [kinds]float64
+	// busy is the mean busy time of each kind of work.
+	busy [kinds]time.Duration
+	// opens is when the first upstream comes back from being set aside, if none is in use.
+	opens time.Time
+}
+
+// wait predicts how long an ask with that many before it waits.
+func (p *pace) wait(now time.Time, k kind, rank int) time.Duration {
+	var closed time.Duration
+	if p.slots == 0 {
+		closed = max(p.opens.Sub(now), 0)
+	}
+	if p.perSecond[k] <= 0 {
+		return closed + p.busy[k]*time.Duration(rank+1)
+	}
+	seconds := float64(rank+1) / p.perSecond[k]
+	return min(closed+time.Duration(seconds*float64(time.Second)), longestWait)
+}
+
+// inTime says whether an ask that waits so long can still be answered within its deadline.
+func (p *pace) inTime(k kind, remaining, wait time.Duration) bool {
+	if k == batchWork {
+		return remaining > 0
+	}
+	return remaining > wait+p.busy[k]/2
+}
+
+// refresh recomputes what replies and predictions use.
+func (t *target) refresh(now time.Time, o *Owner) {
+	p := pace{busy: t.meanBusy()}
+	for _, u := range t.ups {
+		if !u.usable() || !u.health.inUse(now) {
+			opens := u.health.opens()
+			if u.usable() && (p.opens.IsZero() || opens.Before(p.opens)) {
+				p.opens = opens
+			}
+			continue
+		}
+		slots := u.health.limit(u.slots)
+		long := min(u.long, slots)
+		p.slots += slots
+		p.perSecond[shortOnline] += float64(slots-long)/p.busy[shortOnline].Seconds() + float64(long)/p.busy[longOnline].Seconds()
+		p.perSecond[longOnline] += math.Max(float64(slots)*o.longShare, 1) / p.busy[longOnline].Seconds()
+		p.perSecond[batchWork] += float64(slots) / p.busy[batchWork].Seconds()
+	}
+	t.pace = p
+	t.describe(now)
+}
+
+// meanBusy returns the busy time of each kind over the target's upstreams.
+func (t *target) meanBusy() [kinds]time.Duration {
+	var busy [kinds]time.Duration
+	for k := range busy {
+		var sum time.Duration
+		n := 0
+		for _, u := range t.ups {
+			if b := u.health.busy[k].mean; b > 0 {
+				sum += b
+				n++
+			}
+		}
+		busy[k] = unknownBusy
+		if n > 0 {
+			busy[k] = max(sum/time.Duration(n), time.Millisecond)
+		}
+	}
+	return busy
+}
+
+// describe rebuilds the loads that replies carry; a new slice each time since replies still hold the old one.
+func (t *target) describe(now time.Time) {
+	t.loads = make([]berylpermit.Load, 0, min(len(t.ups), maxLoads))
+	for _, u := range t.ups {
+		if len(t.loads) == maxLoads {
+			return
+		}
+		t.loads = append(t.loads, u.load(now, t))
+	}
+}
+
+// load describes the upstream as one of the target's.
+func (u *upstream) load(now time.Time, t *target) berylpermit.Load {
+	l := berylpermit.Load{
+		Upstream:   u.name,
+		Slots:      u.health.limit(u.slots),
+		Online:     u.online,
+		Batch:      len(u.batch) + len(u.yielding),
+		Waiting:    t.queues[shortOnline].len() + t.queues[longOnline].len(),
+		Straggler:  !u.health.inUse(now),
+		FirstToken: u.health.first.mean,
+		TokenGap:   u.health.gap.mean,
+	}
+	if u.leaving {
+		l.Slots = 0
+	}
+	if u.free()+len(u.batch) <= 0 {
+		l.Wait = t.pace.wait(now, shortOnline, t.queues[shortOnline].len())
+	}
+	return l
+}
+
+// score orders upstreams with free slots; less is better.
+func (u *upstream) score() float64 {
+	return float64(u.held()+1) / float64(u.health.limit(u.slots))
+}
--- /dev/null
+++ b/internal/berylsched/queue.go
@@ -0,0 +1,86 @@
+package berylsched
+
+import (
+	"slices"
+	"time"
+
+	"berylroad.example/berylroad/internal/berylpermit"
+)
+
+// waiter is an ask that an owner holds until a slot frees.
+type waiter struct {
+	ask      berylpermit.Ask
+	target   *target
+	arrived  time.Time
+	deadline time.Time
+	// renewed is when the ask was last sent; an ask that is not sent again is dropped.
+	renewed time.Time
+	// order breaks ties between equal deadlines, first come first served.
+	order uint64
+}
+
+func compareWaiters(a, b *waiter) int {
+	if c := a.deadline.Compare(b.deadline); c != 0 {
+		return c
+	}
+	if a.order < b.order {
+		return -1
+	}
+	if a.order > b.order {
+		return 1
+	}
+	return 0
+}
+
+// queue holds waiters by deadline in one sorted slice: the rank of an ask, which admission needs, is a binary search,
+// and most asks are added near the end and taken from the front.
+type queue struct {
+	items []*waiter
+	head  int
+}
+
+func (q *queue) live() []*waiter {
+	return q.items[q.head:]
+}
+
+func (q *queue) len() int {
+	return len(q.items) - q.head
+}
+
+// rank returns how many waiters go before w.
+func (q *queue) rank(w *waiter) int {
+	i, _ := slices.BinarySearchFunc(q.live(), w, compareWaiters)
+	return i
+}
+
+func (q *queue) add(w *waiter) {
+	i := q.rank(w)
+	if q.head > 0 && i < q.len()/2 {
+		q.head--
+		copy(q.items[q.head:], q.items[q.head+1:q.head+1+i])
+		q.items[q.head+i] = w
+		return
+	}
+	q.items = slices.Insert(q.items, q.head+i, w)
+}
+
+func (q *queue) remove(w *waiter) {
+	i, found := slices.BinarySearchFunc(q.live(), w, compareWaiters)
+	if !found {
+		return
+	}
+	q.removeAt(i)
+}
+
+func (q *queue) removeAt(i int) {
+	if i < q.len()/2 {
+		copy(q.items[q.head+1:q.head+1+i], q.items[q.head:q.head+i])
+		q.items[q.head] = nil
+		q.head++
+	} else {
+		q.items = slices.Delete(q.items, q.head+i, q.head+i+1)
+	}
+	if q.len() == 0 {
+		q.items, q.head = q.items[:0], 0
+	}
+}
--- /dev/null
+++ b/internal/berylsched/scheduler.go
@@ -0,0 +1,160 @@
+package berylsched
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"berylroad.example/berylroad/internal/berylconf"
+	"berylroad.example/berylroad/internal/berylpermit"
+)
+
+// Transport carries messages to other hosts; an error means that the other host may not have seen the message.
+type Transport interface {
+	// Ask sends an ask and waits for the reply.
+	Ask(ctx context.Context, host string, ask berylpermit.Ask) (berylpermit.Reply, error)
+	// Withdraw tells an owner that an ask is no longer wanted.
+	Withdraw(ctx context.Context, host string, withdraw berylpermit.Withdraw) error
+	// Release gives a permit back to its owner.
+	Release(ctx context.Context, host string, release berylpermit.Release) error
+	// SendYield asks a holder for a batch permit.
+	SendYield(ctx context.Context, host string, yield berylpermit.Yield) error
+	// SendHeld reports held permits to an owner.
+	SendHeld(ctx context.Context, host string, held berylpermit.Held) error
+}
+
+// Settings are what a Scheduler needs from its process.
+type Settings struct {
+	// Host is this host's name.
+	Host string
+	// Boot tells this run of the host from others; a later run has a higher number.
+	Boot uint64
+	// Transport reaches other hosts; it is never called for this host.
+	Transport Transport
+	// Owner places upstreams on hosts; nil is RendezvousOwner.
+	Owner OwnerFunc
+	// Metrics takes the counters; nil keeps them unpublished.
+	Metrics *metrics.Set
+	// Log takes a line for each change of state; nil is logrus's standard logger.
+	Log logrus.FieldLogger
+}
+
+// Scheduler is one host's part in scheduling: the owner of some upstreams, and the broker for the host's own requests.
+type Scheduler struct {
+	Settings
+	duty   duty
+	outbox outbox
+	holds  holds
+	counts counts
+	loads  loadBook
+	peers  peerBook
+	local  localCounts
+	table  atomic.Pointer[table]
+	seq    atomic.Uint64
+
+	// mu guards the inputs of the table.
+	mu      sync.Mutex
+	doc     berylconf.Document
+	members []Member
+}
+
+// New returns a Scheduler that does nothing until Run.
+func New(settings Settings) *Scheduler {
+	s := &Scheduler{Settings: settings}
+	if s.Owner == nil {
+		s.Owner = RendezvousOwner
+	}
+	if s.Log == nil {
+		s.Log = logrus.StandardLogger()
+	}
+	if s.Metrics == nil {
+		s.Metrics = metrics.NewSet()
+	}
+	s.counts = newCounts(s.Metrics)
+	s.duty = newDuty(s)
+	s.outbox = newOutbox(s)
+	s.table.Store(newTable(berylconf.Document{}, nil, s.Owner))
+	return s
+}
+
+// Run works until ctx ends and its goroutines have ended.
+func (s *Scheduler) Run(ctx context.Context) {
+	var wg conc.WaitGroup
+	wg.Go(func() { s.duty.run(ctx) })
+	wg.Go(func() { s.reportHeld(ctx) })
+	wg.Go(func() { s.outbox.run(ctx) })
+	wg.Wait()
+}
+
+// SetConfig installs a configuration; it may be called before Run and at any time after.
+func (s *Scheduler) SetConfig(doc berylconf.Document) {
+	doc.Rules = doc.Rules.WithDefaults()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.doc = doc
+	config := ownerConfig(doc)
+	s.duty.command(func(o *Owner, now time.Time) []Action { return o.Configure(now, config) })
+	s.install()
+}
+
+// SetMembers installs the list of live hosts, this one included; runs of hosts that are gone lose their permits.
+func (s *Scheduler) SetMembers(members []Member) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, old := range s.members {
+		if !hasRun(members, old) {
+			s.duty.command(func(o *Owner, now time.Time) []Action { return o.HostGone(now, old.Name, old.Boot) })
+		}
+	}
+	s.members = append([]Member(nil), members...)
+	s.install()
+}
+
+func hasRun(members []Member, run Member) bool {
+	for _, m := range members {
+		if m.Name == run.Name && m.Boot == run.Boot {
+			return true
+		}
+	}
+	return false
+}
+
+// install publishes a new table; the caller holds mu.
+func (s *Scheduler) install() {
+	next := newTable(s.doc, s.members, s.Owner)
+	owned := next.ownedBy(s.Host)
+	s.duty.command(func(o *Owner, now time.Time) []Action { return o.Owned(now, owned) })
+	last := s.table.Swap(next)
+	close(last.stale)
+}
+
+func ownerConfig(doc berylconf.Document) Config {
+	leaving := make(map[string]bool, len(doc.Rules.Leaving))
+	for _, name := range doc.Rules.Leaving {
+		leaving[name] = true
+	}
+	config := Config{LongShare: doc.Rules.LongShare}
+	for _, u := range doc.Inventory.Upstreams {
+		config.Upstreams = append(config.Upstreams, Upstream{
+			Name:    u.Name,
+			Slots:   u.Slots,
+			Targets: u.Targets(),
+			Leaving: leaving[u.Name],
+		})
+	}
+	return config
+}
+
+// nextID names a new ask.
+func (s *Scheduler) nextID() berylpermit.ID {
+	return berylpermit.ID{Host: s.Host, Boot: s.Boot, Seq: s.seq.Add(1)}
+}
+
+// errForeign reports a message in another host's name.
+var errForeign = errors.New("message names another host than its sender")
--- /dev/null
+++ b/internal/berylsched/table.go
@@ -0,0 +1,138 @@
+package berylsched
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"berylroad.example/berylroad/internal/berylconf"
+)
+
+// Member is one live host.
+type Member struct {
+	// Name is the host's name.
+	Name string
+	// Boot tells one run of the host from the next.
+	Boot uint64
+	// Leaving marks a host that is about to go and owns nothing.
+	Leaving bool
+}
+
+// OwnerFunc returns which of the hosts, sorted by name and never empty, owns an upstream; all hosts must agree on it.
+type OwnerFunc func(upstream string, hosts []string) string
+
+// RendezvousOwner returns the host with the highest weight for the upstream.
+func RendezvousOwner(upstream string, hosts []string) string {
+	best, weight := "", uint64(0)
+	for _, h := range hosts {
+		w := pairWeight(upstream, h)
+		if best == "" || w > weight {
+			best, weight = h, w
+		}
+	}
+	return best
+}
+
+// pairWeight hashes two names; the finalizer spreads names that differ in one digit only.
+func pairWeight(a, b string) uint64 {
+	return mix(xxhash.Sum64String(a) ^ mix(xxhash.Sum64String(b)))
+}
+
+// mix is the 64-bit finalizer of SplitMix64 (Steele, Lea and Flood, 2014).
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// place is one upstream and its owner.
+type place struct {
+	upstream string
+	hash     uint64
+	owner    string
+	slots    int
+	leaving  bool
+}
+
+// table is what a host believes about who owns what; it is never changed once published.
+type table struct {
+	places  map[string]*place
+	targets map[string][]*place
+	members map[string]Member
+	routing berylconf.Routing
+	timeout time.Duration
+	// stale is closed once a newer table is in force.
+	stale chan struct{}
+}
+
+// newTable places every upstream on a live host of its region, or on any live host when its region has none.
+func newTable(doc berylconf.Document, members []Member, owner OwnerFunc) *table {
+	t := &table{
+		places:  make(map[string]*place, len(doc.Inventory.Upstreams)),
+		targets: make(map[string][]*place),
+		members: make(map[string]Member, len(members)),
+		stale:   make(chan struct{}),
+		routing: doc.Rules.Routing,
+		timeout: doc.Rules.DefaultTimeout.Std(),
+	}
+	for _, m := range members {
+		t.members[m.Name] = m
+	}
+	regions, all := hostsByRegion(doc, members)
+	for _, u := range doc.Inventory.Upstreams {
+		hosts := regions[u.Region]
+		if len(hosts) == 0 {
+			hosts = all
+		}
+		p := &place{upstream: u.Name, hash: xxhash.Sum64String(u.Name), slots: u.Slots}
+		p.leaving = slices.Contains(doc.Rules.Leaving, u.Name)
+		if len(hosts) > 0 {
+			p.owner = owner(u.Name, hosts)
+		}
+		t.places[u.Name] = p
+		for _, name := range u.Targets() {
+			t.targets[name] = append(t.targets[name], p)
+		}
+	}
+	return t
+}
+
+// hostsByRegion lists the hosts that may own upstreams; when all are leaving, all may.
+func hostsByRegion(doc berylconf.Document, members []Member) (map[string][]string, []string) {
+	region := make(map[string]string, len(doc.Inventory.Hosts))
+	for _, h := range doc.Inventory.Hosts {
+		region[h.Name] = h.Region
+	}
+	regions := make(map[string][]string)
+	var staying, leaving []string
+	for _, m := range members {
+		if m.Leaving || slices.Contains(doc.Rules.Leaving, m.Name) {
+			leaving = append(leaving, m.Name)
+			continue
+		}
+		staying = append(staying, m.Name)
+		regions[region[m.Name]] = append(regions[region[m.Name]], m.Name)
+	}
+	if len(staying) == 0 {
+		staying = leaving
+	}
+	slices.Sort(staying)
+	for _, hosts := range regions {
+		slices.Sort(hosts)
+	}
+	return regions, staying
+}
+
+// ownedBy returns the names of the upstreams that a host owns, sorted.
+func (t *table) ownedBy(host string) []string {
+	var names []string
+	for name, p := range t.places {
+		if p.owner == host {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
