Runner of upstream calls, engine and service stand-ins, berylroad-standin

Retry, hedge and resume are decided by plain values. Only the plain and streamed happy path is tested so far.

--- a/cmd/berylroad-standin/main.go
+++ b/cmd/berylroad-standin/main.go
@@ -1,4 +1,14 @@
 // Command berylroad-standin plays the outside systems in tests and demonstrations.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+
+	"berylroad.example/berylroad/internal/berylstandin"
+)
+
+func main() {
+	streams := berylstandin.Streams{Out: os.Stdout, Err: os.Stderr}
+	os.Exit(berylstandin.Main(context.Background(), os.Args[1:], streams))
+}
--- /dev/null
+++ b/internal/berylcall/ending.go
@@ -0,0 +1,87 @@
+package berylcall
+
+import "net/http"
+
+// ending names how one upstream call ended.
+type ending uint8
+
+const (
+	// endWhole marks an answer that arrived whole, errors that the caller has to mend included.
+	endWhole ending = iota
+	// endConnect marks a connection that could not be opened.
+	endConnect
+	// endRefused marks a call that the upstream turned away unrun.
+	endRefused
+	// endServer marks an answer that says the upstream failed.
+	endServer
+	// endGarbage marks an answer that breaks its own format.
+	endGarbage
+	// endCrossed marks an answer that carries another request's id.
+	endCrossed
+	// endTooLarge marks an answer over its limit.
+	endTooLarge
+	// endLost marks a connection that ended before the first byte of the answer.
+	endLost
+	// endCut marks an answer that ended before it was whole.
+	endCut
+	// endStalled marks a stream that paused for too long.
+	endStalled
+	// endDeadline marks a call that its deadline ended.
+	endDeadline
+	// endCancelled marks a call that the caller gave up on.
+	endCancelled
+	// endYielded marks a batch call stopped in favour of online work.
+	endYielded
+)
+
+// String returns the name used in tables of decisions and in metrics.
+func (e ending) String() string {
+	names := [...]string{
+		"whole", "connect", "refused", "server", "garbage", "crossed", "too-large",
+		"lost", "cut", "stalled", "deadline", "cancelled", "yielded",
+	}
+	return names[e]
+}
+
+// fault reports whether the ending speaks against the upstream.
+func (e ending) fault() bool {
+	switch e {
+	case endWhole, endRefused, endCancelled, endYielded:
+		return false
+	default:
+		return true
+	}
+}
+
+// end is what one upstream call has come to.
+type end struct {
+	ending ending
+	// upstream names the upstream called.
+	upstream string
+	// status is the answer's HTTP status, or zero if none came.
+	status int
+	// sent counts the request bytes that may have reached the upstream.
+	sent int64
+	// detail says what was seen, for the caller's error message.
+	detail string
+}
+
+// unrun reports whether the upstream cannot have run the request.
+func (e end) unrun() bool {
+	return e.sent == 0 || e.ending == endRefused
+}
+
+// statusEnding sorts an answer by its status. Being turned away with 429 means unrun. So does 503, but a request that
+// must not be repeated does not rely on it, because a service may also answer 503 after a failed run.
+func statusEnding(status int, repeatable bool) ending {
+	switch {
+	case status == http.StatusTooManyRequests:
+		return endRefused
+	case status == http.StatusServiceUnavailable && repeatable:
+		return endRefused
+	case status >= http.StatusInternalServerError:
+		return endServer
+	default:
+		return endWhole
+	}
+}
--- /dev/null
+++ b/internal/berylcall/events.go
@@ -0,0 +1,128 @@
+package berylcall
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+)
+
+// maxEventBytes bounds one server-sent event.
+const maxEventBytes = 1 << 20
+
+var (
+	errEventTooLarge = errors.New("an event is over 1 MiB")
+	errEventGarbage  = errors.New("an event is not valid JSON")
+	errEventFailed   = errors.New("the stream carried an error event")
+)
+
+// event is one whole server-sent event.
+type event struct {
+	// raw holds its bytes with the blank line that ends it; they are valid until the next read.
+	raw []byte
+	// token marks an event that carries a token.
+	token bool
+	// done marks the event that ends the stream.
+	done bool
+}
+
+// events splits a body into whole events.
+type events struct {
+	body   io.Reader
+	buffer []byte
+	start  int
+	end    int
+}
+
+const (
+	eventBuffer = 8 << 10
+	// blankLine is how many bytes of an event's end may have been searched before its last byte came.
+	blankLine = 3
+)
+
+// next returns the next whole event. It returns io.EOF only between events and io.ErrUnexpectedEOF within one.
+func (s *events) next() (event, error) {
+	searched := 0
+	for {
+		data := s.buffer[s.start:s.end]
+		if size := eventSize(data, searched); size > 0 {
+			s.start += size
+			return parseEvent(data[:size])
+		}
+		searched = max(0, len(data)-blankLine)
+		if err := s.fill(); err != nil {
+			return event{}, err
+		}
+	}
+}
+
+// fill reads more of the body behind what is buffered.
+func (s *events) fill() error {
+	if s.start > 0 {
+		copy(s.buffer, s.buffer[s.start:s.end])
+		s.end -= s.start
+		s.start = 0
+	}
+	if s.end == len(s.buffer) {
+		if len(s.buffer) >= maxEventBytes {
+			return errEventTooLarge
+		}
+		grown := make([]byte, max(2*len(s.buffer), eventBuffer))
+		copy(grown, s.buffer[:s.end])
+		s.buffer = grown
+	}
+	n, err := s.body.Read(s.buffer[s.end:])
+	s.end += n
+	if n > 0 {
+		return nil
+	}
+	if err == io.EOF && s.end > 0 {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// eventSize returns the size of the first event in data with its blank line, or zero; the search begins at from.
+func eventSize(data []byte, from int) int {
+	for {
+		i := bytes.IndexByte(data[from:], '\n')
+		if i < 0 {
+			return 0
+		}
+		from += i + 1
+		rest := data[from:]
+		if len(rest) > 0 && rest[0] == '\n' {
+			return from + 1
+		}
+		if len(rest) > 1 && rest[0] == '\r' && rest[1] == '\n' {
+			return from + 2
+		}
+	}
+}
+
+// parseEvent checks an event's data.
+func parseEvent(raw []byte) (event, error) {
+	data, found := bytes.CutPrefix(raw, []byte("data:"))
+	if !found {
+		return event{raw: raw}, checkOther(raw)
+	}
+	data = bytes.TrimSpace(data)
+	if string(data) == "[DONE]" {
+		return event{raw: raw, done: true}, nil
+	}
+	if bytes.HasPrefix(data, []byte(`{"error"`)) {
+		return event{}, errEventFailed
+	}
+	if !json.Valid(data) {
+		return event{}, errEventGarbage
+	}
+	return event{raw: raw, token: true}, nil
+}
+
+// checkOther accepts comments, which keep a connection alive, and refuses what is no event at all.
+func checkOther(raw []byte) error {
+	if raw[0] == ':' {
+		return nil
+	}
+	return errEventGarbage
+}
--- /dev/null
+++ b/internal/berylcall/helpers_test.go
@@ -0,0 +1,155 @@
+package berylcall_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"berylroad.example/berylroad/internal/berylcall"
+	"berylroad.example/berylroad/internal/berylconf"
+	"berylroad.example/berylroad/internal/berylfake"
+	"berylroad.example/berylroad/internal/beryloutcome"
+	"berylroad.example/berylroad/internal/berylpermit"
+)
+
+// broker grants the first upstream that an ask does not avoid and remembers what came back.
+type broker struct {
+	mu        sync.Mutex
+	upstreams []string
+	asks      []berylpermit.Ask
+	reports   map[string][]berylpermit.Report
+	held      int
+	yield     chan struct{}
+}
+
+func (b *broker) Acquire(ctx context.Context, ask berylpermit.Ask) (*berylpermit.Permit, *beryloutcome.Refusal) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.asks = append(b.asks, ask)
+	for _, name := range b.upstreams {
+		if slices.Contains(ask.Avoid, name) {
+			continue
+		}
+		b.held++
+		return &berylpermit.Permit{Upstream: name, Class: ask.Class, Yield: b.yield, Release: b.releaser(name)}, nil
+	}
+	return nil, &beryloutcome.Refusal{Status: 503, Code: beryloutcome.CodeNotRun, Message: "full", RetryAfter: time.Second}
+}
+
+func (b *broker) releaser(name string) func(berylpermit.Report) {
+	var once sync.Once
+	return func(report berylpermit.Report) {
+		once.Do(func() {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			b.held--
+			if b.reports == nil {
+				b.reports = make(map[string][]berylpermit.Report)
+			}
+			b.reports[name] = append(b.reports[name], report)
+		})
+	}
+}
+
+func (b *broker) snapshot() (held int, reports map[string][]berylpermit.Report) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	reports = make(map[string][]berylpermit.Report)
+	for name, list := range b.reports {
+		reports[name] = slices.Clone(list)
+	}
+	return b.held, reports
+}
+
+// fleet is a runner over stand-ins.
+type fleet struct {
+	berylcall.Runner
+	broker  broker
+	rules   berylconf.Rules
+	urls    map[string]string
+	resumes map[string]bool
+}
+
+func newFleet(t testing.TB) *fleet {
+	f := &fleet{urls: make(map[string]string), resumes: make(map[string]bool)}
+	f.Permits = &f.broker
+	f.Rules = func() berylconf.Rules { return f.rules }
+	f.URL = func(name string) (string, bool, bool) {
+		url, ok := f.urls[name]
+		return url, f.resumes[name], ok
+	}
+	t.Cleanup(f.Runner.Close)
+	return f
+}
+
+func (f *fleet) add(name, url string, resume bool) {
+	f.urls[name] = url
+	f.resumes[name] = resume
+	f.broker.upstreams = append(f.broker.upstreams, name)
+}
+
+func (f *fleet) engine(t testing.TB, name string, options berylfake.EngineOptions) *berylfake.Engine {
+	t.Helper()
+	e, err := berylfake.StartEngine("127.0.0.1:0", options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { e.Close() })
+	f.add(name, e.URL(), options.Resume)
+	return e
+}
+
+// sink keeps an answer.
+type sink struct {
+	status      int
+	contentType string
+	body        bytes.Buffer
+	events      int
+	fail        int
+	onEvent     func(events int)
+}
+
+func (s *sink) Start(status int, contentType string) error {
+	s.status = status
+	s.contentType = contentType
+	return nil
+}
+
+func (s *sink) Write(body []byte) error {
+	s.events++
+	if s.fail > 0 && s.events >= s.fail {
+		return context.Canceled
+	}
+	s.body.Write(body)
+	if s.onEvent != nil {
+		s.onEvent(s.events)
+	}
+	return nil
+}
+
+func chat(id string, stream bool, tokens int) berylcall.Request {
+	body := fmt.Sprintf(`{"model":"m","stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":"stop %s please"}]}`,
+		stream, tokens, id)
+	return berylcall.Request{
+		ID: id, Target: "m", Method: "POST", Path: "/v1/chat/completions", ContentType: "application/json",
+		Body: []byte(body), Stream: stream, Repeatable: true, Tokens: tokens,
+		Deadline: time.Now().Add(20 * time.Second),
+	}
+}
+
+// wantWhole checks that an answer is the stand-in's whole answer to the request.
+func wantWhole(is *is.I, req berylcall.Request, s *sink) {
+	is.Helper()
+	want, err := berylfake.EngineAnswer(req.Path, req.Body)
+	is.NoErr(err)
+	got, whole, err := berylfake.ReadAnswer(req.Stream, s.body.Bytes())
+	is.NoErr(err)
+	is.True(whole)
+	is.Equal(got, want)
+}
--- /dev/null
+++ b/internal/berylcall/latency.go
@@ -0,0 +1,106 @@
+package berylcall
+
+import (
+	"math/bits"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	latencySamples   = 128
+	latencyMinimum   = 20
+	latencyRefresh   = 16
+	latencyMaxKeys   = 1024
+	latencyQuantile  = 0.95
+	hedgeFloor       = 5 * time.Millisecond
+	secondCallFactor = 4
+	secondCallFloor  = time.Second
+)
+
+// latencyKey names the calls whose first bytes are compared with one another.
+type latencyKey struct {
+	target string
+	stream bool
+	// size is the number of bits of the estimated tokens; a stream's first token does not depend on it.
+	size int
+}
+
+func keyOf(req *Request) latencyKey {
+	k := latencyKey{target: req.Target, stream: req.Stream}
+	if !req.Stream {
+		k.size = bits.Len(uint(max(req.Tokens, 0)))
+	}
+	return k
+}
+
+// latencies keeps a window of recent first-byte times for each key; its zero value is ready.
+type latencies struct {
+	mu      sync.Mutex
+	windows map[latencyKey]*window
+}
+
+// window is a ring of samples and their high quantile.
+type window struct {
+	samples [latencySamples]time.Duration
+	count   int
+	high    time.Duration
+}
+
+func (w *window) add(sample time.Duration) {
+	w.samples[w.count%latencySamples] = sample
+	w.count++
+	if w.count >= latencyMinimum && (w.count%latencyRefresh == 0 || w.high == 0) {
+		w.refresh()
+	}
+}
+
+func (w *window) refresh() {
+	sorted := slices.Clone(w.samples[:min(w.count, latencySamples)])
+	slices.Sort(sorted)
+	w.high = sorted[int(latencyQuantile*float64(len(sorted)))]
+}
+
+func (l *latencies) add(k latencyKey, sample time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	w := l.windows[k]
+	if w == nil {
+		if l.windows == nil {
+			l.windows = make(map[latencyKey]*window)
+		}
+		if len(l.windows) >= latencyMaxKeys {
+			return
+		}
+		w = &window{}
+		l.windows[k] = w
+	}
+	w.add(sample)
+}
+
+// high returns the recent 95th percentile, or zero when too few samples are known.
+func (l *latencies) high(k latencyKey) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if w := l.windows[k]; w != nil {
+		return w.high
+	}
+	return 0
+}
+
+// hedgeAfter returns how long to wait for the first byte before a hedge, or zero for never.
+func hedgeAfter(high time.Duration) time.Duration {
+	if high == 0 {
+		return 0
+	}
+	return max(high, hedgeFloor)
+}
+
+// secondCallAfter returns how long to wait for the first byte before a second call on the retry budget.
+func secondCallAfter(high, remaining time.Duration) time.Duration {
+	half := remaining / 2
+	if high == 0 {
+		return half
+	}
+	return min(max(secondCallFactor*high, secondCallFloor), half)
+}
--- /dev/null
+++ b/internal/berylcall/metrics.go
@@ -0,0 +1,41 @@
+package berylcall
+
+import (
+	"fmt"
+	"time"
+
+	"berylroad.example/berylroad/internal/beryloutcome"
+	"berylroad.example/berylroad/internal/berylpermit"
+)
+
+func (r *Runner) countCall(req *Request, result *beryloutcome.Result) {
+	if r.Metrics == nil {
+		return
+	}
+	name := fmt.Sprintf(`berylroad_calls_total{outcome=%q,class=%q}`, result.Kind, req.Class)
+	r.Metrics.GetOrCreateCounter(name).Inc()
+}
+
+// countAttempt counts one upstream call by how it ended.
+func (r *Runner) countAttempt(e ending) {
+	if r.Metrics == nil {
+		return
+	}
+	r.Metrics.GetOrCreateCounter(fmt.Sprintf(`berylroad_upstream_calls_total{end=%q}`, e)).Inc()
+}
+
+func (r *Runner) countFirstToken(class berylpermit.Class, span time.Duration) {
+	if r.Metrics == nil {
+		return
+	}
+	name := fmt.Sprintf(`berylroad_call_first_token_seconds{class=%q}`, class)
+	r.Metrics.GetOrCreateHistogram(name).Update(span.Seconds())
+}
+
+// countStep counts what followed an upstream call: "retries", "hedges", "hedge_wins" or "resumes".
+func (r *Runner) countStep(step string) {
+	if r.Metrics == nil {
+		return
+	}
+	r.Metrics.GetOrCreateCounter("berylroad_call_" + step + "_total").Inc()
+}
--- a/internal/berylcall/request.go
+++ b/internal/berylcall/request.go
@@ -30,6 +30,8 @@
 	Deadline time.Time
 	// Tokens is the estimated answer length in tokens.
 	Tokens int
+	// ContinueFrom counts the events that the sink has from an earlier call which yielded; it needs a sink that is a Restarter.
+	ContinueFrom int
 	// PrefixHash is the hash of the prompt's first blocks, or zero for no affinity.
 	PrefixHash uint64
 }
@@ -41,3 +43,9 @@
 	// Write takes the next bytes of the body, for a stream one whole event, and does not keep them.
 	Write(body []byte) error
 }
+
+// Restarter is a sink that can take back what it has of an answer.
+type Restarter interface {
+	// Restart is called before the answer begins again from its first byte, with Start called anew.
+	Restart() error
+}
--- /dev/null
+++ b/internal/berylfake/engine.go
@@ -0,0 +1,122 @@
+package berylfake
+
+import (
+	"net/http"
+	"slices"
+	"time"
+)
+
+const (
+	defaultCachedPrefixes = 64
+	prefixBytes           = 256
+)
+
+// EngineOptions sets up an engine stand-in; zero times make an engine that answers at once.
+type EngineOptions struct {
+	// Models names the models served; empty serves any.
+	Models []string
+	// TokenTime is how long one token takes when nothing else runs.
+	TokenTime time.Duration
+	// BatchGrowth is by what share of TokenTime a token slows with each further run.
+	BatchGrowth float64
+	// PrefillTime is the time before the first token when the prompt's prefix is not cached.
+	PrefillTime time.Duration
+	// CachedPrefillTime is the time before the first token when it is.
+	CachedPrefillTime time.Duration
+	// CachedPrefixes is how many prefixes the cache holds; zero is 64.
+	CachedPrefixes int
+	// LoadLag is how late GET /load is.
+	LoadLag time.Duration
+	// Resume honours the request field continue_from.
+	Resume bool
+}
+
+// Engine plays a model engine. It admits every request as it comes and knows no priorities.
+//
+// Its published extension: a request with "continue_from": N in its body is answered from token N on, for a stream
+// whose first N events the client already has. Every event of a stream carries one token, and answers are a function of the request.
+type Engine struct {
+	server
+	options EngineOptions
+	batch   batcher
+	cache   prefixCache
+}
+
+// StartEngine serves an engine stand-in on a TCP address such as "127.0.0.1:0", or returns the error of listening there.
+func StartEngine(addr string, options EngineOptions) (*Engine, error) {
+	e := &Engine{options: options}
+	if e.options.CachedPrefixes <= 0 {
+		e.options.CachedPrefixes = defaultCachedPrefixes
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", e.complete)
+	mux.HandleFunc("POST /v1/completions", e.complete)
+	mux.HandleFunc("GET /v1/models", e.models)
+	mux.HandleFunc("GET /load", e.load)
+	if err := e.serve(addr, mux); err != nil {
+		return nil, err
+	}
+	return e, nil
+}
+
+func (e *Engine) models(w http.ResponseWriter, _ *http.Request) {
+	type model struct {
+		ID      string `json:"id"`
+		Object  string `json:"object"`
+		Created int64  `json:"created"`
+		OwnedBy string `json:"owned_by"`
+	}
+	var listed struct {
+		Object string  `json:"object"`
+		Data   []model `json:"data"`
+	}
+	listed.Object = "list"
+	listed.Data = []model{}
+	for _, name := range e.options.Models {
+		listed.Data = append(listed.Data, model{ID: name, Object: "model", OwnedBy: "standin"})
+	}
+	writeJSON(w, http.StatusOK, listed)
+}
+
+func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
+	running := e.batch.reported(time.Now(), e.options.LoadLag)
+	writeJSON(w, http.StatusOK, struct {
+		Running int `json:"running"`
+	}{running})
+}
+
+func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
+	body, ok := readBody(w, r)
+	if !ok {
+		return
+	}
+	p, err := readPrompt(body, isChat(r.URL.Path))
+	if err != nil {
+		writeError(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	if len(e.options.Models) > 0 && !slices.Contains(e.options.Models, p.model) {
+		writeError(w, http.StatusNotFound, "model "+p.model+" is not served here")
+		return
+	}
+	if !e.options.Resume {
+		p.from = 0
+	}
+	x := e.begin(w, r, body)
+	if x == nil {
+		return
+	}
+	e.batch.change(1, time.Now(), e.options.LoadLag)
+	defer func() { e.batch.change(-1, time.Now(), e.options.LoadLag) }()
+	x.step = func() time.Duration { return e.batch.step(e.options.TokenTime, e.options.BatchGrowth) }
+	x.prefill = e.prefill(p.text)
+	x.complete(&p)
+}
+
+func (e *Engine) prefill(text string) time.Duration {
+	prefix := text[:min(len(text), prefixBytes)]
+	if e.cache.touch(prefix, e.options.CachedPrefixes) {
+		return e.options.CachedPrefillTime
+	}
+	return e.options.PrefillTime
+}
--- /dev/null
+++ b/internal/berylfake/engine_counts.go
@@ -0,0 +1,118 @@
+package berylfake
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"maps"
+	"sync"
+)
+
+// countedKeys bounds how many request ids and body hashes a stand-in remembers.
+const countedKeys = 1 << 18
+
+// Tally counts the runs of one request id or one body.
+type Tally struct {
+	// Started counts the runs begun.
+	Started int `json:"started"`
+	// Finished counts the runs whose whole answer was written.
+	Finished int `json:"finished"`
+	// Cancelled counts the runs that the client broke off.
+	Cancelled int `json:"cancelled"`
+}
+
+// Counts is what a stand-in has seen since it started.
+type Counts struct {
+	Tally
+	// Refused counts the requests answered 429 or 503 without being run.
+	Refused int `json:"refused"`
+	// Tokens counts the tokens made.
+	Tokens int64 `json:"tokens"`
+	// Running counts the runs in progress.
+	Running int `json:"running"`
+	// ByRequest counts the runs of each X-Request-Id.
+	ByRequest map[string]Tally `json:"by-request"`
+	// ByBody counts the runs of each body, by the lower-case hex SHA-256 of it.
+	ByBody map[string]Tally `json:"by-body"`
+}
+
+// BodyHash returns the key of a body in Counts.ByBody.
+func BodyHash(body []byte) string {
+	sum := sha256.Sum256(body)
+	return hex.EncodeToString(sum[:])
+}
+
+// ledger counts runs; its zero value is ready.
+type ledger struct {
+	mu     sync.Mutex
+	counts Counts
+}
+
+// run is one counted run.
+type run struct {
+	ledger *ledger
+	id     string
+	body   string
+}
+
+func (l *ledger) start(id string, body []byte) *run {
+	r := &run{ledger: l, id: id, body: BodyHash(body)}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.counts.Running++
+	l.add(r, Tally{Started: 1})
+	return r
+}
+
+func (l *ledger) refuse() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.counts.Refused++
+}
+
+func (l *ledger) add(r *run, change Tally) {
+	l.counts.Tally = sum(l.counts.Tally, change)
+	if l.counts.ByRequest == nil {
+		l.counts.ByRequest = make(map[string]Tally)
+		l.counts.ByBody = make(map[string]Tally)
+	}
+	addKey(l.counts.ByRequest, r.id, change)
+	addKey(l.counts.ByBody, r.body, change)
+}
+
+func addKey(tallies map[string]Tally, key string, change Tally) {
+	old, known := tallies[key]
+	if !known && len(tallies) >= countedKeys {
+		return
+	}
+	tallies[key] = sum(old, change)
+}
+
+func sum(a, b Tally) Tally {
+	return Tally{
+		Started:   a.Started + b.Started,
+		Finished:  a.Finished + b.Finished,
+		Cancelled: a.Cancelled + b.Cancelled,
+	}
+}
+
+// end counts how the run ended and the tokens that it made.
+func (r *run) end(finished bool, tokens int) {
+	change := Tally{Cancelled: 1}
+	if finished {
+		change = Tally{Finished: 1}
+	}
+	r.ledger.mu.Lock()
+	defer r.ledger.mu.Unlock()
+	r.ledger.counts.Running--
+	r.ledger.counts.Tokens += int64(tokens)
+	r.ledger.add(r, change)
+}
+
+func (l *ledger) snapshot() Counts {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	taken := l.counts
+	taken.ByRequest = maps.Clone(l.counts.ByRequest)
+	taken.ByBody = maps.Clone(l.counts.ByBody)
+	return taken
+}
--- /dev/null
+++ b/internal/berylfake/engine_server.go
@@ -0,0 +1,148 @@
+package berylfake
+
+import (
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	maxRequestBytes   = 32 << 20
+	readHeaderTimeout = 10 * time.Second
+)
+
+// server is what the engine and the service stand-ins share: the listener, the script of faults and the counts.
+type server struct {
+	http     http.Server
+	script   faultScript
+	ledger   ledger
+	mu       sync.Mutex
+	addr     string
+	listener net.Listener
+	reopen   *time.Timer
+	closed   bool
+}
+
+func (s *server) serve(addr string, mux *http.ServeMux) error {
+	mux.HandleFunc("GET /standin/counts", s.getCounts)
+	mux.HandleFunc("POST /standin/fault", s.postFault)
+	s.http.Handler = mux
+	s.http.ReadHeaderTimeout = readHeaderTimeout
+	s.addr = addr
+	return s.listen()
+}
+
+// listen opens the socket where it is not open; s.addr is exact after the first time.
+func (s *server) listen() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.listener != nil || s.closed {
+		return nil
+	}
+	l, err := net.Listen("tcp", s.addr)
+	if err != nil {
+		return err
+	}
+	s.addr = l.Addr().String()
+	s.listener = l
+	s.http.SetKeepAlivesEnabled(true)
+	go s.http.Serve(l)
+	return nil
+}
+
+// refuse closes the socket and the idle connections; runs in progress go on.
+func (s *server) refuse(span time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.listener == nil {
+		return
+	}
+	s.listener.Close()
+	s.listener = nil
+	s.http.SetKeepAlivesEnabled(false)
+	if span > 0 {
+		s.reopen = time.AfterFunc(span, func() { s.listen() })
+	}
+}
+
+// URL returns the address to call, without a path.
+func (s *server) URL() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return "http://" + s.addr
+}
+
+// SetFault scripts how requests from now on are met; the zero UpstreamFault clears it. It returns the error of listening again.
+func (s *server) SetFault(fault UpstreamFault) error {
+	s.script.set(fault, time.Now())
+	if fault.Mode == FaultRefuse {
+		s.refuse(fault.For.Std())
+		return nil
+	}
+	return s.listen()
+}
+
+// Counts returns what has been seen so far.
+func (s *server) Counts() Counts {
+	return s.ledger.snapshot()
+}
+
+// Close stops serving and cuts what runs.
+func (s *server) Close() {
+	s.mu.Lock()
+	s.closed = true
+	if s.reopen != nil {
+		s.reopen.Stop()
+	}
+	s.mu.Unlock()
+	s.http.Close()
+}
+
+func (s *server) getCounts(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, s.Counts())
+}
+
+func (s *server) postFault(w http.ResponseWriter, r *http.Request) {
+	var fault UpstreamFault
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&fault); err != nil {
+		writeError(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	if err := s.SetFault(fault); err != nil {
+		writeError(w, http.StatusInternalServerError, err.Error())
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
+	if err != nil {
+		writeError(w, http.StatusBadRequest, err.Error())
+		return nil, false
+	}
+	return body, true
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	w.Write(mustJSON(value))
+}
+
+func writeError(w http.ResponseWriter, status int, message string) {
+	var wire struct {
+		Error struct {
+			Message string `json:"message"`
+			Type    string `json:"type"`
+		} `json:"error"`
+	}
+	wire.Error.Message = message
+	wire.Error.Type = "standin_error"
+	writeJSON(w, status, wire)
+}
--- /dev/null
+++ b/internal/berylfake/service.go
@@ -0,0 +1,55 @@
+package berylfake
+
+import (
+	"net/http"
+	"time"
+)
+
+// ServiceOptions sets up a plain service stand-in.
+type ServiceOptions struct {
+	// WorkTime is how long each request takes.
+	WorkTime time.Duration
+}
+
+// Service plays a plain service: it echoes each request and counts it by body.
+type Service struct {
+	server
+	options ServiceOptions
+}
+
+// StartService serves a plain service stand-in on a TCP address, or returns the error of listening there.
+func StartService(addr string, options ServiceOptions) (*Service, error) {
+	s := &Service{options: options}
+	mux := http.NewServeMux()
+	mux.HandleFunc("/", s.echo)
+	if err := s.serve(addr, mux); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Service) echo(w http.ResponseWriter, r *http.Request) {
+	body, ok := readBody(w, r)
+	if !ok {
+		return
+	}
+	x := s.begin(w, r, body)
+	if x == nil {
+		return
+	}
+	x.step = func() time.Duration { return s.options.WorkTime }
+	if !x.next(0) {
+		x.end(false)
+		return
+	}
+	x.plain(ServiceAnswer(r.Method, r.URL.RequestURI(), body))
+}
+
+// ServiceAnswer returns the body that the service stand-in answers.
+func ServiceAnswer(method, path string, body []byte) []byte {
+	return mustJSON(struct {
+		Method string `json:"method"`
+		Path   string `json:"path"`
+		Body   string `json:"body"`
+	}{method, path, string(body)})
+}
--- /dev/null
+++ b/internal/berylstandin/doc.go
@@ -0,0 +1,2 @@
+// Package berylstandin is the command line of berylroad-standin, which plays the systems around berylroad as processes.
+package berylstandin
