Keyed requests over the platform's records

A claim whose answer is lost is not granted. Its key is given back by writing "free" over the revision that the claim expected: if the claim took effect the record found has its nonce and is freed, if not the new record makes sure that a late claim can't take effect any more. Waiting for a time instead was ruled out, since no time is long enough for certain. Free records stay until their lease ends, so that revisions only rise.

The scripts' first run showed a request running on two hosts: nonces drawn from the settings' seed were the same on both. They now come from the system's random source; the seed is for jitter alone.

--- /dev/null
+++ b/internal/berylonce/manager.go
@@ -0,0 +1,146 @@
+package berylonce
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"berylroad.example/berylroad/internal/beryloutcome"
+	"berylroad.example/berylroad/internal/berylplatform"
+)
+
+const (
+	// defaultRetention is how long records are kept where the settings give no time.
+	defaultRetention = 24 * time.Hour
+	// defaultFresh is how long a claim stays fresh where the settings give no time.
+	defaultFresh = time.Second
+	// defaultMaxAnswer is the largest answer that is kept where the settings give no size.
+	defaultMaxAnswer = 256 << 10
+	// defaultMaxPending is the most unwritten ends that are kept where the settings give no number.
+	defaultMaxPending = 1024
+	// defaultMaxPendingBytes is the most bytes of unwritten answers that are kept where the settings give no number.
+	defaultMaxPendingBytes = 8 << 20
+)
+
+// Store is the part of the platform's key-value service that keyed requests use; berylplatform.Client is one.
+type Store interface {
+	Get(ctx context.Context, key string) berylplatform.Read
+	SwapSettled(ctx context.Context, key string, value []byte, expect, lease int64) berylplatform.Outcome
+	Grant(ctx context.Context, ttl time.Duration) berylplatform.Lease
+}
+
+// Config is what a Manager is made from.
+type Config struct {
+	// Store holds the records.
+	Store Store
+	// Host names this host.
+	Host string
+	// Boot tells this run of the process from others on the host.
+	Boot uint64
+	// Alive reports whether that run of a process may still be running its requests; nil takes all for alive.
+	Alive func(host string, boot uint64) bool
+	// Retention is how long a record is kept at least; zero means 24 h.
+	Retention time.Duration
+	// Fresh is how long after its record a never-repeat request may start without a renewal; zero means 1 s.
+	Fresh time.Duration
+	// MaxAnswer is the largest answer body kept for replay, in bytes; zero means 256 KiB, and a record holds less than 1 MiB.
+	MaxAnswer int
+	// MaxPending is the most ends of runs that wait for the platform; zero means 1024.
+	MaxPending int
+	// MaxPendingBytes is the most answer bytes that wait for the platform; zero means 8 MiB.
+	MaxPendingBytes int
+	// Seed seeds the jitter; zero takes a random seed.
+	Seed uint64
+	// Metrics takes the counters; nil keeps them to the manager.
+	Metrics *metrics.Set
+}
+
+// Manager decides what to do with keyed requests; it is safe for concurrent use.
+type Manager struct {
+	config   Config
+	leases   *leases
+	counters *counters
+
+	mu           sync.Mutex
+	random       *rand.Rand
+	entries      map[string]*entry
+	queue        []string
+	pendingBytes int
+	wake         chan struct{}
+}
+
+var _ Keeper = (*Manager)(nil)
+
+// New returns a manager; its Run must be running for ends that could not be written at once.
+func New(config Config) *Manager {
+	if config.Retention <= 0 {
+		config.Retention = defaultRetention
+	}
+	if config.Fresh <= 0 {
+		config.Fresh = defaultFresh
+	}
+	if config.MaxAnswer <= 0 {
+		config.MaxAnswer = defaultMaxAnswer
+	}
+	config.MaxAnswer = min(config.MaxAnswer, berylplatform.MaxValueBytes-maxRecordBytes)
+	if config.MaxPending <= 0 {
+		config.MaxPending = defaultMaxPending
+	}
+	if config.MaxPendingBytes <= 0 {
+		config.MaxPendingBytes = defaultMaxPendingBytes
+	}
+	if config.Metrics == nil {
+		config.Metrics = metrics.NewSet()
+	}
+	if config.Seed == 0 {
+		config.Seed = rand.Uint64()
+	}
+	m := &Manager{
+		config:  config,
+		random:  rand.New(rand.NewPCG(config.Seed, config.Boot)),
+		leases:  &leases{store: config.Store, retention: config.Retention},
+		entries: map[string]*entry{},
+		wake:    make(chan struct{}, 1),
+	}
+	m.counters = newCounters(config.Metrics, m.Pending)
+	return m
+}
+
+// Begin records the intent, or says why the request is not run by this host.
+func (m *Manager) Begin(ctx context.Context, intent Intent) Decision {
+	decision := m.begin(ctx, intent)
+	m.counters.countDecision(decision)
+	return decision
+}
+
+// begin is Begin without the counting.
+func (m *Manager) begin(ctx context.Context, intent Intent) Decision {
+	if refusal := checkIntent(intent); refusal != nil {
+		return Decision{Refusal: refusal}
+	}
+	e, answer := m.enter(intent)
+	if e == nil {
+		return answer
+	}
+	c := claim{manager: m, entry: e, intent: intent}
+	decision := c.run(ctx)
+	m.afterClaim(e, decision.Run != nil)
+	return decision
+}
+
+// checkIntent bounds what comes from the caller.
+func checkIntent(intent Intent) *beryloutcome.Refusal {
+	switch {
+	case intent.Key == "":
+		return refuseBadKey("the idempotency key is empty; give one of up to 255 bytes")
+	case len(intent.Key) > maxKeyBytes:
+		return refuseBadKey("the idempotency key is longer than 255 bytes; give a shorter one")
+	case len(intent.Caller) > maxCallerBytes:
+		return refuseBadKey("the caller name is longer than 255 bytes")
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/berylonce/store_test.go
@@ -0,0 +1,119 @@
+package berylonce
+
+import (
+	"bytes"
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"berylroad.example/berylroad/internal/berylplatform"
+)
+
+// errScripted is the reason that the memory store gives for its faults.
+var errScripted = errors.New("scripted fault")
+
+// memoryStore is a Store with scripted faults, for one goroutine at a time.
+type memoryStore struct {
+	records  map[string]berylplatform.Record
+	revision int64
+	grants   int64
+	lease    map[int64]bool
+	// down answers nothing and changes nothing.
+	down bool
+	// lose is the number of writes that take effect and whose answer and read-back are lost.
+	lose int
+	// cut is the number of writes that are lost before they take effect.
+	cut int
+	// late is the number of writes that are lost and take effect when deliver is called.
+	late int
+	// slow is the time that each call takes.
+	slow    time.Duration
+	delayed []func()
+	calls   int
+	bytes   int
+}
+
+// newMemoryStore returns an empty store.
+func newMemoryStore() *memoryStore {
+	return &memoryStore{records: map[string]berylplatform.Record{}, lease: map[int64]bool{}}
+}
+
+// Get implements Store.
+func (s *memoryStore) Get(_ context.Context, key string) berylplatform.Read {
+	s.calls++
+	if s.down {
+		return berylplatform.Read{Status: berylplatform.Unavailable, Err: errScripted}
+	}
+	return berylplatform.Read{Status: berylplatform.Done, Record: s.records[key], Revision: s.revision}
+}
+
+// SwapSettled implements Store.
+func (s *memoryStore) SwapSettled(_ context.Context, key string, value []byte, expect, lease int64) berylplatform.Outcome {
+	time.Sleep(s.slow)
+	s.calls++
+	s.bytes += len(key) + len(value)
+	value = bytes.Clone(value)
+	lost := berylplatform.Outcome{Status: berylplatform.Unknown, Err: errScripted}
+	switch {
+	case s.down:
+		return berylplatform.Outcome{Status: berylplatform.Unavailable, Err: errScripted}
+	case take(&s.lose):
+		s.apply(key, value, expect, lease)
+		return lost
+	case take(&s.cut):
+		return lost
+	case take(&s.late):
+		s.delayed = append(s.delayed, func() { s.apply(key, value, expect, lease) })
+		return lost
+	}
+	return s.apply(key, value, expect, lease)
+}
+
+// apply carries out a compare-and-swap.
+func (s *memoryStore) apply(key string, value []byte, expect, lease int64) berylplatform.Outcome {
+	if !s.lease[lease] {
+		return berylplatform.Outcome{Status: berylplatform.Unavailable, Err: berylplatform.ErrLeaseGone}
+	}
+	current := s.records[key]
+	if current.Revision != expect {
+		return berylplatform.Outcome{Status: berylplatform.Conflict, Current: current}
+	}
+	s.revision++
+	s.records[key] = berylplatform.Record{Key: key, Value: value, Revision: s.revision, Lease: lease}
+	return berylplatform.Outcome{Status: berylplatform.Done, Revision: s.revision}
+}
+
+// Grant implements Store.
+func (s *memoryStore) Grant(_ context.Context, ttl time.Duration) berylplatform.Lease {
+	s.calls++
+	if s.down {
+		return berylplatform.Lease{Status: berylplatform.Unavailable, Err: errScripted}
+	}
+	s.grants++
+	s.lease[s.grants] = true
+	return berylplatform.Lease{Status: berylplatform.Done, ID: s.grants, TTL: ttl}
+}
+
+// deliver carries out the writes that were held back.
+func (s *memoryStore) deliver() {
+	for _, run := range s.delayed {
+		run()
+	}
+	s.delayed = nil
+}
+
+// expire ends all leases and their records.
+func (s *memoryStore) expire() {
+	clear(s.records)
+	clear(s.lease)
+}
+
+// take uses up one of n.
+func take(n *int) bool {
+	if *n == 0 {
+		return false
+	}
+	*n--
+	return true
+}
