--- /dev/null
+++ b/internal/berylfake/hostlist.go
@@ -0,0 +1,149 @@
+package berylfake
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+)
+
+// maxListChanges is how many changes of the list may be under way at once.
+const maxListChanges = 10_000
+
+// ListedHost is one entry of the host list.
+type ListedHost struct {
+	// Name is the host's name.
+	Name string `json:"name"`
+	// State is "live" or "leaving".
+	State string `json:"state"`
+}
+
+// listChange is a list that is shown from some time on.
+type listChange struct {
+	from  time.Time
+	hosts []ListedHost
+}
+
+// HostList is a stand-in for the platform's host list; it shows a change only after its lag.
+type HostList struct {
+	server   *http.Server
+	address  string
+	routines conc.WaitGroup
+
+	mu      sync.Mutex
+	down    bool
+	lag     time.Duration
+	changes []listChange
+	reads   int
+}
+
+// StartHostList starts a stand-in on the address, such as "127.0.0.1:0", with an empty list.
+func StartHostList(address string) (*HostList, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "host list stand-in")
+	}
+	l := &HostList{address: listener.Addr().String(), changes: []listChange{{hosts: []ListedHost{}}}}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /hosts", l.serveHosts)
+	mux.HandleFunc("POST /standin/hosts", l.serveSet)
+	l.server = &http.Server{Handler: mux, ReadHeaderTimeout: 10 * time.Second}
+	l.routines.Go(func() { _ = l.server.Serve(listener) })
+	return l, nil
+}
+
+// URL is the list's whole URL.
+func (l *HostList) URL() string {
+	return "http://" + l.address + "/hosts"
+}
+
+// SetLag sets how much later than made the coming changes are shown.
+func (l *HostList) SetLag(lag time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lag = lag
+}
+
+// SetDown makes the list answer 503, or ends that.
+func (l *HostList) SetDown(down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = down
+}
+
+// Set replaces the list; it fails when too many changes wait for their time.
+func (l *HostList) Set(hosts ...ListedHost) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.settle(time.Now())
+	if len(l.changes) >= maxListChanges {
+		return errors.New("too many changes of the host list wait for their time")
+	}
+	l.changes = append(l.changes, listChange{from: time.Now().Add(l.lag), hosts: append([]ListedHost{}, hosts...)})
+	slices.SortStableFunc(l.changes, func(a, b listChange) int { return a.from.Compare(b.from) })
+	return nil
+}
+
+// Reads is how often the list was read.
+func (l *HostList) Reads() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.reads
+}
+
+// Close stops the stand-in.
+func (l *HostList) Close() {
+	_ = l.server.Close()
+	l.routines.Wait()
+}
+
+// settle drops the lists that a later one has replaced.
+func (l *HostList) settle(now time.Time) {
+	for len(l.changes) > 1 && !now.Before(l.changes[1].from) {
+		l.changes = l.changes[1:]
+	}
+}
+
+// serveHosts writes the list of the moment.
+func (l *HostList) serveHosts(w http.ResponseWriter, _ *http.Request) {
+	l.mu.Lock()
+	l.reads++
+	l.settle(time.Now())
+	down, hosts := l.down, l.changes[0].hosts
+	l.mu.Unlock()
+	if down {
+		http.Error(w, "down", http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(hosts)
+}
+
+// serveSet takes a new list, a lag or an outage from a test.
+func (l *HostList) serveSet(w http.ResponseWriter, r *http.Request) {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxPlatformBody))
+	decoder.DisallowUnknownFields()
+	var ask struct {
+		Hosts     []ListedHost `json:"hosts"`
+		LagMillis int          `json:"lag-ms"`
+		Down      bool         `json:"down"`
+	}
+	if err := decoder.Decode(&ask); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	l.SetLag(time.Duration(ask.LagMillis) * time.Millisecond)
+	l.SetDown(ask.Down)
+	if ask.Hosts != nil {
+		if err := l.Set(ask.Hosts...); err != nil {
+			http.Error(w, err.Error(), http.StatusConflict)
+			return
+		}
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/internal/berylplatform/watch_test.go
@@ -0,0 +1,182 @@
+package berylplatform_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+
+	"berylroad.example/berylroad/internal/berylfake"
+	"berylroad.example/berylroad/internal/berylplatform"
+)
+
+// watched is one watch of a stand-in with a client that writes to it.
+type watched struct {
+	*is.I
+	fake    *berylfake.Platform
+	client  *berylplatform.Client
+	changes chan berylplatform.Change
+}
+
+// TestWatch follows one prefix through the ends that a watch's stream can have.
+func TestWatch(t *testing.T) {
+	tests := []struct {
+		name string
+		from int64
+		run  func(w *watched)
+	}{
+		{"snapshot-then-changes", 0, func(w *watched) {
+			w.expect("snapshot /w/old=1")
+			revision := w.put("/w/a", "1", 0)
+			w.expect("/w/a=1")
+			w.put("/w/a", "2", revision)
+			w.expect("/w/a=2")
+			w.put("/other", "1", 0)
+			w.Equal(w.client.Remove(context.Background(), "/w/old", 2).Status, berylplatform.Done)
+			w.expect("-/w/old")
+		}},
+		{"dropped", 0, func(w *watched) {
+			w.expect("snapshot /w/old=1")
+			w.fault(berylfake.Fault{DropWatches: true})
+			w.put("/w/a", "1", 0)
+			w.expect("/w/a=1")
+		}},
+		{"service-restarted", 0, func(w *watched) {
+			w.expect("snapshot /w/old=1")
+			w.fault(berylfake.Fault{Mode: berylfake.ModeRefuse})
+			w.fault(berylfake.Fault{})
+			w.put("/w/a", "1", 0)
+			w.expect("/w/a=1")
+		}},
+		{"frozen-for-a-while", 0, func(w *watched) {
+			w.expect("snapshot /w/old=1")
+			opened := w.fake.Calls().Watch
+			w.fault(berylfake.Fault{Mode: berylfake.ModeFreeze})
+			for w.fake.Calls().Watch < opened+2 {
+				time.Sleep(time.Millisecond)
+			}
+			w.fault(berylfake.Fault{})
+			w.put("/w/a", "1", 0)
+			w.expect("/w/a=1")
+		}},
+		{"resumes-from-a-revision", 2, func(w *watched) {
+			w.put("/w/a", "1", 0)
+			w.expect("/w/a=1")
+		}},
+		{"compacted", 1, func(w *watched) {
+			w.expect("snapshot /w/old=1")
+			w.put("/w/a", "1", 0)
+			w.expect("/w/a=1")
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := newWatched(t)
+			if tt.name == "compacted" {
+				w.fault(berylfake.Fault{Compact: true})
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			var watching conc.WaitGroup
+			watching.Go(func() {
+				watcher := w.watcher()
+				watcher.Watch(ctx, berylplatform.Target{Key: "/w/", Prefix: true}, tt.from, func(c berylplatform.Change) {
+					w.changes <- c
+				})
+			})
+			defer watching.Wait()
+			defer cancel()
+			tt.run(w)
+		})
+	}
+}
+
+// newWatched starts a stand-in that holds /w/old at revision 2.
+func newWatched(t *testing.T) *watched {
+	t.Helper()
+	fake, err := berylfake.StartPlatform("127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(fake.Close)
+	w := &watched{I: is.New(t), fake: fake, changes: make(chan berylplatform.Change, 100)}
+	w.client = newClient(t, patient, fake.URL())
+	w.put("/w/old", "1", 0)
+	return w
+}
+
+// watcher returns a client that gives up soon on a silent stream; its first endpoint does not answer.
+func (w *watched) watcher() *berylplatform.Client {
+	client, err := berylplatform.New(berylplatform.Config{
+		Endpoints: []string{"http://127.0.0.1:1", w.fake.URL()}, Timeout: 10 * hasty, WatchRenew: hasty, Seed: 1,
+	})
+	w.NoErr(err)
+	return client
+}
+
+// fault sets a fault.
+func (w *watched) fault(f berylfake.Fault) {
+	w.NoErr(w.fake.SetFault(f))
+}
+
+// put writes a key and returns its revision.
+func (w *watched) put(key, value string, expect int64) int64 {
+	outcome := w.client.Swap(context.Background(), key, []byte(value), expect, 0)
+	w.Equal(outcome.Status, berylplatform.Done)
+	return outcome.Revision
+}
+
+// expect waits for a change and compares it.
+func (w *watched) expect(want string) {
+	var words []string
+	change := <-w.changes
+	if change.Snapshot {
+		words = append(words, "snapshot")
+	}
+	for _, r := range change.Records {
+		words = append(words, fmt.Sprintf("%s=%s", r.Key, r.Value))
+	}
+	for _, key := range change.Deleted {
+		words = append(words, "-"+key)
+	}
+	w.Equal(strings.Join(words, " "), want)
+}
+
+// TestHostList reads the list through its states.
+func TestHostList(t *testing.T) {
+	is := is.New(t)
+	fake, err := berylfake.StartHostList("127.0.0.1:0")
+	is.NoErr(err)
+	defer fake.Close()
+	list := &berylplatform.HostList{URL: fake.URL(), Timeout: patient}
+	read := func() []string {
+		hosts, err := list.Hosts(context.Background())
+		is.NoErr(err)
+		var names []string
+		for _, h := range hosts {
+			names = append(names, h.Name+":"+string(h.State))
+		}
+		return names
+	}
+	is.Equal(len(read()), 0)
+	is.NoErr(fake.Set(berylfake.ListedHost{Name: "a", State: "live"}, berylfake.ListedHost{Name: "b", State: "leaving"}))
+	is.Equal(read(), []string{"a:live", "b:leaving"})
+	fake.SetLag(time.Hour)
+	is.NoErr(fake.Set(berylfake.ListedHost{Name: "c", State: "live"}))
+	is.Equal(read(), []string{"a:live", "b:leaving"}) // the change is not shown yet
+	fake.SetLag(0)
+	for _, bad := range [][]berylfake.ListedHost{
+		{{Name: "", State: "live"}},
+		{{Name: "a", State: "broken"}},
+		{{Name: "a", State: "live"}, {Name: "a", State: "leaving"}},
+	} {
+		is.NoErr(fake.Set(bad...))
+		_, err := list.Hosts(context.Background())
+		is.True(err != nil) // a list that can't be right
+	}
+	fake.SetDown(true)
+	_, err = list.Hosts(context.Background())
+	is.True(err != nil) // down
+	is.Equal(fake.Reads(), 7)
+}
--- /dev/null
+++ b/internal/berylplatform/watchstream.go
@@ -0,0 +1,207 @@
+package berylplatform
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	// watchBuffer is the first size of the buffer for a watch's messages.
+	watchBuffer = 4 << 10
+	// maxWatchMessage is the largest message that a watch takes.
+	maxWatchMessage = 16 << 20
+)
+
+// wireWatchAnswer is one message of a watch.
+type wireWatchAnswer struct {
+	Header          wireHeader `json:"header"`
+	Created         bool       `json:"created"`
+	Canceled        bool       `json:"canceled"`
+	CompactRevision int64      `json:"compact_revision,string"`
+	Events          []struct {
+		Type string     `json:"type"`
+		Kv   wireRecord `json:"kv"`
+	} `json:"events"`
+}
+
+// watchConn is the connection of one watch; each read waits for a limited time.
+type watchConn struct {
+	net.Conn
+	mu     sync.Mutex
+	silent time.Duration
+}
+
+// Read waits for at most the time set by wait.
+func (c *watchConn) Read(p []byte) (int, error) {
+	c.mu.Lock()
+	limit := c.silent
+	c.mu.Unlock()
+	if err := c.SetReadDeadline(time.Now().Add(limit)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(p)
+}
+
+// wait sets the time that each read may take.
+func (c *watchConn) wait(limit time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.silent = limit
+}
+
+// stream opens a watch after the last revision at the first endpoint worth asking and follows it to its end.
+func (w *watch) stream(ctx context.Context) watchEnd {
+	c := w.client
+	first := int(c.preferred.Load())
+	for i := range c.endpoints {
+		e := c.endpoints[(first+i)%len(c.endpoints)]
+		if !e.allow(time.Now()) {
+			continue
+		}
+		if c.budget.wait(ctx, c.config.Timeout) != nil {
+			e.release()
+			c.counters.overBudget.Inc()
+			break
+		}
+		end, opened := w.follow(ctx, e)
+		if opened {
+			e.succeed()
+			c.counters.count(callWatch, Done)
+			return end
+		}
+		e.fail(time.Now(), c.jitter())
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	c.counters.count(callWatch, Unavailable)
+	return watchBroken
+}
+
+// follow opens a watch at an endpoint and reports its changes until it ends; opened says that the service took it.
+func (w *watch) follow(ctx context.Context, e *endpoint) (end watchEnd, opened bool) {
+	conn, err := net.DialTimeout("tcp", e.address, w.client.config.Timeout)
+	if err != nil {
+		return watchBroken, false
+	}
+	limited := &watchConn{Conn: conn, silent: w.client.config.Timeout}
+	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
+	defer func() { _ = conn.Close() }()
+	return w.exchange(e, limited)
+}
+
+// exchange sends the request for a watch over the connection and reads its messages.
+func (w *watch) exchange(e *endpoint, conn *watchConn) (end watchEnd, opened bool) {
+	client := e.client(w.client.config, func(string, time.Duration) (net.Conn, error) { return conn, nil })
+	client.StreamResponseBody = true
+	client.MaxResponseBodySize = 0
+	client.MaxConns = 1
+	defer client.CloseIdleConnections()
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	defer func() { _ = conn.Close() }()
+	request.SetRequestURI(e.base + "/v3/watch")
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.Header.SetContentType("application/json")
+	request.SetBody(w.request())
+	w.client.counters.sent.Inc()
+	if client.Do(request, response) != nil || response.StatusCode() != fasthttp.StatusOK {
+		return watchBroken, false
+	}
+	return w.read(response, conn)
+}
+
+// request is the body that asks for all changes after the last revision.
+func (w *watch) request() []byte {
+	var ask struct {
+		Create struct {
+			Key      []byte `json:"key"`
+			RangeEnd []byte `json:"range_end,omitempty"`
+			Start    int64  `json:"start_revision,string"`
+		} `json:"create_request"`
+	}
+	ask.Create.Key = []byte(w.target.Key)
+	if w.target.Prefix {
+		ask.Create.RangeEnd = prefixEnd(w.target.Key)
+	}
+	ask.Create.Start = w.last + 1
+	body, err := json.Marshal(ask)
+	if err != nil {
+		panic(errors.Wrap(err, "encode a watch"))
+	}
+	return body
+}
+
+// read reports the messages of an open watch until it ends.
+func (w *watch) read(response *fasthttp.Response, conn *watchConn) (end watchEnd, opened bool) {
+	lines := bufio.NewScanner(response.BodyStream())
+	lines.Buffer(make([]byte, 0, watchBuffer), maxWatchMessage)
+	for lines.Scan() {
+		var message struct {
+			Result wireWatchAnswer `json:"result"`
+		}
+		w.client.counters.readBytes.Add(len(lines.Bytes()))
+		if json.Unmarshal(lines.Bytes(), &message) != nil {
+			return watchBroken, opened
+		}
+		if message.Result.Created {
+			opened = true
+			conn.wait(w.client.config.WatchRenew)
+		}
+		if end, over := w.take(message.Result); over {
+			return end, opened
+		}
+	}
+	var timeout net.Error
+	switch err := lines.Err(); {
+	case errors.Is(err, bufio.ErrTooLong):
+		return watchStale, opened
+	case opened && errors.As(err, &timeout) && timeout.Timeout():
+		return watchSilent, true
+	default:
+		return watchBroken, opened
+	}
+}
+
+// take reports one message; over says that the stream has ended with it.
+func (w *watch) take(message wireWatchAnswer) (end watchEnd, over bool) {
+	restored := w.cluster != 0 && message.Header.ClusterID != w.cluster
+	w.cluster = message.Header.ClusterID
+	switch {
+	case restored || message.CompactRevision > 0:
+		return watchStale, true
+	case message.Canceled:
+		return watchBroken, true
+	case len(message.Events) == 0:
+		return watchBroken, false
+	}
+	change := Change{Revision: w.last}
+	gone := map[string]bool{}
+	for i := len(message.Events) - 1; i >= 0; i-- {
+		event := message.Events[i]
+		key := string(event.Kv.Key)
+		change.Revision = max(change.Revision, event.Kv.ModRevision)
+		if _, newer := gone[key]; newer {
+			continue
+		}
+		gone[key] = event.Type == "DELETE"
+		if gone[key] {
+			change.Deleted = append(change.Deleted, key)
+			continue
+		}
+		change.Records = append(change.Records, event.Kv.record())
+	}
+	slices.Reverse(change.Records)
+	slices.Reverse(change.Deleted)
+	w.report(change)
+	return watchBroken, false
+}
