--- /dev/null
+++ b/internal/beryljob/run.go
@@ -0,0 +1,230 @@
+package beryljob
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"berylroad.example/berylroad/internal/berylplatform"
+)
+
+const (
+	commitInterval = 500 * time.Millisecond
+	// rereadInterval is how often a run looks for a cancellation that another host recorded.
+	rereadInterval = 2 * time.Second
+	// maxSegmentBytes is where a segment is written before its time is up.
+	maxSegmentBytes = 256 << 10
+	maxRunning      = 16
+)
+
+// run is one job on its owner. Its fields belong to the goroutine of work.
+type run struct {
+	duty     *Duty
+	record   *Record
+	revision int64
+	items    []Item
+	pending  []int
+	running  int
+	results  chan Result
+	poked    chan struct{}
+	gathered []Result
+	lost     bool
+}
+
+func newRun(d *Duty, record *Record, revision int64) *run {
+	return &run{duty: d, record: record, revision: revision, results: make(chan Result, maxRunning), poked: make(chan struct{}, 1)}
+}
+
+// work runs the job's items until all have a committed end, the job is cancelled or this host has lost it.
+func (r *run) work(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	var workers conc.WaitGroup
+	defer workers.Wait()
+	defer cancel()
+	if !r.load(ctx) {
+		return
+	}
+	commit := time.NewTicker(commitInterval)
+	defer commit.Stop()
+	reread := time.NewTicker(rereadInterval)
+	defer reread.Stop()
+	for !r.lost && !r.record.Done() && ctx.Err() == nil {
+		r.startItems(ctx, &workers)
+		select {
+		case result := <-r.results:
+			r.take(result)
+		case <-commit.C:
+			r.commit(ctx)
+		case <-reread.C:
+			r.reread(ctx)
+		case <-r.poked:
+			r.reread(ctx)
+		case <-ctx.Done():
+		}
+		if r.record.State == Cancelling {
+			r.finishCancel(ctx, cancel)
+		}
+	}
+}
+
+// load reads the items that have no committed end.
+func (r *run) load(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		file, _, refusal := get[File](ctx, r.duty.store, filePrefix+r.record.InputFile)
+		if refusal != nil {
+			pause(ctx, retryPlatform)
+			continue
+		}
+		if file == nil {
+			r.duty.Log.WithField("job", r.record.ID).Error("the input of a job is gone")
+			return false
+		}
+		items, err := parseInput(file.Data)
+		if err != nil || len(items) != r.record.Total {
+			r.duty.Log.WithField("job", r.record.ID).Error("the input of a job is damaged")
+			return false
+		}
+		r.items = items
+		for i := range items {
+			if !r.record.Ended.Has(i) {
+				r.pending = append(r.pending, i)
+			}
+		}
+		return true
+	}
+	return false
+}
+
+func (r *run) startItems(ctx context.Context, workers *conc.WaitGroup) {
+	for r.record.State == Running && r.running < maxRunning && len(r.pending) > 0 {
+		number := r.pending[0]
+		r.pending = r.pending[1:]
+		r.running++
+		workers.Go(func() {
+			result, ended := r.duty.runItem(ctx, r.record.ID, number, &r.items[number])
+			if !ended {
+				return
+			}
+			select {
+			case r.results <- result:
+			case <-ctx.Done():
+			}
+		})
+	}
+}
+
+func (r *run) take(result Result) {
+	r.running--
+	r.gathered = append(r.gathered, result)
+}
+
+// commit writes what was gathered as a segment and then names the segment in the record.
+func (r *run) commit(ctx context.Context) {
+	if len(r.gathered) == 0 {
+		return
+	}
+	batch := r.nextBatch()
+	name := fmt.Sprintf("%06d-%06d-%s", r.record.Epoch, len(r.record.Segments), newNonce())
+	segment := Segment{Results: batch, Nonce: name}
+	key := segmentPrefix + r.record.ID + "/" + name
+	outcome := r.duty.Platform.SwapSettled(ctx, key, encode(&segment), 0, 0)
+	if outcome.Status != berylplatform.Done {
+		return // Everything stays gathered and is tried again.
+	}
+	next := r.record.with(name, batch)
+	if next.Succeeded+next.Failed == next.Total {
+		next.State = Completed
+	}
+	if r.swap(ctx, next) {
+		r.gathered = r.gathered[len(batch):]
+	}
+}
+
+// nextBatch returns the gathered results that fit one segment, at least one.
+func (r *run) nextBatch() []Result {
+	size := 0
+	for i := range r.gathered {
+		size += len(r.gathered[i].Body)
+		if i > 0 && size > maxSegmentBytes {
+			return r.gathered[:i]
+		}
+	}
+	return r.gathered
+}
+
+// with returns a copy of the record that holds the segment's results as ended.
+func (r *Record) with(segment string, results []Result) *Record {
+	next := *r
+	next.Segments = append(next.Segments[:len(next.Segments):len(next.Segments)], segment)
+	next.Ended = append(Bits(nil), r.Ended...)
+	for i := range results {
+		next.Ended.Add(results[i].Item)
+		if results[i].Answered() {
+			next.Succeeded++
+		} else {
+			next.Failed++
+		}
+	}
+	return &next
+}
+
+// swap replaces the record and reports whether it took effect; a record of a later epoch ends the run.
+func (r *run) swap(ctx context.Context, next *Record) bool {
+	next.Nonce = newNonce()
+	outcome := r.duty.Platform.SwapSettled(ctx, jobPrefix+r.record.ID, encode(next), r.revision, 0)
+	switch outcome.Status {
+	case berylplatform.Done:
+		r.install(next, outcome.Revision)
+		return true
+	case berylplatform.Conflict, berylplatform.Unknown:
+		r.reread(ctx)
+		return r.record.Nonce == next.Nonce
+	}
+	return false
+}
+
+// reread takes the record as the platform's service has it.
+func (r *run) reread(ctx context.Context) {
+	current, revision, refusal := get[Record](ctx, r.duty.store, jobPrefix+r.record.ID)
+	if refusal != nil {
+		return
+	}
+	if current == nil || current.Epoch != r.record.Epoch {
+		r.lost = true
+		r.duty.Log.WithFields(logrus.Fields{"job": r.record.ID, "epoch": r.record.Epoch}).Info("lost a job to another host")
+		return
+	}
+	r.install(current, revision)
+}
+
+func (r *run) install(record *Record, revision int64) {
+	if record.State != r.record.State {
+		r.duty.Log.WithFields(logrus.Fields{"job": record.ID, "state": record.State}).Info("job changed its state")
+	}
+	r.record = record
+	r.revision = revision
+}
+
+// finishCancel stops the running items and records the job as cancelled, keeping the results that stand.
+func (r *run) finishCancel(ctx context.Context, cancel context.CancelFunc) {
+	next := *r.record
+	next.State = Cancelled
+	if r.swap(ctx, &next) {
+		cancel()
+		return
+	}
+	pause(ctx, commitInterval)
+}
+
+// pause waits for the time given or the end of ctx.
+func pause(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/beryljob/store.go
@@ -0,0 +1,83 @@
+package beryljob
+
+import (
+	"context"
+	"crypto/rand"
+	"net/http"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"berylroad.example/berylroad/internal/beryloutcome"
+	"berylroad.example/berylroad/internal/berylplatform"
+)
+
+const retryPlatform = 2 * time.Second
+
+// Platform is the part of the platform's client that jobs use.
+type Platform interface {
+	Get(ctx context.Context, key string) berylplatform.Read
+	List(ctx context.Context, prefix string, limit int, from string) berylplatform.Listing
+	SwapSettled(ctx context.Context, key string, value []byte, expect, lease int64) berylplatform.Outcome
+	Remove(ctx context.Context, key string, expect int64) berylplatform.Outcome
+}
+
+// store reads and writes the records of jobs and files.
+type store struct {
+	platform Platform
+}
+
+// encode writes a record whose nonce the caller has just drawn.
+func encode(value any) []byte {
+	data, err := cbor.Marshal(value)
+	if err != nil {
+		panic(err) // The record types hold nothing that cannot be encoded.
+	}
+	return data
+}
+
+func newNonce() string {
+	return rand.Text()
+}
+
+// get reads one record; a nil value with a nil refusal means that it is absent.
+func get[T any](ctx context.Context, s store, key string) (*T, int64, *beryloutcome.Refusal) {
+	read := s.platform.Get(ctx, key)
+	if read.Status != berylplatform.Done {
+		return nil, 0, platformAway()
+	}
+	if read.Record.Revision == 0 {
+		return nil, 0, nil
+	}
+	value, err := decode[T](read.Record.Value)
+	if err != nil {
+		return nil, 0, &beryloutcome.Refusal{Status: http.StatusInternalServerError, Code: beryloutcome.CodeUpstream, Message: "the record of " + key + " is damaged; tell the operators"}
+	}
+	return value, read.Record.Revision, nil
+}
+
+// create writes a record that must be absent; Conflict means that it stands already.
+func (s store) create(ctx context.Context, key string, value any) (berylplatform.Outcome, *beryloutcome.Refusal) {
+	outcome := s.platform.SwapSettled(ctx, key, encode(value), 0, 0)
+	switch outcome.Status {
+	case berylplatform.Unavailable:
+		return outcome, platformAway()
+	case berylplatform.Unknown:
+		return outcome, &beryloutcome.Refusal{
+			Status:     http.StatusServiceUnavailable,
+			Code:       beryloutcome.CodeUnknown,
+			Message:    "it is not known whether " + key + " was recorded; ask for it, or send it again with the same Idempotency-Key",
+			RetryAfter: retryPlatform,
+		}
+	}
+	return outcome, nil
+}
+
+func platformAway() *beryloutcome.Refusal {
+	return &beryloutcome.Refusal{
+		Status:     http.StatusServiceUnavailable,
+		Code:       beryloutcome.CodeNotRun,
+		Message:    "the platform's service does not answer; nothing was changed, send it again later",
+		RetryAfter: retryPlatform,
+	}
+}
