--- /dev/null
+++ b/internal/berylspread/spread.go
@@ -0,0 +1,160 @@
+package berylspread
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+
+	"berylroad.example/berylroad/internal/berylconf"
+	"berylroad.example/berylroad/internal/berylplatform"
+)
+
+// Key is where the platform's service holds the configuration.
+const Key = "/berylroad/configuration"
+
+const (
+	watchInterval = time.Second
+	// idleInterval is how often a host that does not watch reads the platform, should its peers tell it nothing.
+	idleInterval = time.Minute
+	startRetry   = 500 * time.Millisecond
+	pullTimeout  = 2 * time.Second
+	// maxHints bounds the peers waiting to be asked; a further hint comes with the next probe.
+	maxHints = 8
+)
+
+// ErrNone says that a peer has no configuration of a higher revision.
+var ErrNone = errors.New("the peer has no newer configuration")
+
+// Reader reads the platform's service.
+type Reader interface {
+	Get(ctx context.Context, key string) berylplatform.Read
+}
+
+// Peers pulls a configuration from another host.
+type Peers interface {
+	// Pull returns the peer's configuration in JSON if its revision is above the given one, else ErrNone.
+	Pull(ctx context.Context, peer string, above int64) ([]byte, error)
+}
+
+// Config says what the duty works with.
+type Config struct {
+	// Store takes the configurations.
+	Store *berylconf.Store
+	// Platform reads the newest.
+	Platform Reader
+	// Peers pulls from other hosts.
+	Peers Peers
+	// Seeds names the peers to ask while there is no configuration yet.
+	Seeds []string
+	// Watches reports whether this host is one of the few that watch the platform.
+	Watches func() bool
+	// Metrics takes the counters.
+	Metrics *metrics.Set
+	// Log takes changes of state.
+	Log logrus.FieldLogger
+}
+
+// Duty keeps the store up to date.
+type Duty struct {
+	Config
+	hints chan hint
+}
+
+// hint says that a peer has a higher revision.
+type hint struct {
+	peer     string
+	revision int64
+}
+
+// New returns a duty that does nothing before Run.
+func New(config Config) *Duty {
+	return &Duty{Config: config, hints: make(chan hint, maxHints)}
+}
+
+// Heard takes a peer's revision from a probe; it never blocks.
+func (d *Duty) Heard(peer string, revision int64) {
+	if revision <= d.Store.Revision() {
+		return
+	}
+	select {
+	case d.hints <- hint{peer: peer, revision: revision}:
+	default:
+	}
+}
+
+// Run keeps the store up to date until ctx ends.
+func (d *Duty) Run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case h := <-d.hints:
+			if h.revision > d.Store.Revision() {
+				d.pull(ctx, h.peer)
+			}
+		case <-timer.C:
+			d.read(ctx)
+			timer.Reset(d.interval())
+		}
+	}
+}
+
+// interval returns the jittered time until the next read of the platform.
+func (d *Duty) interval() time.Duration {
+	interval := idleInterval
+	switch {
+	case d.Store.Current() == nil:
+		interval = startRetry
+	case d.Watches():
+		interval = watchInterval
+	}
+	return interval*3/4 + rand.N(interval/2)
+}
+
+// read takes the platform's configuration, or at the start a peer's when the platform does not answer.
+func (d *Duty) read(ctx context.Context) {
+	read := d.Platform.Get(ctx, Key)
+	if read.Status == berylplatform.Done {
+		if read.Record.Revision != 0 {
+			d.install("platform", read.Record.Value)
+		}
+		return
+	}
+	if d.Store.Current() != nil {
+		return
+	}
+	for _, seed := range d.Seeds {
+		d.pull(ctx, seed)
+	}
+}
+
+func (d *Duty) pull(ctx context.Context, peer string) {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	data, err := d.Peers.Pull(ctx, peer, d.Store.Revision())
+	if err != nil {
+		d.Metrics.GetOrCreateCounter(`berylroad_configuration_pulls_total{outcome="failed"}`).Inc()
+		return
+	}
+	d.Metrics.GetOrCreateCounter(`berylroad_configuration_pulls_total{outcome="done"}`).Inc()
+	d.install(peer, data)
+}
+
+// install checks and installs what a source gave; a source cannot make the installed revision go back.
+func (d *Duty) install(source string, data []byte) {
+	document, err := berylconf.Parse(source, data)
+	if err != nil {
+		d.Metrics.GetOrCreateCounter(`berylroad_configuration_rejected_total`).Inc()
+		d.Log.WithField("source", source).WithError(err).Warn("left a configuration aside that does not pass its checks")
+		return
+	}
+	if d.Store.Install(document) {
+		d.Log.WithFields(logrus.Fields{"source": source, "revision": document.Revision}).Info("installed a configuration")
+	}
+}
