Calls: a table of every fault against the stand-ins' counts

Each way in which a call can fail is run over loopback against the engine and service stand-ins; the table holds kind, status, code and the runs that the stand-ins counted, and each case checks that not-run is true, that nothing cut looks whole and that every permit comes back. Besides: 200 callers, late and unasked answers, kept connections that close, yield, hedge and retry budgets, goroutine leaks, metrics.

Found on the way: a clean end of the body right after the last token was not acted out by the stand-in, 503 for a call that must not be repeated was told as upstream-failed (now outcome-unknown), and a slow drip of bytes reset the pause limit with each byte (now with each whole event).

--- a/internal/berylcall/body.go
+++ b/internal/berylcall/body.go
@@ -66,7 +66,7 @@
 	return &tls.Config{MinVersion: tls.VersionTLS12}
 }
 
-// bodyReader counts and bounds what is read of a body, and bounds a stream's pauses.
+// bodyReader counts and bounds what is read of a body.
 type bodyReader struct {
 	a *attempt
 }
@@ -77,9 +77,6 @@
 	if a.stream == nil {
 		return 0, io.EOF
 	}
-	if a.mode == bodyEvents && a.firstByte > 0 {
-		a.boundPause()
-	}
 	n, err := a.stream.Read(data)
 	a.read += int64(n)
 	if a.read > a.limit {
@@ -88,7 +85,7 @@
 	return n, err
 }
 
-// boundPause moves the read deadline on, rarely enough to cost nothing.
+// boundPause gives the next event its time to arrive whole, and moves the deadline rarely enough to cost nothing.
 func (a *attempt) boundPause() {
 	now := time.Now()
 	stall := a.runner.stall()
@@ -137,6 +134,7 @@
 		if e.done {
 			return nil
 		}
+		a.boundPause()
 		var err error
 		e, err = a.events.next()
 		if err == io.EOF {
--- /dev/null
+++ b/internal/berylcall/fault_test.go
@@ -0,0 +1,208 @@
+package berylcall_test
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
+
+	"berylroad.example/berylroad/internal/berylcall"
+	"berylroad.example/berylroad/internal/berylconf"
+	"berylroad.example/berylroad/internal/berylfake"
+	"berylroad.example/berylroad/internal/beryloutcome"
+	"berylroad.example/berylroad/internal/berylpermit"
+)
+
+const testTokens = 12
+
+// counted is a stand-in whose runs the test can count.
+type counted interface {
+	SetFault(berylfake.UpstreamFault) error
+	Counts() berylfake.Counts
+}
+
+// TestFaults runs a call against real stand-ins for each point at which it can fail. Upstream a has the fault, b has none.
+//
+// Arguments: kind (chat, stream, order or get), fault, status, after, for, requests, b (plain, resume or none),
+// deadline, cancel-at, yield-at and sink-error (in events), class, restartable, unknown.
+func TestFaults(t *testing.T) {
+	datadriven.Walk(t, "testdata/faults", func(t *testing.T, path string) {
+		t.Parallel()
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			return runFault(t, d)
+		})
+	})
+}
+
+func argument(d *datadriven.TestData, name, fallback string) string {
+	for _, a := range d.CmdArgs {
+		if a.Key == name && len(a.Vals) > 0 {
+			return a.Vals[0]
+		}
+	}
+	return fallback
+}
+
+func number(t *testing.T, d *datadriven.TestData, name string) int {
+	n, err := strconv.Atoi(argument(d, name, "0"))
+	if err != nil {
+		d.Fatalf(t, "%s: %v", name, err)
+	}
+	return n
+}
+
+func span(t *testing.T, d *datadriven.TestData, name, fallback string) time.Duration {
+	s, err := time.ParseDuration(argument(d, name, fallback))
+	if err != nil {
+		d.Fatalf(t, "%s: %v", name, err)
+	}
+	return s
+}
+
+func faultRequest(t *testing.T, d *datadriven.TestData) berylcall.Request {
+	id := "case-" + strconv.Itoa(len(d.Pos)) + "-" + argument(d, "fault", "none")
+	req := chat(id, false, testTokens)
+	switch d.Cmd {
+	case "stream":
+		req = chat(id, true, testTokens)
+	case "order":
+		req = order(id)
+	case "get":
+		req = order(id)
+		req.Repeatable = true
+	}
+	if argument(d, "class", "online") == "batch" {
+		req.Class = berylpermit.Batch
+	}
+	req.Deadline = time.Now().Add(span(t, d, "deadline", "20s"))
+	return req
+}
+
+func startUpstreams(t *testing.T, f *fleet, d *datadriven.TestData) []counted {
+	if d.Cmd == "order" || d.Cmd == "get" {
+		upstreams := []counted{f.service(t, "a", berylfake.ServiceOptions{})}
+		if argument(d, "b", "none") != "none" {
+			upstreams = append(upstreams, f.service(t, "b", berylfake.ServiceOptions{}))
+		}
+		return upstreams
+	}
+	options := berylfake.EngineOptions{Models: []string{"m"}}
+	upstreams := []counted{f.engine(t, "a", options)}
+	if b := argument(d, "b", "none"); b != "none" {
+		options.Resume = b == "resume"
+		upstreams = append(upstreams, f.engine(t, "b", options))
+	}
+	return upstreams
+}
+
+func runFault(t *testing.T, d *datadriven.TestData) string {
+	f := newFleet(t)
+	f.Stall = 300 * time.Millisecond
+	f.rules = berylconf.Rules{MaxAnswerBytes: 256 << 10}
+	upstreams := startUpstreams(t, f, d)
+	req := faultRequest(t, d)
+	fault := berylfake.UpstreamFault{
+		Mode:     berylfake.UpstreamFaultMode(argument(d, "fault", "")),
+		Status:   number(t, d, "status"),
+		After:    number(t, d, "after"),
+		For:      berylconf.Duration(span(t, d, "for", "0s")),
+		Requests: number(t, d, "requests"),
+	}
+	if err := upstreams[0].SetFault(fault); err != nil {
+		d.Fatalf(t, "%v", err)
+	}
+	if d.HasArg("unknown") {
+		delete(f.urls, "a")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s := &restartable{}
+	s.fail = number(t, d, "sink-error")
+	cancelAt, yieldAt := number(t, d, "cancel-at"), number(t, d, "yield-at")
+	f.broker.yield = make(chan struct{})
+	s.onEvent = func(events int) {
+		if events == cancelAt {
+			cancel()
+		}
+		if events == yieldAt {
+			close(f.broker.yield)
+		}
+	}
+	result := f.Do(ctx, req, sinkFor(d, s))
+	return report(t, f, d, upstreams, req, s, result)
+}
+
+func sinkFor(d *datadriven.TestData, s *restartable) berylcall.Sink {
+	if d.HasArg("restartable") {
+		return s
+	}
+	return &s.sink
+}
+
+// report checks what must hold for every end of a call and describes this one.
+func report(t *testing.T, f *fleet, d *datadriven.TestData, upstreams []counted, req berylcall.Request, s *restartable,
+	result beryloutcome.Result) string {
+	is := is.New(t)
+	held, _ := f.broker.snapshot()
+	is.Equal(held, 0) // every permit is given back
+	started := 0
+	runs := ""
+	for i, u := range upstreams {
+		c := u.Counts()
+		started += c.Started
+		runs += fmt.Sprintf(" %c=%d", 'a'+i, c.Started)
+	}
+	if !req.Repeatable {
+		is.True(started <= 1) // at most once
+	}
+	whole := answerWhole(t, req, &s.sink)
+	if result.Kind == beryloutcome.Answered {
+		is.True(result.Refusal == nil)
+		is.True(whole || s.status >= 300) // an answer is never cut
+		return fmt.Sprintf("answered %d tokens=%d attempts=%d restarts=%d runs:%s\n",
+			s.status, result.Tokens, result.Attempts, s.restarts, runs)
+	}
+	is.True(!whole) // what failed does not look whole
+	is.True(result.Refusal != nil || result.Kind == beryloutcome.Yielded)
+	if result.Refusal == nil {
+		return fmt.Sprintf("%s tokens=%d runs:%s\n", result.Kind, result.Tokens, runs)
+	}
+	if result.Refusal.Code == beryloutcome.CodeNotRun || result.Kind == beryloutcome.NotRun {
+		is.Equal(started, 0) // not-run is true
+	}
+	return fmt.Sprintf("%s %d %s retry-after=%v tokens=%s attempts=%d restarts=%d runs:%s\n",
+		result.Kind, result.Refusal.Status, result.Refusal.Code, result.Refusal.RetryAfter,
+		tokenCount(result.Tokens), result.Attempts, s.restarts, runs)
+}
+
+// tokenCount leaves out how far an endless answer came, which depends on the sizes of reads.
+func tokenCount(tokens int) string {
+	if tokens > testTokens {
+		return "many"
+	}
+	return strconv.Itoa(tokens)
+}
+
+// answerWhole reports whether the sink holds the stand-in's whole answer, and fails the test on a foreign one.
+func answerWhole(t *testing.T, req berylcall.Request, s *sink) bool {
+	if req.Target == "orders" {
+		want := string(berylfake.ServiceAnswer(req.Method, req.Path, req.Body))
+		return s.body.String() == want
+	}
+	got, whole, err := berylfake.ReadAnswer(req.Stream, s.body.Bytes())
+	if err != nil || !whole {
+		return false
+	}
+	want, err := berylfake.EngineAnswer(req.Path, req.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got != want {
+		t.Errorf("answer %q is not the one to the request, %q", got, want)
+	}
+	return true
+}
--- /dev/null
+++ b/internal/berylcall/hedge_test.go
@@ -0,0 +1,132 @@
+package berylcall_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"berylroad.example/berylroad/internal/berylconf"
+	"berylroad.example/berylroad/internal/berylfake"
+	"berylroad.example/berylroad/internal/beryloutcome"
+	"berylroad.example/berylroad/internal/berylpermit"
+)
+
+// warm makes enough calls for a hedge delay to be known and, at 50 percent, for hedges to be allowed.
+func warm(t *testing.T, f *fleet) {
+	t.Helper()
+	for i := range 40 {
+		result := f.Do(context.Background(), chat(fmt.Sprintf("warm-%d", i), true, 1), &sink{})
+		if result.Kind != beryloutcome.Answered {
+			t.Fatalf("warm-up call %d: %v", i, result.Refusal)
+		}
+	}
+}
+
+func TestHedgeWins(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.rules = berylconf.Rules{HedgePercent: 50}
+	slow := f.engine(t, "slow", berylfake.EngineOptions{})
+	f.engine(t, "fast", berylfake.EngineOptions{})
+	warm(t, f)
+	is.NoErr(slow.SetFault(berylfake.UpstreamFault{Mode: berylfake.FaultHang}))
+	req := chat("hedged", true, 20)
+	s := &sink{}
+	result := f.Do(context.Background(), req, s)
+	is.Equal(result.Kind, beryloutcome.Answered)
+	is.Equal(result.Upstream, "fast")
+	is.Equal(result.Attempts, 2)
+	wantWhole(is, req, s)
+	held, reports := f.broker.snapshot()
+	is.Equal(held, 0)
+	loser := reports["slow"][len(reports["slow"])-1]
+	is.Equal(loser.Kind, beryloutcome.Cancelled) // the loser is told to its owner
+	is.True(loser.Busy > 0)
+	last := f.broker.asks[len(f.broker.asks)-1]
+	is.True(last.Hedge)
+	is.Equal(last.Avoid, []string{"slow"})
+	eventually(t, func() bool { return slow.Counts().Running == 0 }) // the engine sees the cancel
+}
+
+func TestNoHedge(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		percent float64
+		batch   bool
+		never   bool
+	}{
+		{name: "budget is empty", percent: 0.001},
+		{name: "batch", percent: 50, batch: true},
+		{name: "not to be repeated", percent: 50, never: true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t)
+			f.rules = berylconf.Rules{HedgePercent: tt.percent}
+			slow := f.engine(t, "slow", berylfake.EngineOptions{})
+			fast := f.engine(t, "fast", berylfake.EngineOptions{})
+			warm(t, f)
+			fault := berylfake.UpstreamFault{Mode: berylfake.FaultStall, For: berylconf.Duration(200 * time.Millisecond)}
+			is.NoErr(slow.SetFault(fault))
+			req := chat("not-hedged", true, 20)
+			req.Repeatable = !tt.never
+			if tt.batch {
+				req.Class = berylpermit.Batch
+			}
+			result := f.Do(context.Background(), req, &sink{})
+			is.Equal(result.Kind, beryloutcome.Answered)
+			is.Equal(result.Upstream, "slow")
+			is.Equal(fast.Counts().Started, 0)
+		})
+	}
+}
+
+func TestHedgesStayWithinBudget(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	slow := f.engine(t, "slow", berylfake.EngineOptions{})
+	fast := f.engine(t, "fast", berylfake.EngineOptions{})
+	warm(t, f)
+	fault := berylfake.UpstreamFault{Mode: berylfake.FaultStall, For: berylconf.Duration(30 * time.Millisecond)}
+	is.NoErr(slow.SetFault(fault))
+	const calls = 100
+	for i := range calls {
+		f.Do(context.Background(), chat(fmt.Sprintf("slow-%d", i), true, 1), &sink{})
+	}
+	is.True(fast.Counts().Started <= (40+calls)*5/100) // 5 percent of all calls
+	is.True(fast.Counts().Started > 0)
+}
+
+func TestRetriesStayWithinBudget(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	bad := f.engine(t, "bad", berylfake.EngineOptions{})
+	good := f.engine(t, "good", berylfake.EngineOptions{})
+	is.NoErr(bad.SetFault(berylfake.UpstreamFault{Mode: berylfake.FaultStatus, Status: 500}))
+	began := time.Now()
+	const calls = 100
+	for i := range calls {
+		result := f.Do(context.Background(), chat(fmt.Sprintf("retry-%d", i), true, 1), &sink{})
+		if result.Kind != beryloutcome.Answered {
+			is.Equal(result.Refusal.Code, beryloutcome.CodeUpstream)
+		}
+	}
+	allowed := 1 + calls/10 + int(time.Since(began).Seconds()) + 1
+	is.True(good.Counts().Started <= allowed)
+	is.True(good.Counts().Started >= calls/10)
+}
+
+// eventually waits for what other goroutines bring about.
+func eventually(t *testing.T, met func() bool) {
+	t.Helper()
+	for range 2000 {
+		if met() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatal("waited 10 s in vain")
+}
--- a/internal/berylcall/helpers_test.go
+++ b/internal/berylcall/helpers_test.go
@@ -143,6 +143,36 @@
 	}
 }
 
+// restartable is a sink that takes an answer back.
+type restartable struct {
+	sink
+	restarts int
+}
+
+func (s *restartable) Restart() error {
+	s.restarts++
+	s.body.Reset()
+	return nil
+}
+
+func order(id string) berylcall.Request {
+	return berylcall.Request{
+		ID: id, Target: "orders", Method: "POST", Path: "/orders", ContentType: "text/plain",
+		Body: []byte("order " + id), Deadline: time.Now().Add(20 * time.Second),
+	}
+}
+
+func (f *fleet) service(t testing.TB, name string, options berylfake.ServiceOptions) *berylfake.Service {
+	t.Helper()
+	s, err := berylfake.StartService("127.0.0.1:0", options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { s.Close() })
+	f.add(name, s.URL(), false)
+	return s
+}
+
 // wantWhole checks that an answer is the stand-in's whole answer to the request.
 func wantWhole(is *is.I, req berylcall.Request, s *sink) {
 	is.Helper()
--- a/internal/berylcall/policy.go
+++ b/internal/berylcall/policy.go
@@ -133,17 +133,27 @@
 	if !p.ran {
 		return beryloutcome.NotRun
 	}
-	switch e.ending {
-	case endServer, endGarbage, endTooLarge:
+	if p.failed(e) {
 		return beryloutcome.Failed
-	case endCut, endStalled:
-		if p.repeatable {
-			return beryloutcome.Failed
-		}
 	}
 	return beryloutcome.Unknown
 }
 
+// failed reports whether the answer itself shows that the upstream ran the request and failed it. Of a request that
+// must not be repeated, half an answer, garbage or 503 does not show whether it took effect.
+func (p *progress) failed(e end) bool {
+	switch e.ending {
+	case endTooLarge:
+		return true
+	case endServer:
+		return p.repeatable || e.status != http.StatusServiceUnavailable
+	case endGarbage, endCut, endStalled:
+		return p.repeatable
+	default:
+		return false
+	}
+}
+
 func (p *progress) refusal(kind beryloutcome.Kind, e end) *beryloutcome.Refusal {
 	r := &beryloutcome.Refusal{Status: http.StatusBadGateway}
 	if e.ending == endDeadline {
--- a/internal/berylcall/runner_test.go
+++ b/internal/berylcall/runner_test.go
@@ -2,27 +2,217 @@
 
 import (
 	"context"
+	"fmt"
+	"net"
+	"runtime"
+	"strings"
+	"sync"
 	"testing"
+	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/matryer/is"
 
+	"berylroad.example/berylroad/internal/berylconf"
 	"berylroad.example/berylroad/internal/berylfake"
 	"berylroad.example/berylroad/internal/beryloutcome"
+	"berylroad.example/berylroad/internal/berylpermit"
 )
 
-func TestAnswers(t *testing.T) {
-	for _, stream := range []bool{false, true} {
-		f := newFleet(t)
-		f.engine(t, "a", berylfake.EngineOptions{})
-		is := is.New(t)
-		req := chat("one", stream, 40)
-		s := &sink{}
-		result := f.Do(context.Background(), req, s)
+func TestConcurrentCallersGetTheirOwn(t *testing.T) {
+	const callers, calls = 200, 5
+	f := newFleet(t)
+	f.rules = berylconf.Rules{HedgePercent: 100}
+	f.engine(t, "a", berylfake.EngineOptions{TokenTime: 100 * time.Microsecond})
+	f.engine(t, "b", berylfake.EngineOptions{TokenTime: 100 * time.Microsecond})
+	var group sync.WaitGroup
+	for caller := range callers {
+		group.Go(func() {
+			for i := range calls {
+				is := is.New(t)
+				req := chat(fmt.Sprintf("caller-%d-%d", caller, i), i%2 == 0, 10+caller%7)
+				s := &sink{}
+				result := f.Do(context.Background(), req, s)
+				is.Equal(result.Kind, beryloutcome.Answered)
+				wantWhole(is, req, s)
+			}
+		})
+	}
+	group.Wait()
+	held, _ := f.broker.snapshot()
+	is.New(t).Equal(held, 0)
+}
+
+func TestLateAnswerReachesNobody(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	e := f.engine(t, "a", berylfake.EngineOptions{})
+	for round := range 5 {
+		late := berylfake.UpstreamFault{Mode: berylfake.FaultLate, For: berylconf.Duration(100 * time.Millisecond), Requests: 1}
+		is.NoErr(e.SetFault(late))
+		req := chat(fmt.Sprintf("late-%d", round), false, 5)
+		req.Deadline = time.Now().Add(50 * time.Millisecond)
+		result := f.Do(context.Background(), req, &sink{})
+		is.Equal(result.Kind, beryloutcome.Unknown)
+		is.Equal(result.Refusal.Status, 504)
+		for i := range 20 {
+			next := chat(fmt.Sprintf("next-%d-%d", round, i), false, 5)
+			s := &sink{}
+			is.Equal(f.Do(context.Background(), next, s).Kind, beryloutcome.Answered)
+			wantWhole(is, next, s)
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+}
+
+// TestUnaskedBytesAreNotAnAnswer keeps a connection on which the upstream then writes an answer that nobody asked for.
+func TestUnaskedBytesAreNotAnAnswer(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	const answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
+	answered := make(chan net.Conn, 2)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			c.Read(make([]byte, 4096))
+			c.Write([]byte(answer + "{}"))
+			answered <- c
+		}
+	}()
+	f := newFleet(t)
+	f.add("a", "http://"+l.Addr().String(), false)
+	s := &sink{}
+	is.Equal(f.Do(context.Background(), chat("first", false, 1), s).Kind, beryloutcome.Answered)
+	first := <-answered
+	defer first.Close()
+	first.Write([]byte(answer + "[]"))
+	time.Sleep(20 * time.Millisecond)
+	s = &sink{}
+	is.Equal(f.Do(context.Background(), chat("second", false, 1), s).Kind, beryloutcome.Answered)
+	is.Equal(s.body.String(), "{}")
+	(<-answered).Close()
+}
+
+// TestKeptConnectionClosed closes the kept connections of an upstream that is back at once.
+func TestKeptConnectionClosed(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	e := f.engine(t, "a", berylfake.EngineOptions{})
+	for i := range 10 {
+		req := chat(fmt.Sprintf("kept-%d", i), true, 3)
+		result := f.Do(context.Background(), req, &sink{})
 		is.Equal(result.Kind, beryloutcome.Answered)
-		is.Equal(result.Upstream, "a")
-		wantWhole(is, req, s)
-		held, reports := f.broker.snapshot()
-		is.Equal(held, 0)
-		is.Equal(reports["a"][0].Kind, beryloutcome.Answered)
+		is.Equal(result.Attempts, 1)
+		is.NoErr(e.SetFault(berylfake.UpstreamFault{Mode: berylfake.FaultRefuse}))
+		is.NoErr(e.SetFault(berylfake.UpstreamFault{}))
+	}
+	is.Equal(e.Counts().Started, 10)
+}
+
+func TestYieldedStreamGoesOn(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		resume   bool
+		restarts int
+		made     int64
+	}{
+		{name: "continued", resume: true, made: 20},
+		{name: "begun again", restarts: 1, made: 25},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t)
+			e := f.engine(t, "a", berylfake.EngineOptions{Resume: tt.resume})
+			is.NoErr(e.SetFault(berylfake.UpstreamFault{
+				Mode: berylfake.FaultStall, After: 5, For: berylconf.Duration(time.Minute), Requests: 1,
+			}))
+			f.broker.yield = make(chan struct{})
+			req := chat("yielded", true, 20)
+			req.Class = berylpermit.Batch
+			s := &restartable{}
+			s.onEvent = func(events int) {
+				if events == 5 {
+					close(f.broker.yield)
+				}
+			}
+			result := f.Do(context.Background(), req, s)
+			is.Equal(result.Kind, beryloutcome.Yielded)
+			is.Equal(result.Tokens, 5)
+			eventually(t, func() bool { return e.Counts().Running == 0 })
+			f.broker.yield = nil
+			req.ContinueFrom = result.Tokens
+			result = f.Do(context.Background(), req, s)
+			is.Equal(result.Kind, beryloutcome.Answered)
+			is.Equal(s.restarts, tt.restarts)
+			wantWhole(is, req, &s.sink)
+			is.Equal(e.Counts().Tokens, tt.made)
+		})
+	}
+}
+
+func TestNothingLeaks(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.Metrics = metrics.NewSet()
+	f.Stall = 100 * time.Millisecond
+	f.rules = berylconf.Rules{HedgePercent: 100, RetryPercent: 100}
+	a := f.engine(t, "a", berylfake.EngineOptions{})
+	b := f.engine(t, "b", berylfake.EngineOptions{Resume: true})
+	warm(t, f)
+	settled := runtime.NumGoroutine()
+	faults := []berylfake.UpstreamFaultMode{
+		berylfake.FaultDrop, berylfake.FaultGarbage, berylfake.FaultNotHTTP, berylfake.FaultCut, berylfake.FaultNoEnd,
+		berylfake.FaultEndless, berylfake.FaultHang, berylfake.FaultCrossed, berylfake.FaultStall, berylfake.FaultDrip,
+	}
+	var group sync.WaitGroup
+	for _, mode := range faults {
+		is.NoErr(a.SetFault(berylfake.UpstreamFault{Mode: mode, For: berylconf.Duration(time.Second)}))
+		for i := range 20 {
+			group.Go(func() {
+				req := chat(fmt.Sprintf("%s-%d", mode, i), i%2 == 0, 8)
+				req.Deadline = time.Now().Add(300 * time.Millisecond)
+				f.Do(context.Background(), req, &sink{})
+			})
+		}
+		group.Wait()
+	}
+	f.Runner.Close()
+	held, _ := f.broker.snapshot()
+	is.Equal(held, 0)
+	eventually(t, func() bool { return a.Counts().Running+b.Counts().Running == 0 })
+	eventually(t, func() bool { return runtime.NumGoroutine() <= settled })
+}
+
+func TestMetrics(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.Metrics = metrics.NewSet()
+	f.rules = berylconf.Rules{HedgePercent: 2.45} // one hedge is saved up at call 41
+	a := f.engine(t, "a", berylfake.EngineOptions{})
+	f.engine(t, "b", berylfake.EngineOptions{Resume: true})
+	warm(t, f)
+	is.NoErr(a.SetFault(berylfake.UpstreamFault{Mode: berylfake.FaultHang, Requests: 1}))
+	is.Equal(f.Do(context.Background(), chat("hang", true, 8), &sink{}).Kind, beryloutcome.Answered)
+	is.NoErr(a.SetFault(berylfake.UpstreamFault{Mode: berylfake.FaultCut, After: 3, Requests: 1}))
+	is.Equal(f.Do(context.Background(), chat("cut", true, 8), &sink{}).Kind, beryloutcome.Answered)
+	is.NoErr(a.SetFault(berylfake.UpstreamFault{Mode: berylfake.FaultRefuse}))
+	is.Equal(f.Do(context.Background(), chat("refuse", true, 8), &sink{}).Kind, beryloutcome.Answered)
+	var text strings.Builder
+	f.Metrics.WritePrometheus(&text)
+	for _, line := range []string{
+		`berylroad_calls_total{outcome="answered",class="online"} 43`,
+		`berylroad_upstream_calls_total{end="cut"} 1`,
+		`berylroad_call_retries_total 1`,
+		`berylroad_call_hedges_total 1`,
+		`berylroad_call_hedge_wins_total 1`,
+		`berylroad_call_resumes_total 1`,
+		`berylroad_call_first_token_seconds_count{class="online"} 44`,
+	} {
+		is.True(strings.Contains(text.String(), line+"\n")) // the metric has its value
 	}
 }
--- a/internal/berylfake/engine_exchange.go
+++ b/internal/berylfake/engine_exchange.go
@@ -150,8 +150,25 @@
 		x.hijack("")
 		return
 	}
-	_, err := x.w.Write(body)
-	x.end(err == nil)
+	x.end(x.write(body, 0))
+}
+
+// write sends bytes of the answer, one by one under a drip, and reports false when the client has gone.
+func (x *exchange) write(data []byte, token int) bool {
+	control := http.NewResponseController(x.w)
+	if x.fault.Mode != FaultDrip || token < x.fault.After {
+		_, err := x.w.Write(data)
+		control.Flush()
+		return err == nil
+	}
+	for i := range data {
+		if !x.wait(x.fault.For.Std()) {
+			return false
+		}
+		x.w.Write(data[i : i+1])
+		control.Flush()
+	}
+	return true
 }
 
 // endless writes until the client goes.
@@ -172,28 +189,36 @@
 func (x *exchange) stream(p *prompt) {
 	x.w.Header().Set("Content-Type", "text/event-stream")
 	x.w.Header().Set("Cache-Control", "no-cache")
-	control := http.NewResponseController(x.w)
-	control.Flush()
+	http.NewResponseController(x.w).Flush()
 	for i := 0; i < p.tokens-p.from || x.fault.Mode == FaultEndless; i++ {
-		if x.fault.Mode == FaultCut && i == x.fault.After {
-			x.end(true)
-			x.hijack("40\r\ndata: {\"id\":\"half")
-			return
-		}
-		if x.fault.Mode == FaultNoEnd && i == x.fault.After {
-			x.end(true)
+		if x.breakOff(i) {
 			return
 		}
-		if !x.next(i) {
+		if !x.next(i) || !x.write(p.event(x.id, p.from+i), i) {
 			x.end(false)
 			return
 		}
-		if _, err := x.w.Write(p.event(x.id, p.from+i)); err != nil {
-			x.end(false)
-			return
-		}
-		control.Flush()
+	}
+	if x.breakOff(p.tokens - p.from) {
+		return
 	}
 	_, err := x.w.Write([]byte("data: [DONE]\n\n"))
 	x.end(err == nil)
 }
+
+// breakOff acts out the faults that end a stream before the token with number i, and reports whether it has ended.
+func (x *exchange) breakOff(i int) bool {
+	if i != x.fault.After {
+		return false
+	}
+	switch x.fault.Mode {
+	case FaultCut:
+		x.end(true)
+		x.hijack("40\r\ndata: {\"id\":\"half")
+		return true
+	case FaultNoEnd:
+		x.end(true)
+		return true
+	}
+	return false
+}
--- a/internal/berylfake/engine_fault.go
+++ b/internal/berylfake/engine_fault.go
@@ -37,6 +37,8 @@
 	FaultLate UpstreamFaultMode = "late"
 	// FaultSlow multiplies all times by UpstreamFault.Factor.
 	FaultSlow UpstreamFaultMode = "slow"
+	// FaultDrip writes the answer one byte each UpstreamFault.For, from the token with number UpstreamFault.After on.
+	FaultDrip UpstreamFaultMode = "drip"
 	// FaultCrossed answers with another request's id.
 	FaultCrossed UpstreamFaultMode = "crossed"
 )
