Keyed requests: model test and figures

A randomized test drives three hosts through crashes, pauses, lost, cut and late writes and a full queue. It found, at check 529 of a 50,000-check run, a key that stayed in progress for ever: a queued key that was claimed again kept its old place in the queue, which then counted as full.

--- a/internal/berylonce/entry.go
+++ b/internal/berylonce/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/rand"
+	"slices"
 	"strings"
 )
 
@@ -64,6 +65,7 @@
 		return nil, Decision{Refusal: refuseInProgress()}
 	}
 	e.phase, e.end = phaseBusy, nil
+	m.queue = slices.DeleteFunc(m.queue, func(queued string) bool { return queued == key })
 	e.mine.Never = e.mine.Never || intent.Never
 	return e, Decision{}
 }
@@ -103,6 +105,7 @@
 		end := e.mine
 		end.State = stateFree
 		if !m.enqueue(e, end) {
+			m.counters.dropped.Inc()
 			m.leave(e)
 		}
 	default:
--- a/internal/berylonce/manager.go
+++ b/internal/berylonce/manager.go
@@ -20,7 +20,7 @@
 	// defaultMaxAnswer is the largest answer that is kept where the settings give no size.
 	defaultMaxAnswer = 256 << 10
 	// defaultMaxPending is the most unwritten ends that are kept where the settings give no number.
-	defaultMaxPending = 1024
+	defaultMaxPending = 4096
 	// defaultMaxPendingBytes is the most bytes of unwritten answers that are kept where the settings give no number.
 	defaultMaxPendingBytes = 8 << 20
 )
@@ -48,7 +48,7 @@
 	Fresh time.Duration
 	// MaxAnswer is the largest answer body kept for replay, in bytes; zero means 256 KiB, and a record holds less than 1 MiB.
 	MaxAnswer int
-	// MaxPending is the most ends of runs that wait for the platform; zero means 1024.
+	// MaxPending is the most ends of runs that wait for the platform; zero means 4096.
 	MaxPending int
 	// MaxPendingBytes is the most answer bytes that wait for the platform; zero means 8 MiB.
 	MaxPendingBytes int
--- /dev/null
+++ b/internal/berylonce/model_test.go
@@ -0,0 +1,268 @@
+package berylonce
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"berylroad.example/berylroad/internal/beryloutcome"
+)
+
+// openRun is a granted ticket whose run has not ended.
+type openRun struct {
+	ticket  Ticket
+	host    string
+	key     string
+	never   bool
+	started bool
+}
+
+// softAnswer is an answer that was given while its record waits in a host's memory.
+type softAnswer struct {
+	host, body string
+}
+
+// model drives a fleet through random steps and knows what must hold.
+type model struct {
+	*fleet
+	open []openRun
+	// runs counts the runs that a never-repeat key may have had.
+	runs map[string]int
+	// given is the answer of each never-repeat key that was given.
+	given map[string]string
+	// firm is the answer of each key whose record is done.
+	firm map[string]string
+	soft map[string]softAnswer
+	made int
+	// dropped is set once a host had no room for the end of a run.
+	dropped bool
+}
+
+// TestModel checks, under crashes, pauses, lost and late writes, that a never-repeat request runs at most once, that an
+// answer once given never changes, and that no key stays stuck once everything is well again.
+func TestModel(t *testing.T) {
+	setDefault(t, "rapid.seed", "1")
+	setDefault(t, "rapid.checks", "3000")
+	rapid.Check(t, func(t *rapid.T) {
+		pending := rapid.SampledFrom([]int{2, 100}).Draw(t, "pending")
+		m := &model{
+			fleet: newFleet(Config{MaxPending: pending, Fresh: time.Hour}, "a", "b", "c"),
+			runs:  map[string]int{}, given: map[string]string{}, firm: map[string]string{}, soft: map[string]softAnswer{},
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"begin":  m.beginOne,
+			"again":  m.beginOne,
+			"start":  m.startOne,
+			"finish": m.finishOne,
+			"fault":  m.faultOne,
+			"host":   m.hostOne,
+			"heal":   func(*rapid.T) { m.heal() },
+			"write":  func(t *rapid.T) { m.hosts[m.host(t)].writeQueue(t.Context()) },
+			"":       m.check,
+		})
+		m.settle(t)
+	})
+}
+
+// setDefault sets a test flag unless the command line has, so that every run without it does the same.
+func setDefault(t *testing.T, name, value string) {
+	f := flag.Lookup(name)
+	if f.Value.String() != f.DefValue {
+		return
+	}
+	if err := f.Value.Set(value); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// host draws a host.
+func (m *model) host(t *rapid.T) string {
+	return rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "host")
+}
+
+// beginOne begins a request under one of four keys.
+func (m *model) beginOne(t *rapid.T) {
+	m.request(t, m.host(t), rapid.SampledFrom([]string{"never-1", "never-2", "may-1", "may-2"}).Draw(t, "key"))
+}
+
+// request begins a request and checks what it is told.
+func (m *model) request(t *rapid.T, host, key string) Decision {
+	never := key[0] == 'n'
+	d := m.hosts[host].Begin(t.Context(), intentFor(key, "body", never))
+	if d.Run != nil {
+		m.open = append(m.open, openRun{ticket: d.Run, host: host, key: key, never: never})
+	}
+	if d.Replay != nil {
+		m.give(t, host, key, never, string(d.Replay.Body))
+	}
+	return d
+}
+
+// startOne starts the run of an open ticket where the ticket allows it, at once or after a long pause.
+func (m *model) startOne(t *rapid.T) {
+	if len(m.open) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(m.open)-1).Draw(t, "open")
+	run := &m.open[i]
+	if run.started {
+		return
+	}
+	now := time.Now().Add(time.Duration(rapid.SampledFrom([]int{0, 2}).Draw(t, "hours")) * time.Hour)
+	if run.ticket.(Checker).Check(t.Context(), now) != nil {
+		m.open = append(m.open[:i], m.open[i+1:]...)
+		return
+	}
+	run.started = true
+	if run.never {
+		m.runs[run.key]++
+	}
+}
+
+// finishOne ends an open run in some way.
+func (m *model) finishOne(t *rapid.T) {
+	if len(m.open) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(m.open)-1).Draw(t, "open")
+	kinds := []beryloutcome.Kind{beryloutcome.NotRun}
+	if m.open[i].started {
+		kinds = []beryloutcome.Kind{beryloutcome.Answered, beryloutcome.Unknown, beryloutcome.Failed, beryloutcome.NotRun}
+	}
+	m.finish(t, i, rapid.SampledFrom(kinds).Draw(t, "kind"))
+}
+
+// finish ends an open run.
+func (m *model) finish(t *rapid.T, i int, kind beryloutcome.Kind) {
+	run := m.open[i]
+	m.open = append(m.open[:i], m.open[i+1:]...)
+	m.made++
+	body := fmt.Sprintf("answer %d", m.made)
+	if run.started && run.never && kind == beryloutcome.NotRun {
+		m.runs[run.key]--
+	}
+	refusal := run.ticket.Finish(t.Context(), beryloutcome.Result{Kind: kind}, Answer{Status: 200, Body: []byte(body)})
+	if kind == beryloutcome.Answered && refusal == nil {
+		m.give(t, run.host, run.key, run.never, body)
+	}
+}
+
+// give notes that an answer was given to a caller, and fails when another one was given before.
+func (m *model) give(t *rapid.T, host, key string, never bool, body string) {
+	if firm, ok := m.firm[key]; ok && firm != body {
+		t.Fatalf("%s was answered %q, then %q", key, firm, body)
+	}
+	if !never {
+		m.soft[key] = softAnswer{host: host, body: body}
+		return
+	}
+	if given, ok := m.given[key]; ok && given != body {
+		t.Fatalf("%s was answered %q, then %q", key, given, body)
+	}
+	m.given[key] = body
+}
+
+// faultOne changes what goes wrong with the store.
+func (m *model) faultOne(t *rapid.T) {
+	switch rapid.SampledFrom([]string{"down", "up", "lose", "cut", "late", "deliver"}).Draw(t, "fault") {
+	case "down":
+		m.store.down = true
+	case "up":
+		m.store.down = false
+	case "lose":
+		m.store.lose++
+	case "cut":
+		m.store.cut++
+	case "late":
+		m.store.late++
+	default:
+		m.store.deliver()
+	}
+}
+
+// hostOne crashes a host or changes what membership says of it; its answers that are not recorded may be lost with it.
+func (m *model) hostOne(t *rapid.T) {
+	host := m.host(t)
+	for key, soft := range m.soft {
+		if soft.host == host {
+			delete(m.soft, key)
+		}
+	}
+	switch rapid.SampledFrom([]string{"crash", "gone", "back"}).Draw(t, "event") {
+	case "crash":
+		m.start(host)
+		var open []openRun
+		for _, run := range m.open {
+			if run.host != host {
+				open = append(open, run)
+			}
+		}
+		m.open = open
+	case "gone":
+		m.gone[host] = true
+	default:
+		m.gone[host] = false
+	}
+}
+
+// heal ends all faults.
+func (m *model) heal() {
+	m.store.down, m.store.lose, m.store.cut, m.store.late = false, 0, 0, 0
+	m.store.deliver()
+	clear(m.gone)
+}
+
+// check compares the records with what was promised.
+func (m *model) check(t *rapid.T) {
+	for _, manager := range m.hosts {
+		m.dropped = m.dropped || manager.counters.dropped.Get() > 0
+	}
+	for key, runs := range m.runs {
+		if runs > 1 {
+			t.Fatalf("%s ran %d times", key, runs)
+		}
+	}
+	for _, r := range m.store.records {
+		found, err := decodeRecord(r.Value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		firm, done := m.firm[found.Key]
+		switch {
+		case !done && found.State == stateDone:
+			m.firm[found.Key] = string(found.Answer.Body)
+			if soft, ok := m.soft[found.Key]; ok && soft.body != m.firm[found.Key] {
+				t.Fatalf("%s was answered %q and recorded as %q", found.Key, soft.body, m.firm[found.Key])
+			}
+		case done && (found.State != stateDone || string(found.Answer.Body) != firm):
+			t.Fatalf("%s was done with %q and changed", found.Key, firm)
+		}
+	}
+}
+
+// settle ends all faults and runs, and then every key must be free, answered or known to be unknown, unless a host had no
+// room to remember a key that it held.
+func (m *model) settle(t *rapid.T) {
+	m.heal()
+	for len(m.open) > 0 {
+		m.finish(t, 0, beryloutcome.NotRun)
+	}
+	for _, manager := range m.hosts {
+		if !manager.writeQueue(t.Context()) {
+			t.Fatal("an end stays unwritten though the store is well")
+		}
+	}
+	m.check(t)
+	if m.dropped {
+		return
+	}
+	for _, key := range []string{"never-1", "never-2", "may-1", "may-2"} {
+		d := m.request(t, "a", key)
+		if d.Refusal != nil && d.Refusal.Code != beryloutcome.CodeUnknown {
+			t.Fatalf("%s is stuck: %v", key, d.Refusal)
+		}
+	}
+}
--- a/internal/berylonce/queue.go
+++ b/internal/berylonce/queue.go
@@ -105,23 +105,19 @@
 	return written
 }
 
-// next takes the first entry of the queue that still waits and leaves it at the head; more reports whether it is being
-// written already.
+// next takes the first entry of the queue and leaves it at the head; more reports whether it is being written already.
 func (m *Manager) next() (e *entry, more bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for len(m.queue) > 0 {
-		e = m.entries[m.queue[0]]
-		if e != nil && e.phase == phaseWriting {
-			return nil, true
-		}
-		if e != nil && e.phase == phaseQueued {
-			e.phase = phaseWriting
-			return e, false
-		}
-		m.queue = m.queue[1:]
+	if len(m.queue) == 0 {
+		return nil, false
+	}
+	e = m.entries[m.queue[0]]
+	if e.phase == phaseWriting {
+		return nil, true
 	}
-	return nil, false
+	e.phase = phaseWriting
+	return e, false
 }
 
 // putBack takes the entry at the head of the queue off it, or moves it to the end where it is not written.
--- a/internal/berylonce/store_test.go
+++ b/internal/berylonce/store_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -13,8 +14,9 @@
 // errScripted is the reason that the memory store gives for its faults.
 var errScripted = errors.New("scripted fault")
 
-// memoryStore is a Store with scripted faults, for one goroutine at a time.
+// memoryStore is a Store with scripted faults.
 type memoryStore struct {
+	mu       sync.Mutex
 	records  map[string]berylplatform.Record
 	revision int64
 	grants   int64
@@ -39,8 +41,17 @@
 	return &memoryStore{records: map[string]berylplatform.Record{}, lease: map[int64]bool{}}
 }
 
+// set changes the store's faults while others use it.
+func (s *memoryStore) set(change func(*memoryStore)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(s)
+}
+
 // Get implements Store.
 func (s *memoryStore) Get(_ context.Context, key string) berylplatform.Read {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.calls++
 	if s.down {
 		return berylplatform.Read{Status: berylplatform.Unavailable, Err: errScripted}
@@ -51,6 +62,8 @@
 // SwapSettled implements Store.
 func (s *memoryStore) SwapSettled(_ context.Context, key string, value []byte, expect, lease int64) berylplatform.Outcome {
 	time.Sleep(s.slow)
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.calls++
 	s.bytes += len(key) + len(value)
 	value = bytes.Clone(value)
@@ -86,6 +99,8 @@
 
 // Grant implements Store.
 func (s *memoryStore) Grant(_ context.Context, ttl time.Duration) berylplatform.Lease {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.calls++
 	if s.down {
 		return berylplatform.Lease{Status: berylplatform.Unavailable, Err: errScripted}
