--- /dev/null
+++ b/internal/berylsched/bench_test.go
@@ -0,0 +1,131 @@
+package berylsched
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"berylroad.example/berylroad/internal/beryloutcome"
+	"berylroad.example/berylroad/internal/berylpermit"
+)
+
+const (
+	benchSlots = 8
+	// benchShare is how many upstreams serve one target.
+	benchShare = 50
+)
+
+// fullOwner owns that many upstreams, all slots taken, with that many online asks waiting.
+func fullOwner(upstreams, waiting int) (*Owner, time.Time, uint64) {
+	o, now := new(Owner), time.Unix(1000, 0)
+	config := Config{LongShare: 0.5}
+	var names []string
+	for i := range upstreams {
+		name := fmt.Sprintf("upstream-%03d", i)
+		names = append(names, name)
+		config.Upstreams = append(config.Upstreams, Upstream{Name: name, Slots: benchSlots, Targets: []string{benchTarget(i)}})
+	}
+	o.Configure(now, config)
+	o.Owned(now, names)
+	seq := uint64(0)
+	for i := range upstreams*benchSlots + min(waiting, 0) {
+		seq++
+		o.Ask(now, benchAsk(seq, benchTarget(i%upstreams)))
+	}
+	for i := range max(waiting, 0) {
+		seq++
+		o.Ask(now, benchAsk(seq, benchTarget(i*benchShare%upstreams)))
+	}
+	return o, now, seq
+}
+
+func benchTarget(i int) string {
+	return fmt.Sprintf("model-%d", i/benchShare)
+}
+
+func benchAsk(seq uint64, target string) berylpermit.Ask {
+	return berylpermit.Ask{
+		ID:        berylpermit.ID{Host: "entry-1", Boot: 1, Seq: seq},
+		Target:    target,
+		Queue:     true,
+		Remaining: time.Hour + time.Duration(seq%1000)*time.Millisecond,
+	}
+}
+
+// BenchmarkDecision is one release, which grants the slot to a waiting ask, and one new ask, which waits: two decisions.
+func BenchmarkDecision(b *testing.B) {
+	for _, upstreams := range []int{60, 600} {
+		for _, waiting := range []int{100, 1000, 10000} {
+			b.Run(fmt.Sprintf("upstreams=%d/waiting=%d", upstreams, waiting), func(b *testing.B) {
+				o, now, seq := fullOwner(upstreams, waiting)
+				report := berylpermit.Report{Kind: beryloutcome.Answered, Busy: time.Second, FirstToken: 10 * time.Millisecond}
+				var held []berylpermit.ID
+				for id := range o.permits {
+					held = append(held, id)
+				}
+				next := 0
+				b.ReportAllocs()
+				for b.Loop() {
+					id := held[next%len(held)]
+					target := o.permits[id].up.targets[0].name
+					actions := o.Release(now, berylpermit.Release{ID: id, Report: report})
+					if len(actions) != 1 || actions[0].Reply.Verdict != berylpermit.Granted {
+						b.Fatal("the slot was not granted on")
+					}
+					held[next%len(held)] = actions[0].Reply.ID
+					next++
+					seq++
+					o.Ask(now, benchAsk(seq, target))
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkGrant is one ask that finds a slot and its release, with all upstreams half full.
+func BenchmarkGrant(b *testing.B) {
+	for _, upstreams := range []int{60, 600} {
+		b.Run(fmt.Sprintf("upstreams=%d", upstreams), func(b *testing.B) {
+			o, now, seq := fullOwner(upstreams, -upstreams*benchSlots/2)
+			b.ReportAllocs()
+			for b.Loop() {
+				seq++
+				ask := benchAsk(seq, "model-0")
+				o.Ask(now, ask)
+				o.Release(now, berylpermit.Release{ID: ask.ID})
+			}
+		})
+	}
+}
+
+// BenchmarkTick is what the owner does forty times a second whatever happens.
+func BenchmarkTick(b *testing.B) {
+	o, now, _ := fullOwner(600, 1000)
+	b.ReportAllocs()
+	for b.Loop() {
+		o.Tick(now)
+	}
+}
+
+// BenchmarkMemory reports the bytes that an owner keeps for each upstream with its permits, and for each waiting ask.
+func BenchmarkMemory(b *testing.B) {
+	base := heapOf(60, 0)
+	upstream := float64(heapOf(600, 0)-base) / 540
+	for b.Loop() {
+	}
+	b.ReportMetric(upstream, "B/upstream")
+	b.ReportMetric(float64(heapOf(60, 10000)-heapOf(60, 100))/9900, "B/waiting")
+	b.ReportMetric(0, "ns/op")
+}
+
+func heapOf(upstreams, waiting int) int64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	o, _, _ := fullOwner(upstreams, waiting)
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(o)
+	return int64(after.HeapAlloc) - int64(before.HeapAlloc)
+}
--- a/internal/berylsched/owner.go
+++ b/internal/berylsched/owner.go
@@ -21,7 +21,9 @@
 	// missedReports is how many reports in a row must leave a permit out before it is freed.
 	missedReports = 2
 	// maxWaiting is how many asks of one kind an owner queues for one target.
-	maxWaiting = 4096
+	maxWaiting = 8192
+	// maxSpareAsks is how many waiters are kept for reuse.
+	maxSpareAsks = 1024
 	// maxSkip is how many waiters are passed over that avoid the upstream at hand.
 	maxSkip = 8
 	// maxLoads is how many upstreams a reply describes.
@@ -95,8 +97,11 @@
 	longShare float64
 	order     uint64
 	actions   []Action
+	// spare permits and waiters are kept so that a busy owner allocates none.
 	spare     []*permit
+	spareAsks []*waiter
 	now       time.Time
+	swept     time.Time
 }
 
 // begin starts an event.
@@ -129,7 +134,7 @@
 		o.reply(berylpermit.Reply{ID: ask.ID, Verdict: berylpermit.NotOwner})
 		return o.actions
 	}
-	if o.ended.has(ask.ID) {
+	if ask.Remaining <= 0 || o.ended.has(ask.ID) {
 		o.refuse(t, ask.ID, 0)
 		return o.actions
 	}
@@ -147,12 +152,13 @@
 		o.grant(now, t, u, ask)
 		return
 	}
-	w := &waiter{target: t, arrived: now, renewed: now, deadline: now.Add(ask.Remaining)}
-	w.order = o.order
+	w := o.newWaiter()
+	*w = waiter{target: t, renewed: now, deadline: now.Add(ask.Remaining), order: o.order}
 	q := &t.queues[k]
-	wait := t.pace.wait(now, k, q.rank(w))
+	wait := t.pace.wait(now, k, q.rank(w)+1)
 	if !ask.Queue || ask.Hedge || q.len() >= maxWaiting || !t.pace.inTime(k, ask.Remaining, wait) {
 		o.refuse(t, ask.ID, wait)
+		o.recycle(w)
 		return
 	}
 	o.order++
@@ -186,9 +192,12 @@
 	idle := 0
 	for _, u := range t.ups {
 		free := u.free()
-		if free <= 0 || !o.fits(now, u, ask, k) {
+		if free <= 0 || !o.fits(now, t, u, ask, k) {
 			continue
 		}
+		if u.health.aside {
+			return u
+		}
 		idle += free
 		if s := u.score(); best == nil || s < score {
 			best, score = u, s
@@ -199,7 +208,7 @@
 	}
 	for _, name := range ask.Prefer {
 		u := o.upstreams[name]
-		if u != nil && u.free() > 0 && slices.Contains(t.ups, u) && o.fits(now, u, ask, k) {
+		if u != nil && u.free() > 0 && u.health.weight() < slowRatio && slices.Contains(t.ups, u) && o.fits(now, t, u, ask, k) {
 			return u
 		}
 	}
@@ -207,8 +216,9 @@
 }
 
 // fits says whether the upstream may get a permit of that kind, apart from its free slots.
-func (o *Owner) fits(now time.Time, u *upstream, ask *berylpermit.Ask, k kind) bool {
-	if !u.usable() || !u.health.open(now, u, k) {
+func (o *Owner) fits(now time.Time, t *target, u *upstream, ask *berylpermit.Ask, k kind) bool {
+	alone := t.pace.slots == 0
+	if !u.usable() || !u.health.open(now, k, alone) || ask.Hedge && u.health.aside {
 		return false
 	}
 	if k == longOnline && !u.longRoom(o.longShare) {
@@ -225,13 +235,13 @@
 	var best *upstream
 	for _, u := range t.ups {
 		p := u.youngest()
-		if p == nil || u.free()+len(u.batch) <= 0 {
+		if p == nil || u.health.aside || u.free()+len(u.batch) <= 0 {
 			continue
 		}
 		if best != nil && !p.since.After(best.youngest().since) {
 			continue
 		}
-		if o.fits(now, u, ask, k) {
+		if o.fits(now, t, u, ask, k) {
 			best = u
 		}
 	}
@@ -279,6 +289,7 @@
 	o.ended.add(id)
 	if w := o.waiting[id]; w != nil {
 		o.unqueue(w)
+		o.recycle(w)
 		return o.actions
 	}
 	if p := o.permits[id]; p != nil {
@@ -295,66 +306,7 @@
 	if p == nil {
 		return o.actions
 	}
-	p.up.health.observe(now, p, r.Report)
+	p.up.health.observe(now, p, r.Report, p.up.norm())
 	o.free(now, p)
 	return o.actions
 }
-
-// free forgets a permit and gives its slot to the next in line.
-func (o *Owner) free(now time.Time, p *permit) {
-	u := p.up
-	o.uncount(p)
-	o.dispatch(now, u)
-}
-
-// dispatch grants the free slots of one upstream to waiting asks.
-func (o *Owner) dispatch(now time.Time, u *upstream) {
-	for u.free() > 0 && u.usable() {
-		w := o.next(now, u)
-		if w == nil {
-			return
-		}
-		o.unqueue(w)
-		o.grant(now, w.target, u, &w.ask)
-	}
-}
-
-// next returns the waiter that should get a slot of the upstream, online before batch, then by deadline.
-func (o *Owner) next(now time.Time, u *upstream) *waiter {
-	var best *waiter
-	for k := shortOnline; k < kinds; k++ {
-		if k == batchWork && best != nil {
-			break
-		}
-		for _, t := range u.targets {
-			w := o.first(now, u, t, k)
-			if w != nil && (best == nil || compareWaiters(w, best) < 0) {
-				best = w
-			}
-		}
-	}
-	return best
-}
-
-// first returns the first waiter of a queue that the upstream may serve.
-func (o *Owner) first(now time.Time, u *upstream, t *target, k kind) *waiter {
-	for i, w := range t.queues[k].live() {
-		if i == maxSkip {
-			break
-		}
-		if !o.fits(now, u, &w.ask, k) {
-			continue
-		}
-		if k == batchWork && t.idle(now, o) <= t.reserve(now) {
-			return nil
-		}
-		return w
-	}
-	return nil
-}
-
-func (o *Owner) unqueue(w *waiter) {
-	k := kindOf(w.ask.Class, w.ask.Long)
-	w.target.queues[k].remove(w)
-	delete(o.waiting, w.ask.ID)
-}
--- a/internal/berylsched/owner_fleet.go
+++ b/internal/berylsched/owner_fleet.go
@@ -97,8 +97,13 @@
 	o.tgts = o.tgts[:0]
 	for name, t := range o.targets {
 		t.ups = t.ups[:0]
+		t.all = t.all[:0]
 		for _, u := range o.ups {
-			if u.owned && slices.Contains(u.targets, t) {
+			if !slices.Contains(u.targets, t) {
+				continue
+			}
+			t.all = append(t.all, u)
+			if u.owned {
 				t.ups = append(t.ups, u)
 			}
 		}
@@ -107,7 +112,7 @@
 			continue
 		}
 		o.disown(t)
-		if !o.named(t) {
+		if len(t.all) == 0 {
 			delete(o.targets, name)
 		}
 	}
@@ -118,10 +123,6 @@
 	o.dispatchAll(now)
 }
 
-func (o *Owner) named(t *target) bool {
-	return slices.ContainsFunc(o.ups, func(u *upstream) bool { return slices.Contains(u.targets, t) })
-}
-
 // disown sends the waiting asks of a target to look for its new owner.
 func (o *Owner) disown(t *target) {
 	for k := range t.queues {
@@ -141,13 +142,12 @@
 			o.repeatYields(now, u)
 		}
 	}
-	for _, p := range o.permits {
-		if now.Sub(p.seen) > permitLease {
-			o.ended.add(p.id)
-			o.uncount(p)
-		}
+	if now.Sub(o.swept) >= sweepEvery {
+		o.swept = now
+		o.sweep(now)
 	}
 	for _, t := range o.tgts {
+		t.judge(now)
 		t.refresh(now, o)
 		o.dropLate(now, t)
 	}
@@ -167,7 +167,8 @@
 	}
 }
 
-// dropLate refuses the waiting asks that cannot be in time and drops those that are not asked for any more.
+// dropLate refuses the waiting asks that cannot be in time, even if the next slot frees at once, and those that are not
+// asked for any more.
 func (o *Owner) dropLate(now time.Time, t *target) {
 	for k := shortOnline; k < kinds; k++ {
 		q := &t.queues[k]
@@ -184,46 +185,3 @@
 		}
 	}
 }
-
-// dispatchAll grants whatever waiting asks can have.
-func (o *Owner) dispatchAll(now time.Time) {
-	for _, t := range o.tgts {
-		for k := shortOnline; k <= longOnline; k++ {
-			o.drain(now, t, k)
-		}
-	}
-	for _, t := range o.tgts {
-		o.drain(now, t, batchWork)
-	}
-}
-
-// drain grants a queue's first waiters as long as there is room for them.
-func (o *Owner) drain(now time.Time, t *target, k kind) {
-	for i := 0; i < min(maxSkip, t.queues[k].len()); {
-		w := t.queues[k].live()[i]
-		u := o.room(now, t, &w.ask, k)
-		if u == nil {
-			i++
-			continue
-		}
-		o.unqueue(w)
-		o.grant(now, t, u, &w.ask)
-	}
-}
-
-// PeerLoads takes what other owners say of their upstreams, to tell stragglers by the fleet's median.
-func (o *Owner) PeerLoads(now time.Time, loads []berylpermit.Load) []Action {
-	o.begin(now)
-	return o.actions
-}
-
-// Loads describes the owned upstreams, for other hosts; its result is a copy.
-func (o *Owner) Loads() []berylpermit.Load {
-	var loads []berylpermit.Load
-	for _, u := range o.ups {
-		if u.owned && len(u.targets) > 0 {
-			loads = append(loads, u.load(o.now, u.targets[0]))
-		}
-	}
-	return loads
-}
--- a/internal/berylsched/owner_permits.go
+++ b/internal/berylsched/owner_permits.go
@@ -6,7 +6,7 @@
 	"berylroad.example/berylroad/internal/berylpermit"
 )
 
-// newPermit takes a permit from the spare ones, so that a busy owner allocates none.
+// newPermit takes a permit from the spare ones.
 func (o *Owner) newPermit() *permit {
 	if n := len(o.spare); n > 0 {
 		p := o.spare[n-1]
@@ -58,7 +58,7 @@
 	}
 	for key, hr := range o.holders {
 		if key.host == h.Host && key.boot < h.Boot {
-			o.freeAll(now, hr)
+			o.freeAll(hr)
 		}
 	}
 	if hr := o.holders[holderKey{h.Host, h.Boot}]; hr != nil {
@@ -101,15 +101,13 @@
 		}
 		p.missed++
 		if p.missed >= missedReports {
-			o.ended.add(p.id)
 			o.uncount(p)
 		}
 	}
 }
 
-func (o *Owner) freeAll(now time.Time, hr *holder) {
+func (o *Owner) freeAll(hr *holder) {
 	for i := len(hr.permits) - 1; i >= 0; i-- {
-		o.ended.add(hr.permits[i].id)
 		o.uncount(hr.permits[i])
 	}
 }
@@ -118,7 +116,7 @@
 func (o *Owner) HostGone(now time.Time, host string, boot uint64) []Action {
 	o.begin(now)
 	if hr := o.holders[holderKey{host, boot}]; hr != nil {
-		o.freeAll(now, hr)
+		o.freeAll(hr)
 	}
 	for id, w := range o.waiting {
 		if id.Host == host && id.Boot == boot {
@@ -130,7 +128,8 @@
 	return o.actions
 }
 
-// Paused tells the owner that its process did not run for a while: its counts are stale until holders report.
+// Paused tells the owner that its process did not run for a while: its counts are stale until holders report, and one
+// report is enough to free what it leaves out.
 func (o *Owner) Paused(now time.Time) []Action {
 	o.begin(now)
 	for _, u := range o.ups {
@@ -138,7 +137,7 @@
 	}
 	for _, p := range o.permits {
 		p.seen = now
-		p.missed = 0
+		p.missed = missedReports - 1
 	}
 	return o.actions
 }
--- a/internal/berylsched/owner_test.go
+++ b/internal/berylsched/owner_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/datadriven"
 
+	"berylroad.example/berylroad/internal/beryloutcome"
 	"berylroad.example/berylroad/internal/berylpermit"
 	"berylroad.example/berylroad/internal/berylsched"
 )
@@ -120,6 +121,7 @@
 // release reads "h1/7 busy=1s first=10ms gap=5ms fault".
 func (s *script) release(t *testing.T, d *datadriven.TestData) berylpermit.Release {
 	r := berylpermit.Release{ID: parseID(t, d.CmdArgs[0].Key)}
+	r.Report.Kind = beryloutcome.Answered
 	for _, a := range d.CmdArgs[1:] {
 		switch a.Key {
 		case "busy":
@@ -129,6 +131,7 @@
 		case "gap":
 			r.Report.TokenGap = duration(t, a.Vals[0])
 		case "fault":
+			r.Report.Kind = beryloutcome.Failed
 			r.Report.Fault = true
 		}
 	}
@@ -171,6 +174,8 @@
 				l.FirstToken = duration(t, value)
 			case "gap":
 				l.TokenGap = duration(t, value)
+			case "straggler":
+				l.Straggler = true
 			default:
 				l.Upstream = field
 			}
--- a/internal/berylsched/pace.go
+++ b/internal/berylsched/pace.go
@@ -17,7 +17,7 @@
 	// askLease is how long a waiting ask lives without being sent again.
 	askLease = 4 * time.Second
 	// unknownBusy stands for the busy time of calls before any has ended.
-	unknownBusy = 500 * time.Millisecond
+	unknownBusy = 100 * time.Millisecond
 	// longestWait bounds predicted waits.
 	longestWait = time.Hour
 )
@@ -50,11 +50,10 @@
 }
 
 // idle counts the free slots of the target.
-func (t *target) idle(now time.Time, o *Owner) int {
-	var none berylpermit.Ask
+func (t *target) idle() int {
 	idle := 0
 	for _, u := range t.ups {
-		if free := u.free(); free > 0 && o.fits(now, u, &none, shortOnline) {
+		if free := u.free(); free > 0 && u.usable() && !u.health.aside {
 			idle += free
 		}
 	}
@@ -73,16 +72,16 @@
 	opens time.Time
 }
 
-// wait predicts how long an ask with that many before it waits.
-func (p *pace) wait(now time.Time, k kind, rank int) time.Duration {
+// wait predicts how long that many slots take to free.
+func (p *pace) wait(now time.Time, k kind, slots int) time.Duration {
 	var closed time.Duration
 	if p.slots == 0 {
 		closed = max(p.opens.Sub(now), 0)
 	}
 	if p.perSecond[k] <= 0 {
-		return closed + p.busy[k]*time.Duration(rank+1)
+		return closed + p.busy[k]*time.Duration(slots)
 	}
-	seconds := float64(rank+1) / p.perSecond[k]
+	seconds := float64(slots) / p.perSecond[k]
 	return min(closed+time.Duration(seconds*float64(time.Second)), longestWait)
 }
 
@@ -98,10 +97,12 @@
 func (t *target) refresh(now time.Time, o *Owner) {
 	p := pace{busy: t.meanBusy()}
 	for _, u := range t.ups {
-		if !u.usable() || !u.health.inUse(now) {
-			opens := u.health.opens()
-			if u.usable() && (p.opens.IsZero() || opens.Before(p.opens)) {
-				p.opens = opens
+		if !u.usable() {
+			continue
+		}
+		if u.health.aside {
+			if p.opens.IsZero() || u.health.until.Before(p.opens) {
+				p.opens = u.health.until
 			}
 			continue
 		}
@@ -155,7 +156,7 @@
 		Online:     u.online,
 		Batch:      len(u.batch) + len(u.yielding),
 		Waiting:    t.queues[shortOnline].len() + t.queues[longOnline].len(),
-		Straggler:  !u.health.inUse(now),
+		Straggler:  u.health.aside,
 		FirstToken: u.health.first.mean,
 		TokenGap:   u.health.gap.mean,
 	}
@@ -163,12 +164,12 @@
 		l.Slots = 0
 	}
 	if u.free()+len(u.batch) <= 0 {
-		l.Wait = t.pace.wait(now, shortOnline, t.queues[shortOnline].len())
+		l.Wait = t.pace.wait(now, shortOnline, t.queues[shortOnline].len()+1)
 	}
 	return l
 }
 
 // score orders upstreams with free slots; less is better.
 func (u *upstream) score() float64 {
-	return float64(u.held()+1) / float64(u.health.limit(u.slots))
+	return float64(u.held()+1) / float64(u.health.limit(u.slots)) * u.health.weight()
 }
--- a/internal/berylsched/queue.go
+++ b/internal/berylsched/queue.go
@@ -11,7 +11,6 @@
 type waiter struct {
 	ask      berylpermit.Ask
 	target   *target
-	arrived  time.Time
 	deadline time.Time
 	// renewed is when the ask was last sent; an ask that is not sent again is dropped.
 	renewed time.Time
--- a/internal/berylsched/upstream.go
+++ b/internal/berylsched/upstream.go
@@ -13,6 +13,8 @@
 	up    *upstream
 	class berylpermit.Class
 	long  bool
+	// probe marks a permit that finds out whether an upstream set aside is well again.
+	probe bool
 	since time.Time
 	// seen is when a report of its holder last named it, or when it was granted.
 	seen time.Time
@@ -47,17 +49,26 @@
 	overdue int
 	targets []*target
 	health  health
+	// peer is what the owner says, when that is another host.
+	peer peerWord
 }
 
 // target is a model or plain service with those of its upstreams that the host owns.
 type target struct {
 	name string
-	ups  []*upstream
+	// ups lists the owned upstreams, all those of the other owners too.
+	ups []*upstream
+	all []*upstream
 	// queues hold the waiting asks by kind of work.
 	queues   [kinds]queue
 	arrivals rate
 	loads    []berylpermit.Load
 	pace     pace
+	norm     norm
+	judged   time.Time
+	// firsts and gaps are kept from one judgement to the next to save allocations.
+	firsts []time.Duration
+	gaps   []time.Duration
 }
 
 // kind is a kind of work that is queued apart, so that none stands before another that could go.
@@ -85,8 +96,12 @@
 	return u.online + len(u.batch) + len(u.yielding)
 }
 
-// free counts the slots to give; a permit told to yield counts as given back until it is overdue.
+// free counts the slots to give; a permit told to yield counts as given back until it is overdue. An upstream set aside
+// has one slot for its probe, whatever it still has in flight.
 func (u *upstream) free() int {
+	if u.health.aside {
+		return 1
+	}
 	return u.health.limit(u.slots) - u.online - len(u.batch) - u.overdue
 }
 
