Process tests: the thin whole path as separate processes

Cause: the demo runs in one process, so nothing showed that the parts work across process boundaries.

--- /dev/null
+++ b/internal/berylprocess/fleet_test.go
@@ -0,0 +1,330 @@
+package berylprocess
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"berylroad.example/berylroad/internal/berylconf"
+	"berylroad.example/berylroad/internal/berylfake"
+	"berylroad.example/berylroad/internal/berylkey"
+	"berylroad.example/berylroad/pkg/berylapi"
+)
+
+const (
+	model        = "test-llm"
+	service      = "orders"
+	loopback     = "127.0.0.1:0"
+	readyTimeout = 30 * time.Second
+	pollInterval = 20 * time.Millisecond
+	callTimeout  = 30 * time.Second
+)
+
+func notifyContext() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+}
+
+// plan says what a test's fleet consists of.
+type plan struct {
+	hosts    int
+	engines  int
+	services int
+	slots    int
+	// engineFlags go to each engine stand-in.
+	engineFlags []string
+	resume      bool
+	rules       berylconf.Rules
+}
+
+// upstream is one stand-in for an engine or a service.
+type upstream struct {
+	*process
+	name string
+	url  string
+}
+
+// host is one berylroad host.
+type host struct {
+	*process
+	name     string
+	serving  serving
+	settings string
+}
+
+// fleet is a test's processes.
+type fleet struct {
+	t        *testing.T
+	plan     plan
+	folder   string
+	key      string
+	document *berylconf.Document
+	platform *upstream
+	engines  []*upstream
+	services []*upstream
+	hosts    []*host
+}
+
+// startFleet starts every process of the plan and waits until each host is ready.
+func startFleet(t *testing.T, p plan) *fleet {
+	t.Helper()
+	f := &fleet{t: t, plan: p, folder: t.TempDir()}
+	f.platform = f.startStandIn("platform", "platform")
+	for i := range p.engines {
+		arguments := append([]string{"engine", "--model", model}, p.engineFlags...)
+		f.engines = append(f.engines, f.startStandIn(fmt.Sprintf("engine-%d", i+1), arguments...))
+	}
+	for i := range p.services {
+		f.services = append(f.services, f.startStandIn(fmt.Sprintf("service-%d", i+1), "service"))
+	}
+	f.run("key", "create-ca", f.folder)
+	for i := range p.hosts {
+		f.hosts = append(f.hosts, f.startHost(fmt.Sprintf("host-%d", i+1), loopback, loopback))
+	}
+	f.configure()
+	for _, h := range f.hosts {
+		f.waitReady(h)
+	}
+	return f
+}
+
+// startStandIn starts a stand-in, which prints its URL as its first line.
+func (f *fleet) startStandIn(name string, arguments ...string) *upstream {
+	f.t.Helper()
+	u := &upstream{name: name}
+	first := func(line []byte) bool {
+		u.url = string(bytes.Clone(line))
+		return true
+	}
+	u.process = start(f.t, name, first, append([]string{"berylroad-standin"}, arguments...)...)
+	return u
+}
+
+// run runs a short command of berylroad to its end.
+func (f *fleet) run(arguments ...string) string {
+	f.t.Helper()
+	out, err := exec.Command("berylroad", arguments...).CombinedOutput()
+	if err != nil {
+		f.t.Fatalf("berylroad %v: %v\n%s", arguments, err, out)
+	}
+	return string(out)
+}
+
+// startHost starts a host under the name; its certificate is made once.
+func (f *fleet) startHost(name, callerAddress, peerAddress string) *host {
+	f.t.Helper()
+	if _, err := os.Stat(filepath.Join(f.folder, name+".pem")); err != nil {
+		f.run("key", "create-host", f.folder, name)
+	}
+	h := &host{name: name, settings: filepath.Join(f.folder, name+".json")}
+	f.write(h.settings, map[string]any{
+		"host":             name,
+		"region":           "test",
+		"failure-domain":   "test-" + name,
+		"caller-address":   callerAddress,
+		"peer-address":     peerAddress,
+		"operator-address": loopback,
+		"platform":         []string{f.platform.url},
+		"ca-file":          filepath.Join(f.folder, "ca.pem"),
+		"cert-file":        filepath.Join(f.folder, name+".pem"),
+		"key-file":         filepath.Join(f.folder, name+"-key.pem"),
+		"balancer-notice":  "200ms",
+	})
+	h.process = start(f.t, name, h.serving.accept, "berylroad", "serve", "--settings", h.settings)
+	return h
+}
+
+// restart starts a host that has ended anew at its old addresses.
+func (f *fleet) restart(h *host) *host {
+	f.t.Helper()
+	<-h.ended
+	again := f.startHost(h.name, h.serving.CallerAddress, h.serving.PeerAddress)
+	f.hosts[f.index(h)] = again
+	return again
+}
+
+func (f *fleet) index(h *host) int {
+	for i := range f.hosts {
+		if f.hosts[i] == h {
+			return i
+		}
+	}
+	f.t.Fatalf("no host %s", h.name)
+	return -1
+}
+
+func (f *fleet) write(path string, value any) {
+	f.t.Helper()
+	data, err := json.Marshal(value)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// configure writes the inventory of the started processes through the command line.
+func (f *fleet) configure() {
+	f.t.Helper()
+	key, hash := berylkey.NewCallerKey()
+	f.key = key
+	f.document = &berylconf.Document{Rules: f.plan.rules}
+	v := &f.document.Inventory
+	v.Callers = []berylconf.Caller{{Name: "tester", KeyHash: hash}}
+	v.Services = []berylconf.Service{{Name: service, NeverRepeat: []string{"/place"}}}
+	for _, h := range f.hosts {
+		v.Hosts = append(v.Hosts, berylconf.Host{Name: h.name, Region: "test", FailureDomain: "test-" + h.name, PeerAddress: h.serving.PeerAddress})
+	}
+	for _, e := range f.engines {
+		v.Upstreams = append(v.Upstreams, berylconf.Upstream{Name: e.name, URL: e.url, Region: "test", FailureDomain: "test-a", Models: []string{model}, Slots: f.plan.slots, Resume: f.plan.resume})
+	}
+	for _, s := range f.services {
+		v.Upstreams = append(v.Upstreams, berylconf.Upstream{Name: s.name, URL: s.url, Region: "test", FailureDomain: "test-a", Service: service, Slots: f.plan.slots})
+	}
+	f.apply()
+}
+
+// apply puts f.document in force.
+func (f *fleet) apply() {
+	f.t.Helper()
+	path := filepath.Join(f.folder, "fleet.json")
+	f.write(path, f.document)
+	f.run("config", "apply", path, "--platform", f.platform.url)
+}
+
+func (f *fleet) waitReady(h *host) {
+	f.t.Helper()
+	f.eventually(h.name+" is ready", func() bool {
+		response, err := http.Get("http://" + h.serving.CallerAddress + "/readyz")
+		if err != nil {
+			return false
+		}
+		response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	})
+}
+
+// eventually waits until the condition holds.
+func (f *fleet) eventually(what string, condition func() bool) {
+	f.t.Helper()
+	deadline := time.Now().Add(readyTimeout)
+	for !condition() {
+		if time.Now().After(deadline) {
+			f.t.Fatalf("not in %s: %s", readyTimeout, what)
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
+func (f *fleet) client(h *host) *berylapi.Client {
+	return &berylapi.Client{BaseURL: "http://" + h.serving.CallerAddress, Key: f.key}
+}
+
+// fault scripts what goes wrong at a stand-in.
+func (f *fleet) fault(u *upstream, fault any) {
+	f.t.Helper()
+	data, err := json.Marshal(fault)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	response, err := http.Post(u.url+"/standin/fault", "application/json", bytes.NewReader(data))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	response.Body.Close()
+	if response.StatusCode/100 != 2 {
+		f.t.Fatalf("fault at %s: %s", u.name, response.Status)
+	}
+}
+
+// counts returns what an engine or service stand-in has seen.
+func (f *fleet) counts(u *upstream) berylfake.Counts {
+	f.t.Helper()
+	response, err := http.Get(u.url + "/standin/counts")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer response.Body.Close()
+	var counts berylfake.Counts
+	if err := json.NewDecoder(response.Body).Decode(&counts); err != nil {
+		f.t.Fatal(err)
+	}
+	return counts
+}
+
+// chatBody is a request of so many tokens whose answer no other text gives.
+func chatBody(text string, tokens int, stream bool) []byte {
+	return fmt.Appendf(nil, `{"model":%q,"max_tokens":%d,"stream":%t,"messages":[{"role":"user","content":%q}]}`, model, tokens, stream, text)
+}
+
+// request is one call of a test.
+type request struct {
+	path   string
+	body   []byte
+	header http.Header
+}
+
+// reply is what a test's call has brought.
+type reply struct {
+	status int
+	header http.Header
+	body   []byte
+	err    error
+}
+
+// send makes a call as a caller would, with headers of the test's choice.
+func (f *fleet) send(ctx context.Context, h *host, r request) reply {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	call, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.serving.CallerAddress+r.path, bytes.NewReader(r.body))
+	if err != nil {
+		return reply{err: err}
+	}
+	for name, values := range r.header {
+		call.Header[name] = values
+	}
+	call.Header.Set("Authorization", "Bearer "+f.key)
+	call.Header.Set("Content-Type", "application/json")
+	response, err := http.DefaultClient.Do(call)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer response.Body.Close()
+	var body bytes.Buffer
+	_, err = body.ReadFrom(response.Body)
+	return reply{status: response.StatusCode, header: response.Header, body: body.Bytes(), err: err}
+}
+
+// chat sends a chat request of its own text.
+func (f *fleet) chat(h *host, text string, tokens int, stream bool) reply {
+	return f.send(f.t.Context(), h, request{path: "/v1/chat/completions", body: chatBody(text, tokens, stream)})
+}
+
+// whole reports whether the reply is the whole answer to that very request.
+func (r reply) whole(body []byte, stream bool) bool {
+	if r.err != nil || r.status != http.StatusOK {
+		return false
+	}
+	want, err := berylfake.EngineAnswer("/v1/chat/completions", body)
+	if err != nil {
+		return false
+	}
+	text, complete, err := berylfake.ReadAnswer(stream, r.body)
+	return err == nil && text == want && (complete || !stream)
+}
+
+// code returns the stable error code of a reply, or an empty string.
+func (r reply) code() string {
+	var envelope berylapi.ErrorBody
+	_ = json.Unmarshal(r.body, &envelope)
+	return envelope.Error.Code
+}
