--- a/internal/berylprocess/fleet_test.go
+++ b/internal/berylprocess/fleet_test.go
@@ -309,6 +309,25 @@
 	return f.send(f.t.Context(), h, request{path: "/v1/chat/completions", body: chatBody(text, tokens, stream)})
 }
 
+// submit sends a job of so many items and tokens each, and returns its id.
+func (f *fleet) submit(h *host, items, tokens int) string {
+	f.t.Helper()
+	var input bytes.Buffer
+	for i := range items {
+		fmt.Fprintf(&input, `{"custom_id":"item-%d","method":"POST","url":"/v1/chat/completions","body":%s}`+"\n", i, chatBody(fmt.Sprint("part ", i), tokens, false))
+	}
+	client := f.client(h)
+	file, err := client.Upload(f.t.Context(), "", "items.jsonl", input.Bytes())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	batch, err := client.Submit(f.t.Context(), "", "/v1/chat/completions", file.ID)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return batch.ID
+}
+
 // whole reports whether the reply is the whole answer to that very request.
 func (r reply) whole(body []byte, stream bool) bool {
 	if r.err != nil || r.status != http.StatusOK {
--- /dev/null
+++ b/internal/berylprocess/once_test.go
@@ -0,0 +1,190 @@
+package berylprocess
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+
+	"berylroad.example/berylroad/internal/berylfake"
+)
+
+// order is a call to the plain service that must run at most once.
+func order(key, text string) request {
+	return request{
+		path:   "/services/" + service + "/place",
+		body:   fmt.Appendf(nil, `{"order":%q}`, text),
+		header: http.Header{"Idempotency-Key": {key}},
+	}
+}
+
+// runs returns how often the service stand-ins have begun to run a body.
+func (f *fleet) runs(body []byte) int {
+	total := 0
+	for _, s := range f.services {
+		total += f.counts(s).ByBody[berylfake.BodyHash(body)].Started
+	}
+	return total
+}
+
+// slowService makes each call of a service take some time before it answers.
+func (f *fleet) slowService(d time.Duration) {
+	f.t.Helper()
+	for _, s := range f.services {
+		f.fault(s, map[string]any{"mode": "late", "for": d.String()})
+	}
+}
+
+var oncePlan = plan{hosts: 2, services: 2, engines: 1, slots: 8}
+
+// TestNeverRepeatResent sends each order many times through both hosts at once.
+func TestNeverRepeatResent(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, oncePlan)
+	for n := range 5 {
+		o := order(fmt.Sprint("resent-", n), fmt.Sprint("resent ", n))
+		replies := make([]reply, 10)
+		var senders conc.WaitGroup
+		for i := range replies {
+			senders.Go(func() { replies[i] = f.send(t.Context(), f.hosts[i%2], o) })
+		}
+		senders.Wait()
+		answers := 0
+		for _, r := range replies {
+			is.NoErr(r.err)
+			if r.status == http.StatusOK {
+				answers++
+				continue
+			}
+			is.Equal(r.code(), "in-progress")
+			is.True(r.header.Get("Retry-After") != "")
+		}
+		is.True(answers > 0)
+		is.Equal(f.runs(o.body), 1)
+		again := f.send(t.Context(), f.hosts[n%2], o)
+		is.Equal(again.status, http.StatusOK) // the kept answer
+		is.Equal(f.runs(o.body), 1)
+	}
+}
+
+// TestNeverRepeatHostLost loses the host that runs an order and sends it again through the other.
+func TestNeverRepeatHostLost(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		signal syscall.Signal
+	}{
+		{"killed", syscall.SIGKILL},
+		{"frozen and woken", syscall.SIGSTOP},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			f := startFleet(t, oncePlan)
+			f.slowService(3 * time.Second)
+			o := order("lost", "lost with its host")
+			first := make(chan reply, 1)
+			go func() { first <- f.send(t.Context(), f.hosts[0], o) }()
+			f.eventually("the order runs", func() bool { return f.runs(o.body) == 1 })
+			f.hosts[0].signal(t, test.signal)
+			var r reply
+			f.eventually("the other host knows the first is gone", func() bool {
+				r = f.send(t.Context(), f.hosts[1], o)
+				return r.code() != "in-progress"
+			})
+			is.Equal(r.code(), "outcome-unknown")
+			if test.signal == syscall.SIGSTOP {
+				f.hosts[0].signal(t, syscall.SIGCONT)
+				woken := <-first
+				is.True(woken.err != nil || woken.code() != "not-run") // it did run
+			}
+			is.Equal(f.runs(o.body), 1)
+			later := f.send(t.Context(), f.hosts[1], o)
+			// Once the woken host has told how its run ended, the answer itself may follow; nothing else may.
+			is.True(later.code() == "outcome-unknown" || test.signal == syscall.SIGSTOP && later.status == http.StatusOK)
+			is.Equal(f.runs(o.body), 1)
+		})
+	}
+}
+
+// TestNeverRepeatPlatform loses the platform's answers, or the platform, around the record of an order.
+func TestNeverRepeatPlatform(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		fault map[string]any
+		ends  map[string]bool
+	}{
+		{"answer lost after the write", map[string]any{"lose-answers": 1}, map[string]bool{"": true}},
+		{"every answer lost", map[string]any{"lose-answers": -1}, map[string]bool{"": true, "outcome-unknown": true, "not-run": true}},
+		{"write cut off and late", map[string]any{"late-writes": 1, "late-ms": 300}, map[string]bool{"": true, "outcome-unknown": true, "not-run": true, "in-progress": true}},
+		{"down", map[string]any{"mode": "down"}, map[string]bool{"not-run": true}},
+		{"frozen", map[string]any{"mode": "freeze", "for-ms": 6000}, map[string]bool{"not-run": true, "outcome-unknown": true}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			f := startFleet(t, oncePlan)
+			warm := order("warm", "makes the leases")
+			is.Equal(f.send(t.Context(), f.hosts[0], warm).status, http.StatusOK)
+			f.fault(f.platform, test.fault)
+			o := order("faulty", "under a fault of the platform")
+			r := f.send(t.Context(), f.hosts[0], o)
+			is.NoErr(r.err)
+			t.Logf("answered %d %s", r.status, r.body)
+			is.True(test.ends[r.code()])
+			if r.code() == "not-run" {
+				is.Equal(f.runs(o.body), 0) // not-run is true
+				is.True(r.header.Get("Retry-After") != "")
+			}
+			is.True(f.runs(o.body) <= 1)
+			f.fault(f.platform, map[string]any{})
+			for range 6 {
+				again := f.send(t.Context(), f.hosts[1], o)
+				t.Logf("again %d %s", again.status, again.body)
+				if again.code() == "not-run" {
+					is.True(f.runs(o.body) <= 1)
+				}
+				time.Sleep(200 * time.Millisecond)
+			}
+			is.True(f.runs(o.body) <= 1)
+		})
+	}
+}
+
+// TestNeverRepeatNeedsKey checks that an order without a key is refused with what to do.
+func TestNeverRepeatNeedsKey(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, oncePlan)
+	o := order("x", "no key")
+	o.header = nil
+	r := f.send(context.Background(), f.hosts[0], o)
+	is.Equal(r.status, http.StatusBadRequest)
+	is.Equal(r.code(), "bad-request")
+	is.Equal(f.runs(o.body), 0)
+}
+
+// TestKeyedChatRerun checks that a repeatable keyed request whose host dies is run again elsewhere and answered whole.
+func TestKeyedChatRerun(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, plan{hosts: 2, engines: 2, slots: 4, engineFlags: quickEngine})
+	r := request{
+		path:   "/v1/chat/completions",
+		body:   chatBody("keyed and repeatable", 300, false),
+		header: http.Header{"Idempotency-Key": {"rerun"}},
+	}
+	first := make(chan reply, 1)
+	go func() { first <- f.send(t.Context(), f.hosts[0], r) }()
+	f.eventually("the call runs", func() bool { return f.counts(f.engines[0]).Running+f.counts(f.engines[1]).Running > 0 })
+	f.hosts[0].signal(t, syscall.SIGKILL)
+	is.True((<-first).err != nil) // its connection is lost
+	var again reply
+	f.eventually("the other host takes over", func() bool {
+		again = f.send(t.Context(), f.hosts[1], r)
+		return again.code() != "in-progress"
+	})
+	is.True(again.whole(r.body, false))
+	kept := f.send(t.Context(), f.hosts[1], r)
+	is.Equal(string(kept.body), string(again.body)) // an answer once given never changes
+}
--- a/internal/berylprocess/path_test.go
+++ b/internal/berylprocess/path_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"berylroad.example/berylroad/pkg/berylapi"
 )
 
 // TestWholePath is the thin whole path: two hosts, two engines, one platform, each a process.
@@ -19,17 +21,12 @@
 			is.True(r.whole(chatBody(text, 12, stream), stream)) // the answer must be whole and its own
 		}
 	}
-	var items strings.Builder
-	for i := range 3 {
-		fmt.Fprintf(&items, `{"custom_id":"item-%d","method":"POST","url":"/v1/chat/completions","body":%s}`+"\n", i, chatBody(fmt.Sprint("part ", i), 4, false))
-	}
-	submit, read := f.client(f.hosts[0]), f.client(f.hosts[1])
-	file, err := submit.Upload(t.Context(), "one", "items.jsonl", []byte(items.String()))
-	is.NoErr(err)
-	batch, err := submit.Submit(t.Context(), "one", "/v1/chat/completions", file.ID)
-	is.NoErr(err)
+	id := f.submit(f.hosts[0], 3, 4)
+	read := f.client(f.hosts[1])
+	var batch *berylapi.Batch
 	f.eventually("the job is completed", func() bool {
-		batch, err = read.Batch(t.Context(), batch.ID)
+		var err error
+		batch, err = read.Batch(t.Context(), id)
 		return err == nil && batch.Status == "completed"
 	})
 	is.Equal(batch.RequestCounts.Completed, 3)
