Platform client: what counts as an answer, TLS, waiting for a connection

An answer of 200 that is JSON but not the gateway's was taken for a conflict, which says that nothing was done; fields that the gateway always sends are now required, and without them the write is Unknown. A list over 8 MiB failed instead of being asked for in smaller pages, and counted against the endpoint's breaker.

A call that waits in vain for one of 64 connections is now certainly unsent: fasthttp reports its own wait as a timeout, which can't be told from one after the request was written, so the wait is ours. A TLS handshake that fails counts as a failure to connect. A renewal of a lease takes from the budget without waiting for it.

--- a/internal/berylfake/platform.go
+++ b/internal/berylfake/platform.go
@@ -1,6 +1,9 @@
 package berylfake
 
 import (
+	"crypto/tls"
+	"io"
+	"log"
 	"net"
 	"net/http"
 	"sync"
@@ -18,6 +21,7 @@
 	store  *platformStore
 	script *platformScript
 	counts *platformCounts
+	tls    *tls.Config
 
 	mu       sync.Mutex
 	address  string
@@ -29,7 +33,13 @@
 
 // StartPlatform starts a stand-in on the address, such as "127.0.0.1:0".
 func StartPlatform(address string) (*Platform, error) {
+	return StartPlatformTLS(address, nil)
+}
+
+// StartPlatformTLS is StartPlatform with TLS, unless the config is nil.
+func StartPlatformTLS(address string, config *tls.Config) (*Platform, error) {
 	p := &Platform{
+		tls:     config,
 		store:   newPlatformStore(),
 		script:  newPlatformScript(),
 		counts:  &platformCounts{},
@@ -47,6 +57,9 @@
 func (p *Platform) URL() string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.tls != nil {
+		return "https://" + p.address
+	}
 	return "http://" + p.address
 }
 
@@ -98,7 +111,12 @@
 		return errors.Wrap(err, "platform stand-in")
 	}
 	p.address = listener.Addr().String()
-	server := &http.Server{Handler: p.handler(), ReadHeaderTimeout: 10 * time.Second}
+	if p.tls != nil {
+		listener = tls.NewListener(listener, p.tls)
+	}
+	server := &http.Server{
+		Handler: p.handler(), ReadHeaderTimeout: 10 * time.Second, ErrorLog: log.New(io.Discard, "", 0),
+	}
 	p.server = server
 	p.routines.Go(func() { _ = server.Serve(listener) })
 	return nil
--- a/internal/berylplatform/budget.go
+++ b/internal/berylplatform/budget.go
@@ -8,7 +8,7 @@
 	"golang.org/x/time/rate"
 )
 
-// budget is the share of the service's call rate that this process may use; the zero value is unlimited.
+// budget is the share of the service's call rate that this process may use.
 type budget struct {
 	limiter *rate.Limiter
 }
@@ -36,3 +36,8 @@
 	}
 	return nil
 }
+
+// take takes one call from the budget without waiting.
+func (b budget) take() {
+	b.limiter.Reserve()
+}
--- a/internal/berylplatform/call.go
+++ b/internal/berylplatform/call.go
@@ -31,7 +31,7 @@
 
 // call sends in to an endpoint and decodes the answer into out. A request that was not sent is tried at the next
 // endpoint, a read also when its answer was lost.
-func (c *Client) call(ctx context.Context, name callName, path string, in, out any) (fate, error) {
+func (c *Client) call(ctx context.Context, name callName, path string, in any, out wireAnswer) (fate, error) {
 	body, err := json.Marshal(in)
 	if err != nil {
 		return fateUnsent, err
@@ -44,12 +44,16 @@
 		if !e.allow(time.Now()) {
 			continue
 		}
+		if err := c.spend(ctx, name); err != nil {
+			e.release()
+			return fateUnsent, err
+		}
 		f, err := c.callAt(ctx, e, path, body, out)
 		if f == fateAnswered || f == fateRefused {
 			c.preferred.CompareAndSwap(first, int64(index))
 			return f, err
 		}
-		if f == fateUncertain && !name.isRead() || ctx.Err() != nil {
+		if f == fateUncertain && !name.isRead() || errors.Is(err, errAnswerTooLarge) || ctx.Err() != nil {
 			return f, err
 		}
 		last = err
@@ -57,21 +61,35 @@
 	return fateUnsent, last
 }
 
-// callAt sends one request to one endpoint, within the budget; it passes over used connections that the peer has closed,
+// spend takes one call from the budget; a lease's renewal is not held up, but the calls after it are.
+func (c *Client) spend(ctx context.Context, name callName) error {
+	if name == callKeepAlive {
+		c.budget.take()
+		return ctx.Err()
+	}
+	err := c.budget.wait(ctx, c.config.Timeout)
+	if err != nil {
+		c.counters.overBudget.Inc()
+	}
+	return err
+}
+
+// callAt sends one request to one endpoint; it passes over used connections that the peer has closed,
 // and does not hold a context that ended early against the endpoint.
-func (c *Client) callAt(ctx context.Context, e *endpoint, path string, body []byte, out any) (fate, error) {
-	if err := c.budget.wait(ctx, c.config.Timeout); err != nil {
+func (c *Client) callAt(ctx context.Context, e *endpoint, path string, body []byte, out wireAnswer) (fate, error) {
+	deadline := c.deadline(ctx)
+	if !e.acquire(deadline) {
 		e.release()
-		c.counters.overBudget.Inc()
-		return fateUnsent, err
+		return fateUnsent, errBusy
 	}
+	defer e.free()
 	c.counters.sent.Inc()
-	f, err := c.roundTrip(ctx, e, path, body, out)
+	f, err := c.roundTrip(e, path, body, out, deadline)
 	for tries := 0; tries < maxConns && errors.Is(err, net.ErrClosed); tries++ {
-		f, err = c.roundTrip(ctx, e, path, body, out)
+		f, err = c.roundTrip(e, path, body, out, deadline)
 	}
 	switch {
-	case f == fateAnswered || f == fateRefused:
+	case f == fateAnswered || f == fateRefused || errors.Is(err, errAnswerTooLarge):
 		e.succeed()
 	case ctx.Err() != nil:
 		e.release()
@@ -82,7 +100,7 @@
 }
 
 // roundTrip makes one HTTP request and judges its answer.
-func (c *Client) roundTrip(ctx context.Context, e *endpoint, path string, body []byte, out any) (fate, error) {
+func (c *Client) roundTrip(e *endpoint, path string, body []byte, out wireAnswer, deadline time.Time) (fate, error) {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
@@ -91,7 +109,11 @@
 	request.Header.SetContentType("application/json")
 	request.SetBodyRaw(body)
 	c.counters.sentBytes.Add(len(body))
-	if err := e.http.DoDeadline(request, response, c.deadline(ctx)); err != nil {
+	err := e.http.DoDeadline(request, response, deadline)
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+		return fateUncertain, errAnswerTooLarge
+	}
+	if err != nil {
 		return errorFate(err), errors.Wrapf(err, "platform %s%s", e.base, path)
 	}
 	c.counters.readBytes.Add(len(response.Body()))
@@ -101,6 +123,9 @@
 	if err := json.Unmarshal(response.Body(), out); err != nil {
 		return fateUncertain, errors.Wrapf(err, "platform %s%s answered garbage", e.base, path)
 	}
+	if !out.whole() {
+		return fateUncertain, errors.Newf("platform %s%s answered with fields missing", e.base, path)
+	}
 	return fateAnswered, nil
 }
 
--- a/internal/berylplatform/client.go
+++ b/internal/berylplatform/client.go
@@ -202,8 +202,8 @@
 		return Outcome{Status: Done, Revision: answer.Header.Revision}
 	}
 	outcome := Outcome{Status: Conflict}
-	if len(answer.Responses) == 1 && answer.Responses[0].Range != nil && len(answer.Responses[0].Range.Kvs) == 1 {
-		outcome.Current = answer.Responses[0].Range.Kvs[0].record()
+	if found := answer.Responses[0].Range.Kvs; len(found) > 0 {
+		outcome.Current = found[0].record()
 	}
 	return outcome
 }
--- /dev/null
+++ b/internal/berylplatform/client_test.go
@@ -0,0 +1,224 @@
+package berylplatform_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"berylroad.example/berylroad/internal/berylfake"
+	"berylroad.example/berylroad/internal/berylplatform"
+)
+
+// start starts a stand-in.
+func start(t *testing.T) *berylfake.Platform {
+	t.Helper()
+	fake, err := berylfake.StartPlatform("127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(fake.Close)
+	return fake
+}
+
+// TestAnswers holds a table of answers from a broken service against what the client makes of them.
+func TestAnswers(t *testing.T) {
+	datadriven.RunTest(t, "testdata/answers", func(t *testing.T, d *datadriven.TestData) string {
+		var status int
+		d.ScanArgs(t, "status", &status)
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			if d.HasArg("cut") {
+				w.Header().Set("Content-Length", "1000")
+			}
+			w.WriteHeader(status)
+			_, _ = io.WriteString(w, d.Input)
+			for n := 0; d.HasArg("huge") && n < 9; n++ {
+				_, _ = w.Write(bytes.Repeat([]byte(" "), 1<<20))
+			}
+		}))
+		defer server.Close()
+		client := newClient(t, patient, server.URL)
+		ctx := context.Background()
+		return fmt.Sprintf("swap %s, get %s, list %s, grant %s, revoke %s\n",
+			client.Swap(ctx, "/a", []byte("x"), 0, 0).Status, client.Get(ctx, "/a").Status,
+			newClient(t, patient, server.URL).List(ctx, "/a", 1, "").Status,
+			newClient(t, patient, server.URL).Grant(ctx, time.Minute).Status,
+			newClient(t, patient, server.URL).Revoke(ctx, 1).Status)
+	})
+}
+
+// TestEndpoints asks the next endpoint when one fails, but sends no write twice.
+func TestEndpoints(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	frozen, up := start(t), start(t)
+	is.NoErr(frozen.SetFault(berylfake.Fault{Mode: berylfake.ModeFreeze}))
+	client := newClient(t, hasty, frozen.URL(), up.URL())
+	is.Equal(client.Swap(ctx, "/a", []byte("x"), 0, 0).Status, berylplatform.Unknown)
+	is.Equal(up.Calls().Txn, 0) // the write may have taken effect, so it is not sent again
+	is.NoErr(frozen.SetFault(berylfake.Fault{Mode: berylfake.ModeRefuse}))
+	client = newClient(t, patient, frozen.URL(), up.URL())
+	is.Equal(client.Get(ctx, "/a").Status, berylplatform.Done)
+	is.Equal(client.Swap(ctx, "/a", []byte("x"), 0, 0).Status, berylplatform.Done)
+	is.Equal(up.Calls().Txn, 1)
+	_, err := berylplatform.New(berylplatform.Config{Endpoints: []string{"10.0.0.1:2379"}})
+	is.True(err != nil) // not a base URL
+	_, err = berylplatform.New(berylplatform.Config{})
+	is.True(err != nil) // no endpoint
+}
+
+// TestBreaker stops asking a service that fails, and asks again later.
+func TestBreaker(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	fake := start(t)
+	client := newClient(t, patient, fake.URL())
+	is.NoErr(fake.SetFault(berylfake.Fault{Mode: berylfake.ModeDown}))
+	for range 50 {
+		is.Equal(client.Get(ctx, "/a").Status, berylplatform.Unavailable)
+	}
+	is.True(fake.Calls().Range < 50)
+	for !errors.Is(client.Swap(ctx, "/a", nil, 0, 0).Err, berylplatform.ErrBreakerOpen) {
+		time.Sleep(time.Millisecond) // a try after the breaker's pause came between
+	}
+	is.NoErr(fake.SetFault(berylfake.Fault{}))
+	for client.Get(ctx, "/a").Status != berylplatform.Done {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(client.Swap(ctx, "/a", nil, 0, 0).Status, berylplatform.Done)
+}
+
+// TestBudget holds calls back that are over the share; a lease's renewal goes out all the same.
+func TestBudget(t *testing.T) {
+	is := is.New(t)
+	fake := start(t)
+	client := newClient(t, patient, fake.URL())
+	lease := client.Grant(context.Background(), time.Minute)
+	client.SetShare(0.001)
+	ctx, cancel := context.WithTimeout(context.Background(), hasty)
+	defer cancel()
+	client.Get(ctx, "/a")
+	before := fake.Calls().Total()
+	is.True(errors.Is(client.Get(ctx, "/a").Err, berylplatform.ErrOverBudget))
+	outcome := client.Swap(ctx, "/a", nil, 0, 0)
+	is.Equal(outcome.Status, berylplatform.Unavailable)
+	is.True(errors.Is(outcome.Err, berylplatform.ErrOverBudget))
+	is.Equal(fake.Calls().Total(), before)
+	is.Equal(client.KeepAlive(context.Background(), lease.ID).Status, berylplatform.Done)
+	client.SetShare(1000)
+	is.Equal(client.Get(context.Background(), "/a").Status, berylplatform.Done)
+}
+
+// TestSizes takes values up to the limit and lists more than one answer holds.
+func TestSizes(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	client := newClient(t, patient, start(t).URL())
+	value := make([]byte, berylplatform.MaxValueBytes)
+	for i := range 12 {
+		is.Equal(client.Swap(ctx, fmt.Sprintf("/big/%02d", i), value, 0, 0).Status, berylplatform.Done)
+	}
+	is.True(errors.Is(client.Swap(ctx, "/a", append(value, 0), 0, 0).Err, berylplatform.ErrTooLarge))
+	is.True(errors.Is(client.Get(ctx, strings.Repeat("k", berylplatform.MaxKeyBytes+1)).Err, berylplatform.ErrTooLarge))
+	found, from := 0, ""
+	for page := client.List(ctx, "/big/", 0, from); ; page = client.List(ctx, "/big/", 0, from) {
+		is.Equal(page.Status, berylplatform.Done)
+		found += len(page.Records)
+		if from = page.Next; from == "" {
+			break
+		}
+	}
+	is.Equal(found, 12)
+}
+
+// TestLeaseExpiry waits until a record is gone with its lease, and counts what was asked over HTTP.
+func TestLeaseExpiry(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	fake := start(t)
+	client := newClient(t, patient, fake.URL())
+	lease := client.Grant(ctx, time.Second)
+	is.Equal(client.Swap(ctx, "/l", nil, 0, lease.ID).Status, berylplatform.Done)
+	for client.Get(ctx, "/l").Record.Revision != 0 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.Equal(client.KeepAlive(ctx, lease.ID).Err, berylplatform.ErrLeaseGone)
+	answer, err := http.Get(fake.URL() + "/standin/counts")
+	is.NoErr(err)
+	body, err := io.ReadAll(answer.Body)
+	is.NoErr(err)
+	is.NoErr(answer.Body.Close())
+	is.True(strings.Contains(string(body), `"grant":1,"keep-alive":1`))
+	for _, tt := range []struct {
+		body string
+		want int
+	}{{`{"mode": "down", "for-ms": 1}`, 204}, {`{"mode": "odd"}`, 400}, {`{"delay": 1}`, 400}} {
+		answer, err := http.Post(fake.URL()+"/standin/fault", "application/json", strings.NewReader(tt.body))
+		is.NoErr(err)
+		is.NoErr(answer.Body.Close())
+		is.Equal(answer.StatusCode, tt.want)
+	}
+}
+
+// TestTLS calls and watches over TLS; a service with a wrong certificate is certainly sent nothing.
+func TestTLS(t *testing.T) {
+	is := is.New(t)
+	certified := httptest.NewTLSServer(http.NotFoundHandler())
+	defer certified.Close()
+	fake, err := berylfake.StartPlatformTLS("127.0.0.1:0", &tls.Config{Certificates: certified.TLS.Certificates})
+	is.NoErr(err)
+	defer fake.Close()
+	trusted := x509.NewCertPool()
+	trusted.AddCert(certified.Certificate())
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	client, err := berylplatform.New(berylplatform.Config{
+		Endpoints: []string{fake.URL()}, Timeout: patient, TLS: &tls.Config{RootCAs: trusted},
+	})
+	is.NoErr(err)
+	is.Equal(client.Swap(ctx, "/a", []byte("x"), 0, 0).Status, berylplatform.Done)
+	client.Watch(ctx, berylplatform.Target{Key: "/a"}, 1, func(c berylplatform.Change) {
+		is.Equal(string(c.Records[0].Value), "x")
+		cancel()
+	})
+	var unknown *tls.CertificateVerificationError
+	outcome := newClient(t, patient, fake.URL()).Swap(context.Background(), "/a", nil, 2, 0)
+	is.Equal(outcome.Status, berylplatform.Unavailable)
+	is.True(errors.As(outcome.Err, &unknown))
+	var opError *net.OpError
+	is.True(!errors.As(outcome.Err, &opError)) // it is the certificate, not the connection
+}
+
+// BenchmarkSwap measures one compare-and-swap over loopback, the stand-in included.
+func BenchmarkSwap(b *testing.B) {
+	fake, err := berylfake.StartPlatform("127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer fake.Close()
+	client, err := berylplatform.New(berylplatform.Config{Endpoints: []string{fake.URL()}, Timeout: patient})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer client.Close()
+	value := make([]byte, 500)
+	revision := int64(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		outcome := client.Swap(context.Background(), "/bench", value, revision, 0)
+		if outcome.Status != berylplatform.Done {
+			b.Fatal(outcome)
+		}
+		revision = outcome.Revision
+	}
+}
--- a/internal/berylplatform/conn.go
+++ b/internal/berylplatform/conn.go
@@ -1,9 +1,13 @@
 package berylplatform
 
 import (
+	"context"
+	"crypto/tls"
 	"net"
 	"syscall"
 	"time"
+
+	"github.com/valyala/fasthttp"
 )
 
 // checkedConn looks, before a request goes out on a used connection, whether the peer has closed it meanwhile; a request
@@ -14,13 +18,43 @@
 	used bool
 }
 
-// dialTCP connects and marks its failures as such.
-func dialTCP(address string, timeout time.Duration) (net.Conn, error) {
-	conn, err := net.DialTimeout("tcp", address, timeout)
-	if err != nil {
-		return nil, &dialError{cause: err}
+// dialer returns a function that connects to the endpoint, with TLS where it asks for it, and marks every failure to do
+// so as a dialError; wrap goes around the bare connection.
+func (e *endpoint) dialer(config Config, wrap func(net.Conn) net.Conn) fasthttp.DialFuncWithTimeout {
+	return func(address string, timeout time.Duration) (net.Conn, error) {
+		if timeout <= 0 || timeout > config.Timeout {
+			timeout = config.Timeout
+		}
+		conn, err := net.DialTimeout("tcp", address, timeout)
+		if err != nil {
+			return nil, &dialError{cause: err}
+		}
+		conn = wrap(conn)
+		if !e.secure {
+			return conn, nil
+		}
+		secured, err := handshake(conn, config.TLS, e.host, timeout)
+		if err != nil {
+			_ = conn.Close()
+			return nil, &dialError{cause: err}
+		}
+		return secured, nil
+	}
+}
+
+// handshake puts TLS on a connection to the named host.
+func handshake(conn net.Conn, config *tls.Config, host string, timeout time.Duration) (net.Conn, error) {
+	if config == nil {
+		config = &tls.Config{}
+	}
+	config = config.Clone()
+	if config.ServerName == "" {
+		config.ServerName = host
 	}
-	return &checkedConn{Conn: conn}, nil
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	secured := tls.Client(conn, config)
+	return secured, secured.HandshakeContext(ctx)
 }
 
 // Read notes that the connection was used.
--- a/internal/berylplatform/endpoint.go
+++ b/internal/berylplatform/endpoint.go
@@ -1,6 +1,7 @@
 package berylplatform
 
 import (
+	"net"
 	"net/url"
 	"strings"
 	"sync"
@@ -19,15 +20,22 @@
 	idleConn = 10 * time.Second
 )
 
+// errBusy says that all connections to an endpoint were in use for as long as the call could wait.
+var errBusy = errors.New("all connections to the platform are in use")
+
 // errAnswerTooLarge says that an answer was over maxAnswerBytes.
 var errAnswerTooLarge = errors.New("platform answer too large")
 
 // endpoint is one base URL of the service.
 type endpoint struct {
 	base    string
+	host    string
 	address string
 	secure  bool
 	http    *fasthttp.HostClient
+	// slots holds one entry for each call under way; waiting here rather than for a connection keeps it certain that a
+	// call which waited in vain was not sent.
+	slots   chan struct{}
 	mu      sync.Mutex
 	breaker breaker
 }
@@ -58,10 +66,12 @@
 	}
 	e := &endpoint{
 		base:    strings.TrimSuffix(base, "/"),
+		host:    u.Hostname(),
 		address: fasthttp.AddMissingPort(u.Host, u.Scheme == "https"),
 		secure:  u.Scheme == "https",
+		slots:   make(chan struct{}, maxConns),
 	}
-	e.http = e.client(config, dialTCP)
+	e.http = e.client(config, e.dialer(config, func(c net.Conn) net.Conn { return &checkedConn{Conn: c} }))
 	return e, nil
 }
 
@@ -70,10 +80,8 @@
 	return &fasthttp.HostClient{
 		Addr:                     e.address,
 		IsTLS:                    e.secure,
-		TLSConfig:                config.TLS,
 		DialTimeout:              dial,
 		MaxConns:                 maxConns,
-		MaxConnWaitTimeout:       config.Timeout,
 		MaxIdleConnDuration:      idleConn,
 		MaxResponseBodySize:      maxAnswerBytes,
 		WriteTimeout:             config.Timeout,
@@ -84,6 +92,31 @@
 	}
 }
 
+// acquire waits until the deadline for a free connection.
+func (e *endpoint) acquire(deadline time.Time) bool {
+	wait := time.Until(deadline)
+	if wait <= 0 {
+		return false
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case e.slots <- struct{}{}:
+		if time.Until(deadline) > 0 {
+			return true
+		}
+		e.free()
+		return false
+	case <-timer.C:
+		return false
+	}
+}
+
+// free ends an acquire.
+func (e *endpoint) free() {
+	<-e.slots
+}
+
 // allow reports whether the endpoint's breaker lets a call go out.
 func (e *endpoint) allow(now time.Time) bool {
 	e.mu.Lock()
--- a/internal/berylplatform/lease.go
+++ b/internal/berylplatform/lease.go
@@ -25,9 +25,7 @@
 	ask := struct {
 		ID int64 `json:"ID,string"`
 	}{ID: id}
-	var answer struct {
-		Result wireLease `json:"result"`
-	}
+	var answer wireKeepAlive
 	fate, err := c.call(ctx, callKeepAlive, "/v3/lease/keepalive", ask, &answer)
 	lease := leaseOutcome(fate, err, id, answer.Result)
 	c.counters.count(callKeepAlive, lease.Status)
@@ -39,7 +37,7 @@
 	ask := struct {
 		ID int64 `json:"ID,string"`
 	}{ID: id}
-	var answer struct{}
+	var answer wireLease
 	fate, err := c.call(ctx, callRevoke, "/v3/lease/revoke", ask, &answer)
 	if fate == fateRefused && err == ErrLeaseGone {
 		fate = fateAnswered
@@ -49,11 +47,6 @@
 	return lease
 }
 
-// wireLease is the answer to a grant or keep-alive.
-type wireLease struct {
-	TTL int64 `json:"TTL,string"`
-}
-
 // leaseOutcome turns what is known about a lease call into its end; the gateway answers a keep-alive of a lease that is
 // gone with a zero time to live.
 func leaseOutcome(fate fate, err error, id int64, answer wireLease) Lease {
--- a/internal/berylplatform/watchstream.go
+++ b/internal/berylplatform/watchstream.go
@@ -66,9 +66,8 @@
 		if !e.allow(time.Now()) {
 			continue
 		}
-		if c.budget.wait(ctx, c.config.Timeout) != nil {
+		if c.spend(ctx, callWatch) != nil {
 			e.release()
-			c.counters.overBudget.Inc()
 			break
 		}
 		end, opened := w.follow(ctx, e)
@@ -88,18 +87,21 @@
 
 // follow opens a watch at an endpoint and reports its changes until it ends; opened says that the service took it.
 func (w *watch) follow(ctx context.Context, e *endpoint) (end watchEnd, opened bool) {
-	conn, err := net.DialTimeout("tcp", e.address, w.client.config.Timeout)
+	var limited *watchConn
+	dial := e.dialer(w.client.config, func(c net.Conn) net.Conn {
+		limited = &watchConn{Conn: c, silent: w.client.config.Timeout}
+		return limited
+	})
+	conn, err := dial(e.address, w.client.config.Timeout)
 	if err != nil {
 		return watchBroken, false
 	}
-	limited := &watchConn{Conn: conn, silent: w.client.config.Timeout}
-	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
-	defer func() { _ = conn.Close() }()
-	return w.exchange(e, limited)
+	defer context.AfterFunc(ctx, func() { _ = limited.Close() })()
+	return w.exchange(e, conn, limited)
 }
 
-// exchange sends the request for a watch over the connection and reads its messages.
-func (w *watch) exchange(e *endpoint, conn *watchConn) (end watchEnd, opened bool) {
+// exchange sends the request for a watch over the connection and reads its messages; limited is what conn is made on.
+func (w *watch) exchange(e *endpoint, conn net.Conn, limited *watchConn) (end watchEnd, opened bool) {
 	client := e.client(w.client.config, func(string, time.Duration) (net.Conn, error) { return conn, nil })
 	client.StreamResponseBody = true
 	client.MaxResponseBodySize = 0
@@ -108,7 +110,7 @@
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
-	defer func() { _ = conn.Close() }()
+	defer func() { _ = limited.Close() }()
 	request.SetRequestURI(e.base + "/v3/watch")
 	request.Header.SetMethod(fasthttp.MethodPost)
 	request.Header.SetContentType("application/json")
@@ -117,7 +119,7 @@
 	if client.Do(request, response) != nil || response.StatusCode() != fasthttp.StatusOK {
 		return watchBroken, false
 	}
-	return w.read(response, conn)
+	return w.read(response, limited)
 }
 
 // request is the body that asks for all changes after the last revision.
@@ -176,6 +178,7 @@
 func (w *watch) take(message wireWatchAnswer) (end watchEnd, over bool) {
 	restored := w.cluster != 0 && message.Header.ClusterID != w.cluster
 	w.cluster = message.Header.ClusterID
+	w.client.seen.note(message.Header, seenAt{})
 	switch {
 	case restored || message.CompactRevision > 0:
 		return watchStale, true
--- a/internal/berylplatform/wire.go
+++ b/internal/berylplatform/wire.go
@@ -6,6 +6,17 @@
 	Revision  int64  `json:"revision,string"`
 }
 
+// wireAnswer is the body of an answer; whole reports whether it has what the gateway always sends, so that an answer from
+// something else is not taken for one that says that nothing was done.
+type wireAnswer interface {
+	whole() bool
+}
+
+// whole implements wireAnswer for the answers that hold a header; revisions start at one.
+func (h wireHeader) whole() bool {
+	return h.Revision > 0
+}
+
 // wireRecord is a record as the gateway writes it.
 type wireRecord struct {
 	Key         []byte `json:"key"`
@@ -41,6 +52,11 @@
 	Lease int64  `json:"lease,string,omitempty"`
 }
 
+// whole implements wireAnswer.
+func (p wirePage) whole() bool {
+	return p.Header.whole()
+}
+
 // wireOp is one step of a transaction; exactly one field is set.
 type wireOp struct {
 	Put    *wirePut   `json:"request_put,omitempty"`
@@ -72,6 +88,32 @@
 	} `json:"responses"`
 }
 
+// whole implements wireAnswer: each branch has one step, and the step of the failure branch is a range.
+func (a wireTxnAnswer) whole() bool {
+	return a.Header.whole() && len(a.Responses) == 1 && (a.Succeeded || a.Responses[0].Range != nil)
+}
+
+// wireLease is the answer to a lease call.
+type wireLease struct {
+	Header wireHeader `json:"header"`
+	TTL    int64      `json:"TTL,string"`
+}
+
+// whole implements wireAnswer.
+func (l wireLease) whole() bool {
+	return l.Header.whole()
+}
+
+// wireKeepAlive is the answer to a keep-alive, which is one message of a stream.
+type wireKeepAlive struct {
+	Result wireLease `json:"result"`
+}
+
+// whole implements wireAnswer.
+func (k wireKeepAlive) whole() bool {
+	return k.Result.whole()
+}
+
 // prefixEnd returns the first key after all keys with the prefix, or a zero byte, which means to the end, when there is none.
 func prefixEnd(prefix string) []byte {
 	end := []byte(prefix)
