--- /dev/null
+++ b/internal/berylcall/bench_test.go
@@ -0,0 +1,220 @@
+package berylcall_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"berylroad.example/berylroad/internal/beryloutcome"
+)
+
+const benchEvents = 1000
+
+// streamServer answers every request with benchEvents events, each written to the socket on its own.
+func streamServer(b *testing.B) string {
+	b.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { l.Close() })
+	chunk, last := benchChunks()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serveStreams(c, chunk, last)
+		}
+	}()
+	return "http://" + l.Addr().String()
+}
+
+func benchChunks() (chunk, last []byte) {
+	const event = `data: {"id":"chatcmpl-bench","object":"chat.completion.chunk","created":0,"model":"m",` +
+		`"choices":[{"index":0,"delta":{"content":"token "},"finish_reason":null}]}` + "\n\n"
+	const done = "data: [DONE]\n\n"
+	chunk = fmt.Appendf(nil, "%x\r\n%s\r\n", len(event), event)
+	last = fmt.Appendf(nil, "%x\r\n%s\r\n0\r\n\r\n", len(done), done)
+	return chunk, last
+}
+
+func serveStreams(c net.Conn, chunk, last []byte) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		request, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		request.Body.Close()
+		c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"))
+		for range benchEvents {
+			c.Write(chunk)
+		}
+		c.Write(last)
+	}
+}
+
+const (
+	benchStreams = 200
+	benchRounds  = 100
+)
+
+// roundServer waits for benchStreams requests and then gives each stream one event in turn, so that a reader finds
+// one event each time it wakes.
+func roundServer(b *testing.B) string {
+	b.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { l.Close() })
+	conns := make(chan net.Conn, benchStreams)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conns <- c
+		}
+	}()
+	go func() {
+		for {
+			serveRounds(conns)
+		}
+	}()
+	return "http://" + l.Addr().String()
+}
+
+func serveRounds(conns <-chan net.Conn) {
+	chunk, last := benchChunks()
+	var streams []net.Conn
+	for range benchStreams {
+		c := <-conns
+		c.Read(make([]byte, 4096))
+		c.Write([]byte("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"))
+		streams = append(streams, c)
+	}
+	for range benchRounds {
+		for _, c := range streams {
+			c.Write(chunk)
+		}
+		time.Sleep(time.Millisecond)
+	}
+	for _, c := range streams {
+		c.Write(last)
+		c.Close()
+	}
+}
+
+// BenchmarkParallelStreams measures the processor time, the upstream's included, of each event where 200 streams get
+// their events one at a time.
+func BenchmarkParallelStreams(b *testing.B) {
+	f := newFleet(b)
+	f.add("a", roundServer(b), false)
+	used := processorTime(b)
+	events := 0
+	for b.Loop() {
+		var group sync.WaitGroup
+		for i := range benchStreams {
+			group.Go(func() {
+				result := f.Do(context.Background(), chat(fmt.Sprintf("bench-%d", i), true, benchRounds), discard{})
+				if result.Kind != beryloutcome.Answered {
+					b.Error(result.Refusal)
+				}
+			})
+		}
+		group.Wait()
+		events += benchStreams * benchRounds
+	}
+	used = processorTime(b) - used
+	b.ReportMetric(float64(events)/used.Seconds(), "events/cpu-s")
+}
+
+func processorTime(b *testing.B) time.Duration {
+	b.Helper()
+	var used syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &used); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(used.Utime.Nano() + used.Stime.Nano())
+}
+
+type discard struct{}
+
+func (discard) Start(int, string) error { return nil }
+
+func (discard) Write([]byte) error { return nil }
+
+// BenchmarkStreamEvents measures the events that pass from an upstream's socket to a sink; run it with -cpu 1 for one
+// core, which the upstream's writes then share.
+func BenchmarkStreamEvents(b *testing.B) {
+	f := newFleet(b)
+	f.add("a", streamServer(b), false)
+	req := chat("bench", true, benchEvents)
+	b.ReportAllocs()
+	events := 0
+	for b.Loop() {
+		result := f.Do(context.Background(), req, discard{})
+		if result.Kind != beryloutcome.Answered {
+			b.Fatal(result.Refusal)
+		}
+		events += result.Tokens
+	}
+	b.ReportMetric(float64(events)/b.Elapsed().Seconds(), "events/s")
+}
+
+// BenchmarkShortCall measures one plain call on a kept connection, the upstream's work included.
+func BenchmarkShortCall(b *testing.B) {
+	f := newFleet(b)
+	f.add("a", plainServer(b), false)
+	req := chat("bench", false, 1)
+	b.ReportAllocs()
+	for b.Loop() {
+		result := f.Do(context.Background(), req, discard{})
+		if result.Kind != beryloutcome.Answered {
+			b.Fatal(result.Refusal)
+		}
+	}
+}
+
+func plainServer(b *testing.B) string {
+	b.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go servePlain(c)
+		}
+	}()
+	return "http://" + l.Addr().String()
+}
+
+func servePlain(c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		request, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		request.Body.Close()
+		c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}"))
+	}
+}
--- a/internal/berylcall/policy.go
+++ b/internal/berylcall/policy.go
@@ -13,6 +13,8 @@
 	backoffMax  = time.Second
 	// comeBack is the Retry-After of a request that may be sent again.
 	comeBack = time.Second
+	// statusCancelled is the status in logs of a request whose caller has gone; no caller sees it.
+	statusCancelled = 499
 )
 
 // progress is what a request has come to over its upstream calls so far.
@@ -130,7 +132,7 @@
 	case endYielded:
 		return beryloutcome.Yielded
 	}
-	if !p.ran {
+	if !p.ran && !p.started {
 		return beryloutcome.NotRun
 	}
 	if p.failed(e) {
@@ -173,7 +175,7 @@
 			r.Status = http.StatusServiceUnavailable
 		}
 	case beryloutcome.Cancelled:
-		r.Status = 499
+		r.Status = statusCancelled
 		r.Code = beryloutcome.CodeCancelled
 		r.Message = "the request was cancelled"
 		return r
--- a/internal/berylcall/runner_test.go
+++ b/internal/berylcall/runner_test.go
@@ -114,6 +114,50 @@
 	is.Equal(e.Counts().Started, 10)
 }
 
+// TestUpstreamClosesOnSecondRequest has an upstream that closes a kept connection instead of answering on it again.
+func TestUpstreamClosesOnSecondRequest(t *testing.T) {
+	for _, tt := range []struct {
+		name       string
+		repeatable bool
+	}{
+		{name: "repeatable", repeatable: true},
+		{name: "not to be repeated"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer l.Close()
+			go answerOnceEach(l)
+			f := newFleet(t)
+			f.add("a", "http://"+l.Addr().String(), false)
+			for i := range 5 {
+				req := chat(fmt.Sprintf("call-%d", i), false, 1)
+				req.Repeatable = tt.repeatable
+				result := f.Do(context.Background(), req, &sink{})
+				is.Equal(result.Kind, beryloutcome.Answered)
+				is.Equal(result.Attempts, 1)
+			}
+		})
+	}
+}
+
+// answerOnceEach answers the first request of each connection and closes it at the second.
+func answerOnceEach(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer c.Close()
+			c.Read(make([]byte, 4096))
+			c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"))
+			c.Read(make([]byte, 4096))
+		}()
+	}
+}
+
 func TestYieldedStreamGoesOn(t *testing.T) {
 	for _, tt := range []struct {
 		name     string
--- a/internal/berylfake/engine_counts.go
+++ b/internal/berylfake/engine_counts.go
@@ -14,7 +14,7 @@
 type Tally struct {
 	// Started counts the runs begun.
 	Started int `json:"started"`
-	// Finished counts the runs whose whole answer was written.
+	// Finished counts the runs that came to their end.
 	Finished int `json:"finished"`
 	// Cancelled counts the runs that the client broke off.
 	Cancelled int `json:"cancelled"`
--- a/internal/berylfake/engine_exchange.go
+++ b/internal/berylfake/engine_exchange.go
@@ -75,6 +75,7 @@
 	return false
 }
 
+// end counts the run; a whole answer is counted before its last bytes leave, so that the client finds it counted.
 func (x *exchange) end(finished bool) {
 	x.run.end(finished, x.tokens)
 }
@@ -150,7 +151,12 @@
 		x.hijack("")
 		return
 	}
-	x.end(x.write(body, 0))
+	if x.fault.Mode == FaultDrip {
+		x.end(x.write(body, 0))
+		return
+	}
+	x.end(x.r.Context().Err() == nil)
+	x.w.Write(body)
 }
 
 // write sends bytes of the answer, one by one under a drip, and reports false when the client has gone.
@@ -202,8 +208,8 @@
 	if x.breakOff(p.tokens - p.from) {
 		return
 	}
-	_, err := x.w.Write([]byte("data: [DONE]\n\n"))
-	x.end(err == nil)
+	x.end(x.r.Context().Err() == nil)
+	x.w.Write([]byte("data: [DONE]\n\n"))
 }
 
 // breakOff acts out the faults that end a stream before the token with number i, and reports whether it has ended.
