sched: fresh loads, more owners tried, a yield sent to the wrong permit mended

Four faults, each found by a run: - go test -race: the outbox kept a pointer into the owner's list of actions, which the next event reuses, so a yield could name another permit. The action is copied. Ruled out: a new list for each event (allocations on each decision). - TestNoPermitIsLostForEver failed 5 of 30 runs: an ask was refused while the third owner had a free slot, since the first two were chosen by loads up to 25 ms old. Replies now describe loads at most 2 ms old, an ask waits at one owner not asked yet, and up to 6 owners may refuse before the caller is refused. 60 runs clean after. - TestAcquireReleaseAndRefuse failed once: an ask overtook the configuration in the duty's select. Configuration, ownership and lost hosts now go before any other event. - The reserve for online arrivals cost batch work more than the yields it saved. Chosen: 20 ms, rounded, which gave 55.3 and with the fresher loads 56.4 of the 60 that online work leaves.

Before and after of that load (go test -run TestCompareRouting -v ./internal/berylsched), p99 of short first tokens: owner 23.0 ms, local-least 551 ms, round-robin 1.72 s; without batch 22.0, 20.0, 20.0 ms. Two of 20 upstreams slowed tenfold in spells: 22.0 ms, 200 ms, 2.49 s.

--- a/internal/berylsched/baseline.go
+++ b/internal/berylsched/baseline.go
@@ -9,9 +9,9 @@
 // acquireAlone grants a permit without any owner: the two baselines know neither slots nor classes nor other hosts.
 func (s *Scheduler) acquireAlone(t *table, ask berylpermit.Ask) (*berylpermit.Permit, *beryloutcome.Refusal) {
 	ask.ID = s.nextID()
-	p := s.nextInTurn(t, &ask)
+	p := nextInTurn(t, &ask)
 	if t.routing == berylconf.RoutingLocalLeast {
-		p = s.leastLocal(t, &ask)
+		p = leastLocal(t, &ask)
 	}
 	if p == nil {
 		return nil, notRun(0)
@@ -24,7 +24,7 @@
 }
 
 // nextInTurn returns the target's upstreams one after the other.
-func (s *Scheduler) nextInTurn(t *table, ask *berylpermit.Ask) *place {
+func nextInTurn(t *table, ask *berylpermit.Ask) *place {
 	places := t.targets[ask.Target]
 	for i := range places {
 		p := places[(ask.ID.Seq+uint64(i))%uint64(len(places))]
@@ -36,14 +36,14 @@
 }
 
 // leastLocal returns the upstream with the fewest calls of this host for its slots.
-func (s *Scheduler) leastLocal(t *table, ask *berylpermit.Ask) *place {
+func leastLocal(t *table, ask *berylpermit.Ask) *place {
 	var best *place
 	var least float64
 	for _, p := range t.targets[ask.Target] {
 		if !allowed(p, ask) {
 			continue
 		}
-		load := float64(s.local.get(p.upstream)+1) / float64(p.slots)
+		load := float64(p.known.own.Load()+1) / float64(p.slots)
 		if best == nil || load < least {
 			best, least = p, load
 		}
--- a/internal/berylsched/bench_test.go
+++ b/internal/berylsched/bench_test.go
@@ -1,11 +1,14 @@
 package berylsched
 
 import (
+	"context"
 	"fmt"
 	"runtime"
+	"sync"
 	"testing"
 	"time"
 
+	"berylroad.example/berylroad/internal/berylconf"
 	"berylroad.example/berylroad/internal/beryloutcome"
 	"berylroad.example/berylroad/internal/berylpermit"
 )
@@ -99,6 +102,36 @@
 	}
 }
 
+// BenchmarkAcquire is one permit of the host's own owner through the broker and the duty, and its release.
+func BenchmarkAcquire(b *testing.B) {
+	for _, upstreams := range []int{60, 600} {
+		b.Run(fmt.Sprintf("upstreams=%d", upstreams), func(b *testing.B) {
+			var doc berylconf.Document
+			for i := range upstreams {
+				doc.Inventory.Upstreams = append(doc.Inventory.Upstreams, berylconf.Upstream{
+					Name: fmt.Sprint("upstream-", i), Models: []string{benchTarget(i)}, Slots: benchSlots,
+				})
+			}
+			s := New(Settings{Host: "entry-1", Boot: 1})
+			s.SetConfig(doc)
+			s.SetMembers([]Member{{Name: "entry-1", Boot: 1}})
+			ctx, cancel := context.WithCancel(context.Background())
+			var wg sync.WaitGroup
+			wg.Go(func() { s.Run(ctx) })
+			b.ReportAllocs()
+			for b.Loop() {
+				p, refusal := s.Acquire(ctx, berylpermit.Ask{Target: "model-0", Remaining: time.Minute, PrefixHash: 7})
+				if refusal != nil {
+					b.Fatal(refusal)
+				}
+				p.Release(berylpermit.Report{Kind: beryloutcome.Answered, Busy: time.Second})
+			}
+			cancel()
+			wg.Wait()
+		})
+	}
+}
+
 // BenchmarkTick is what the owner does forty times a second whatever happens.
 func BenchmarkTick(b *testing.B) {
 	o, now, _ := fullOwner(600, 1000)
--- a/internal/berylsched/books.go
+++ b/internal/berylsched/books.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"berylroad.example/berylroad/internal/berylpermit"
@@ -12,14 +13,15 @@
 	loadFresh = 2 * time.Second
 	// suspectFor is how long a host that did not answer is asked last.
 	suspectFor = time.Second
-	// maxBook is how many upstreams a load book knows.
-	maxBook = 8192
+	// noteEvery is the least time between two loads of one upstream that are stored.
+	noteEvery = 2 * time.Millisecond
 )
 
-// loadBook keeps what owners last said of their upstreams; the zero value is empty.
-type loadBook struct {
-	mu    sync.Mutex
-	known map[string]knownLoad
+// knowledge is what this host knows of one upstream; it outlives the tables.
+type knowledge struct {
+	load atomic.Pointer[knownLoad]
+	// own counts this host's own permits.
+	own atomic.Int64
 }
 
 type knownLoad struct {
@@ -27,45 +29,53 @@
 	at time.Time
 }
 
-// note stores loads that come from an owner's reply or from gossip.
-func (b *loadBook) note(now time.Time, loads []berylpermit.Load) {
-	if len(loads) == 0 {
-		return
+// fresh returns the load if it is worth using; an unknown upstream counts as free but for this host's own calls.
+func (p *place) fresh(now time.Time) berylpermit.Load {
+	if l := p.known.load.Load(); l != nil && now.Sub(l.at) < loadFresh {
+		return l.Load
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.known == nil {
-		b.known = make(map[string]knownLoad)
-	}
-	for _, l := range loads {
-		if _, ok := b.known[l.Upstream]; ok || len(b.known) < maxBook {
-			b.known[l.Upstream] = knownLoad{Load: l, at: now}
+	return berylpermit.Load{Upstream: p.upstream, Slots: p.slots, Online: int(p.known.own.Load())}
+}
+
+// note stores loads that come from an owner's reply or from gossip.
+func (t *table) note(now time.Time, loads []berylpermit.Load) {
+	for i := range loads {
+		p := t.places[loads[i].Upstream]
+		if p == nil {
+			continue
 		}
+		if l := p.known.load.Load(); l != nil && now.Sub(l.at) < noteEvery {
+			continue
+		}
+		p.known.load.Store(&knownLoad{Load: loads[i], at: now})
 	}
 }
 
 // bump counts a permit of this host until the owner's next word on the upstream.
-func (b *loadBook) bump(upstream string, class berylpermit.Class) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	l, ok := b.known[upstream]
-	if !ok {
+func (p *place) bump(class berylpermit.Class) {
+	old := p.known.load.Load()
+	if old == nil {
 		return
 	}
+	l := *old
 	if class == berylpermit.Batch {
 		l.Batch++
 	} else {
 		l.Online++
 	}
-	b.known[upstream] = l
+	p.known.load.CompareAndSwap(old, &l)
 }
 
-// get returns the load of an upstream, if it is fresh.
-func (b *loadBook) get(now time.Time, upstream string) (berylpermit.Load, bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	l, ok := b.known[upstream]
-	return l.Load, ok && now.Sub(l.at) < loadFresh
+// heard lists the fresh loads of the upstreams that other hosts own.
+func (t *table) heard(now time.Time, self string) []berylpermit.Load {
+	var loads []berylpermit.Load
+	for _, p := range t.places {
+		l := p.known.load.Load()
+		if l != nil && p.owner != self && now.Sub(l.at) < loadFresh {
+			loads = append(loads, l.Load)
+		}
+	}
+	return loads
 }
 
 // peerBook keeps when each host was last asked and which ones do not answer; the zero value is empty.
@@ -136,27 +146,3 @@
 	}
 	return hosts
 }
-
-// localCounts counts this host's own permits for each upstream; the zero value is empty.
-type localCounts struct {
-	mu    sync.Mutex
-	count map[string]int
-}
-
-func (c *localCounts) add(upstream string, n int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.count == nil {
-		c.count = make(map[string]int)
-	}
-	c.count[upstream] += n
-	if c.count[upstream] == 0 {
-		delete(c.count, upstream)
-	}
-}
-
-func (c *localCounts) get(upstream string) int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.count[upstream]
-}
--- a/internal/berylsched/broker.go
+++ b/internal/berylsched/broker.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -18,6 +19,8 @@
 	askTimeout = 250 * time.Millisecond
 	// firstTries is how many owners are asked before the ask waits at any.
 	firstTries = 2
+	// maxOwners is how many owners may refuse an ask before its caller is refused.
+	maxOwners = 6
 	// waitingPlaces is at how many owners one ask waits at once.
 	waitingPlaces = 2
 	// localAllowance is how many online permits a host takes for each upstream while it reaches no owner.
@@ -118,7 +121,7 @@
 	var reached []string
 	for i, host := range hosts {
 		if len(reached) == firstTries {
-			return nil, append(reached, hosts[i:]...)
+			return nil, waitingOrder(reached, hosts[i:])
 		}
 		if ctx.Err() != nil {
 			return nil, nil
@@ -137,6 +140,19 @@
 	return nil, reached
 }
 
+// waitingOrder lists where to wait: at an owner not asked yet, whose room may be better than it is known to be, and at
+// those that have answered; the others follow in case these refuse.
+func waitingOrder(reached, rest []string) []string {
+	var hosts []string
+	if len(rest) > 0 {
+		hosts = append(hosts, rest[0])
+		rest = rest[1:]
+	}
+	hosts = append(hosts, reached...)
+	hosts = append(hosts, rest...)
+	return hosts[:min(len(hosts), maxOwners)]
+}
+
 // next returns the ask under a new ID.
 func (a *acquisition) next(queue bool) berylpermit.Ask {
 	ask := a.ask
@@ -165,7 +181,7 @@
 		return v
 	}
 	s.peers.answered(host)
-	s.loads.note(time.Now(), v.reply.Loads)
+	s.table.Load().note(time.Now(), v.reply.Loads)
 	if v.reply.Verdict == berylpermit.NotOwner || v.reply.ID != ask.ID {
 		v.err = errNotOwner
 	}
@@ -177,7 +193,9 @@
 }
 
 func (a *acquisition) granted(v *verdict) *berylpermit.Permit {
-	a.loads.bump(v.reply.Upstream, v.ask.Class)
+	if p := a.table.Load().places[v.reply.Upstream]; p != nil {
+		p.bump(v.ask.Class)
+	}
 	return a.hold(&v.ask, v.reply.Upstream, v.host)
 }
 
@@ -197,7 +215,7 @@
 	first := rand.IntN(len(places) + 1)
 	for i := range places {
 		p := places[(first+i)%len(places)]
-		if p.leaving || p.slots == 0 || avoids(&a.ask, p.upstream) || a.local.get(p.upstream) >= localAllowance {
+		if !allowed(p, &a.ask) || p.known.own.Load() >= localAllowance {
 			continue
 		}
 		ask := a.next(false)
@@ -208,12 +226,7 @@
 }
 
 func avoids(ask *berylpermit.Ask, upstream string) bool {
-	for _, name := range ask.Avoid {
-		if name == upstream {
-			return true
-		}
-	}
-	return false
+	return len(ask.Avoid) > 0 && slices.Contains(ask.Avoid, upstream)
 }
 
 // pause waits a moment, or until the table changes.
--- a/internal/berylsched/broker_queue.go
+++ b/internal/berylsched/broker_queue.go
@@ -46,6 +46,7 @@
 			if v.err == nil {
 				a.noteRefusal(v.reply.Wait)
 				refused++
+				ask()
 				continue
 			}
 			a.counts.reasked.Inc()
--- /dev/null
+++ b/internal/berylsched/compare_test.go
@@ -0,0 +1,185 @@
+package berylsched_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/matryer/is"
+
+	"berylroad.example/berylroad/internal/berylconf"
+	"berylroad.example/berylroad/internal/beryloutcome"
+	"berylroad.example/berylroad/internal/berylpermit"
+	"berylroad.example/berylroad/internal/berylsched"
+)
+
+const (
+	compareUpstreams = 20
+	compareSlots     = 8
+	compareTime      = 40 * time.Second
+	compareWarm      = 10 * time.Second
+	firstToken       = 20 * time.Millisecond
+	shortBusy        = 200 * time.Millisecond
+	longBusy         = 5 * time.Second
+)
+
+// load is what a comparison sends: online arrivals a second, batch calls kept in flight, and slow upstreams.
+type load struct {
+	name         string
+	short, long  float64
+	batch        int
+	slowUpstream int
+}
+
+// engine admits calls as they come and queues the rest in order, without priorities.
+type engine struct {
+	slots chan struct{}
+	slow  func() float64
+}
+
+// call runs for a time, or until stop, and returns how long the first token took and whether it was whole.
+func (e *engine) call(busy time.Duration, stop <-chan struct{}) (time.Duration, bool) {
+	start := time.Now()
+	e.slots <- struct{}{}
+	defer func() { <-e.slots }()
+	factor := e.slow()
+	first := time.Since(start) + time.Duration(factor*float64(firstToken))
+	select {
+	case <-time.After(time.Duration(factor * float64(busy))):
+		return first, true
+	case <-stop:
+		time.Sleep(hop)
+		return first, false
+	}
+}
+
+// trial runs one load under one routing and gathers the first-token times of short calls.
+type trial struct {
+	fleet   *fleet
+	engines map[string]*engine
+	start   time.Time
+
+	mu      sync.Mutex
+	short   *hdrhistogram.Histogram
+	batch   int
+	yields  int
+	refused int
+}
+
+func newTrial(routing berylconf.Routing, l load) *trial {
+	doc := document(compareUpstreams, compareSlots)
+	doc.Rules.Routing = routing
+	r := &trial{fleet: newFleet(doc, names...), engines: map[string]*engine{}, start: time.Now()}
+	r.short = hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
+	for i, u := range doc.Inventory.Upstreams {
+		slow := func() float64 { return 1 }
+		if i < l.slowUpstream {
+			slow = func() float64 {
+				if time.Since(r.start)/(5*time.Second)%2 == 1 {
+					return 10
+				}
+				return 1
+			}
+		}
+		r.engines[u.Name] = &engine{slots: make(chan struct{}, compareSlots), slow: slow}
+	}
+	return r
+}
+
+func (r *trial) one(s *berylsched.Scheduler, class berylpermit.Class, long bool, busy time.Duration) {
+	ask := berylpermit.Ask{Target: "m", Class: class, Long: long, Remaining: time.Minute}
+	start := time.Now()
+	p, refusal := s.Acquire(context.Background(), ask)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if refusal != nil {
+		r.refused++
+		return
+	}
+	wait := time.Since(start)
+	r.mu.Unlock()
+	first, whole := r.engines[p.Upstream].call(busy, p.Yield)
+	report := berylpermit.Report{Kind: beryloutcome.Answered, FirstToken: first, Busy: time.Since(start) - wait}
+	if !whole {
+		report.Kind = beryloutcome.Yielded
+	}
+	p.Release(report)
+	r.mu.Lock()
+	switch {
+	case start.Sub(r.start) < compareWarm:
+	case class == berylpermit.Batch && whole:
+		r.batch++
+	case class == berylpermit.Batch:
+		r.yields++
+	case !long:
+		_ = r.short.RecordValue(int64((wait + first) / time.Microsecond))
+	}
+}
+
+// arrive starts online calls at random times until the trial ends.
+func (r *trial) arrive(wg *sync.WaitGroup, seed uint64, perSecond float64, long bool, busy time.Duration) {
+	if perSecond == 0 {
+		return
+	}
+	random := rand.New(rand.NewPCG(seed, 1))
+	wg.Go(func() {
+		for time.Since(r.start) < compareTime {
+			time.Sleep(time.Duration(random.ExpFloat64() / perSecond * float64(time.Second)))
+			host := names[random.IntN(len(names))]
+			lasts := time.Duration((0.5 + random.Float64()) * float64(busy))
+			wg.Go(func() { r.one(r.fleet.hosts[host], berylpermit.Online, long, lasts) })
+		}
+	})
+}
+
+func (r *trial) run(l load) {
+	defer r.fleet.stop()
+	time.Sleep(2 * time.Second)
+	var wg sync.WaitGroup
+	r.arrive(&wg, 1, l.short, false, shortBusy)
+	r.arrive(&wg, 2, l.long, true, longBusy)
+	for i := range l.batch {
+		wg.Go(func() {
+			for time.Since(r.start) < compareTime {
+				r.one(r.fleet.hosts[names[i%len(names)]], berylpermit.Batch, false, 2*time.Second)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// TestCompareRouting prints, with -v, what short online calls see under each routing; 160 slots serve every load.
+func TestCompareRouting(t *testing.T) {
+	loads := []load{
+		{name: "short alone", short: 200},
+		{name: "short and batch", short: 200, batch: 120},
+		{name: "short and long", short: 200, long: 18},
+		{name: "short, long and batch", short: 200, long: 8, batch: 120},
+		{name: "two slow upstreams", short: 200, slowUpstream: 2},
+	}
+	for _, l := range loads {
+		p99 := make(map[berylconf.Routing]time.Duration)
+		for _, routing := range []berylconf.Routing{berylconf.RoutingOwner, berylconf.RoutingLocalLeast, berylconf.RoutingRoundRobin} {
+			t.Run(fmt.Sprintf("%s/%s", l.name, routing), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					r := newTrial(routing, l)
+					r.run(l)
+					at := func(q float64) time.Duration {
+						return time.Duration(r.short.ValueAtQuantile(q)) * time.Microsecond
+					}
+					p99[routing] = at(99)
+					t.Logf("short first token p50 %v p99 %v max %v of %d; batch %.1f/s, %d yields, %d refused",
+						at(50), at(99), at(100), r.short.TotalCount(),
+						float64(r.batch)/(compareTime-compareWarm).Seconds(), r.yields, r.refused)
+				})
+			})
+		}
+		is := is.New(t)
+		is.True(p99[berylconf.RoutingOwner] <= 2*firstToken) // neither batch nor long nor slow work is waited for
+	}
+}
--- a/internal/berylsched/duty.go
+++ b/internal/berylsched/duty.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"berylroad.example/berylroad/internal/berylpermit"
@@ -12,6 +13,8 @@
 	ringSize = 4096
 	// tickEvery is the time between two ticks of the owner.
 	tickEvery = 25 * time.Millisecond
+	// shareEvery is the time between two exchanges of loads.
+	shareEvery = 250 * time.Millisecond
 	// pauseLimit is the gap between two events from which the process counts as having been paused.
 	pauseLimit = time.Second
 	// askRound is how long an owner keeps a waiting ask without an answer.
@@ -38,10 +41,13 @@
 	// pending holds where to send the reply of each ask that a handler waits for.
 	pending map[berylpermit.ID]chan berylpermit.Reply
 	ended   chan struct{}
+	// loads describes the owned upstreams for other hosts.
+	loads  atomic.Pointer[[]berylpermit.Load]
+	shared time.Time
 }
 
-func newDuty(s *Scheduler) duty {
-	return duty{
+func newDuty(s *Scheduler) *duty {
+	return &duty{
 		sched:   s,
 		ring:    make(chan command, ringSize),
 		urgent:  make(chan struct{}, 1),
@@ -65,7 +71,7 @@
 			next = d.orders.run
 		case next = <-d.ring:
 		case <-ticker.C:
-			next = (*Owner).Tick
+			next = d.tick
 		}
 		now := time.Now()
 		if now.Sub(last) > pauseLimit {
@@ -73,11 +79,23 @@
 			d.carry(d.owner.Paused(now))
 		}
 		last = now
+		d.carry(d.orders.run(&d.owner, now)) // these come before any ask that was sent after them
 		d.carry(next(&d.owner, now))
 		d.sched.counts.waiting.Store(int64(len(d.owner.waiting)))
 	}
 }
 
+// tick does what is due, and shares what owners know of their upstreams four times a second.
+func (d *duty) tick(o *Owner, now time.Time) []Action {
+	if now.Sub(d.shared) >= shareEvery {
+		d.shared = now
+		loads := o.Loads()
+		d.loads.Store(&loads)
+		o.PeerLoads(now, d.sched.table.Load().heard(now, d.sched.Host))
+	}
+	return o.Tick(now)
+}
+
 // command queues an event that must not be lost.
 func (d *duty) command(c command) {
 	d.orders.add(c)
@@ -106,7 +124,8 @@
 			d.answer(a.Reply)
 		case ActionYield:
 			d.sched.counts.yields.Inc()
-			d.sched.outbox.send(a.Yield.ID.Host, parcel{yield: &a.Yield})
+			y := a.Yield // the owner reuses its list of actions
+			d.sched.outbox.send(y.ID.Host, parcel{yield: &y})
 		}
 	}
 }
@@ -130,7 +149,7 @@
 	ask.Avoid = ask.Avoid[:min(len(ask.Avoid), maxNames)]
 	ask.Remaining = min(ask.Remaining, maxRemaining)
 	reply := make(chan berylpermit.Reply, 1)
-	d := &s.duty
+	d := s.duty
 	posted := d.post(func(o *Owner, now time.Time) []Action {
 		d.pending[ask.ID] = reply
 		return o.Ask(now, ask)
--- a/internal/berylsched/failure_test.go
+++ b/internal/berylsched/failure_test.go
@@ -70,7 +70,7 @@
 
 func TestOwnerFrozenWithAsksWaiting(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
+		is := is.NewRelaxed(t)
 		doc := document(8, 1)
 		f := newFleet(doc, names...)
 		defer f.stop()
@@ -116,6 +116,74 @@
 	})
 }
 
+// TestNoPermitIsLostForEver loses messages, moves ownership and freezes owners, and then counts the slots that are left.
+func TestNoPermitIsLostForEver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		f := newFleet(document(6, 2), names...)
+		defer f.stop()
+		f.setLoss(0.05)
+		var wg sync.WaitGroup
+		for i := range 30 {
+			s := f.hosts[names[i%3]]
+			class := berylpermit.Class(i / 15)
+			wg.Go(func() {
+				for range 60 {
+					p, refusal := s.Acquire(context.Background(), berylpermit.Ask{
+						Target: "m", Class: class, Remaining: 2 * time.Second,
+					})
+					is.True((p == nil) != (refusal == nil)) // one answer
+					if p == nil {
+						time.Sleep(refusal.RetryAfter)
+						continue
+					}
+					select {
+					case <-p.Yield:
+					case <-time.After(200 * time.Millisecond):
+					}
+					p.Release(berylpermit.Report{Kind: beryloutcome.Answered, Busy: 200 * time.Millisecond})
+				}
+			})
+		}
+		for i := range 12 {
+			name := names[i%3]
+			f.setMembers(others(name)...)
+			time.Sleep(700 * time.Millisecond)
+			f.setMembers(names...)
+			f.freeze(name, true)
+			time.Sleep(700 * time.Millisecond)
+			f.freeze(name, false)
+		}
+		wg.Wait()
+		f.setLoss(0)
+		time.Sleep(20 * time.Second)
+		ask := berylpermit.Ask{Target: "m", Remaining: 200 * time.Millisecond}
+		for range 12 {
+			_, refusal := f.hosts["h1"].Acquire(context.Background(), ask)
+			is.Equal(refusal, nil) // every slot is free again
+		}
+		_, refusal := f.hosts["h1"].Acquire(context.Background(), ask)
+		is.True(refusal != nil) // and none is given twice
+	})
+}
+
+func TestLongHeldPermitIsNotGivenTwice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(document(1, 1), names...)
+		defer f.stop()
+		_, refusal := f.hosts["h1"].Acquire(context.Background(), berylpermit.Ask{Target: "m", Remaining: time.Minute})
+		is.Equal(refusal, nil)
+		time.Sleep(time.Minute)
+		for _, members := range [][]string{names, others(berylsched.RendezvousOwner("u1", names)), names} {
+			_, refusal = f.hosts[members[0]].Acquire(context.Background(), berylpermit.Ask{Target: "m", Remaining: time.Second})
+			is.True(refusal != nil)
+			f.setMembers(members...)
+			time.Sleep(time.Second)
+		}
+	})
+}
+
 func TestCallerGoesWhileWaiting(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/berylsched/fleet_test.go
+++ b/internal/berylsched/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -26,12 +27,16 @@
 	hosts  map[string]*berylsched.Scheduler
 	gone   map[string]bool
 	frozen map[string]bool
+	// loss is the share of messages that the network loses, drawn from random.
+	loss   float64
+	random *rand.Rand
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 }
 
 func newFleet(doc berylconf.Document, names ...string) *fleet {
 	f := &fleet{hosts: map[string]*berylsched.Scheduler{}, gone: map[string]bool{}, frozen: map[string]bool{}}
+	f.random = rand.New(rand.NewPCG(1, 2))
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
 	log := logrus.New()
@@ -56,6 +61,12 @@
 	}
 }
 
+func (f *fleet) setLoss(loss float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.loss = loss
+}
+
 func (f *fleet) stop() {
 	f.cancel()
 	f.wg.Wait()
@@ -79,7 +90,7 @@
 	time.Sleep(hop)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.gone[to] || f.gone[from] {
+	if f.gone[to] || f.gone[from] || f.random.Float64() < f.loss {
 		return nil, errGone
 	}
 	if f.frozen[to] {
--- a/internal/berylsched/held.go
+++ b/internal/berylsched/held.go
@@ -20,6 +20,7 @@
 	berylpermit.HeldPermit
 	// owner is the host that granted it, or empty when this host took it without an owner.
 	owner string
+	known *knowledge
 	since time.Time
 	stop  chan struct{}
 	once  sync.Once
@@ -79,7 +80,8 @@
 	h := &hold{owner: owner, since: time.Now(), stop: make(chan struct{})}
 	h.HeldPermit = berylpermit.HeldPermit{ID: ask.ID, Upstream: upstream, Class: ask.Class, Long: ask.Long}
 	s.holds.add(h)
-	s.local.add(upstream, 1)
+	h.known = s.table.Load().knowledge(upstream)
+	h.known.own.Add(1)
 	return &berylpermit.Permit{
 		ID:       ask.ID,
 		Upstream: upstream,
@@ -94,7 +96,7 @@
 	if !s.holds.remove(h.ID) {
 		return
 	}
-	s.local.add(h.Upstream, -1)
+	h.known.own.Add(-1)
 	r := berylpermit.Release{ID: h.ID, Upstream: h.Upstream, Report: report}
 	if h.owner != "" {
 		s.outbox.send(h.owner, parcel{release: &r})
--- a/internal/berylsched/owner.go
+++ b/internal/berylsched/owner.go
@@ -262,7 +262,7 @@
 	*p = permit{id: ask.ID, up: u, class: ask.Class, long: ask.Long, since: now, seen: now}
 	o.count(p)
 	u.health.granted(p)
-	o.replyGranted(p, t.loads)
+	o.replyGranted(p, t.words(now))
 }
 
 func (o *Owner) replyGranted(p *permit, loads []berylpermit.Load) {
@@ -276,7 +276,7 @@
 }
 
 func (o *Owner) refuse(t *target, id berylpermit.ID, wait time.Duration) {
-	o.reply(berylpermit.Reply{ID: id, Verdict: berylpermit.Refused, Wait: wait, Loads: t.loads})
+	o.reply(berylpermit.Reply{ID: id, Verdict: berylpermit.Refused, Wait: wait, Loads: t.words(o.now)})
 }
 
 func (o *Owner) reply(r berylpermit.Reply) {
--- a/internal/berylsched/pace.go
+++ b/internal/berylsched/pace.go
@@ -9,15 +9,15 @@
 
 const (
 	// reserveWindow is the span of online arrivals for which batch work leaves slots idle.
-	reserveWindow = 100 * time.Millisecond
-	// reserveLeast is the number of arrivals expected in the window below which nothing is kept idle.
-	reserveLeast = 0.05
+	reserveWindow = 20 * time.Millisecond
 	// arrivalMemory is the time constant of the arrival rate.
 	arrivalMemory = 2 * time.Second
 	// askLease is how long a waiting ask lives without being sent again.
 	askLease = 4 * time.Second
 	// unknownBusy stands for the busy time of calls before any has ended.
 	unknownBusy = 100 * time.Millisecond
+	// describeEvery is the least time between two descriptions of the loads for replies.
+	describeEvery = 2 * time.Millisecond
 	// longestWait bounds predicted waits.
 	longestWait = time.Hour
 )
@@ -43,10 +43,7 @@
 // reserve is how many slots batch work leaves idle for the online requests of the next moment.
 func (t *target) reserve(now time.Time) int {
 	expected := t.arrivals.value(now) * reserveWindow.Seconds()
-	if expected < reserveLeast {
-		return 0
-	}
-	return min(int(math.Ceil(expected)), t.pace.slots/4)
+	return min(int(math.Round(expected)), t.pace.slots/4)
 }
 
 // idle counts the free slots of the target.
@@ -114,7 +111,6 @@
 		p.perSecond[batchWork] += float64(slots) / p.busy[batchWork].Seconds()
 	}
 	t.pace = p
-	t.describe(now)
 }
 
 // meanBusy returns the busy time of each kind over the target's upstreams.
@@ -137,15 +133,19 @@
 	return busy
 }
 
-// describe rebuilds the loads that replies carry; a new slice each time since replies still hold the old one.
-func (t *target) describe(now time.Time) {
-	t.loads = make([]berylpermit.Load, 0, min(len(t.ups), maxLoads))
-	for _, u := range t.ups {
-		if len(t.loads) == maxLoads {
-			return
-		}
-		t.loads = append(t.loads, u.load(now, t))
+// words returns the loads that replies carry: up to maxLoads upstreams, others each time where there are more.
+func (t *target) words(now time.Time) []berylpermit.Load {
+	if t.loads != nil && now.Sub(t.described) < describeEvery {
+		return t.loads
+	}
+	t.described = now
+	n := min(len(t.ups), maxLoads)
+	t.loads = make([]berylpermit.Load, 0, n) // earlier replies still hold the old one
+	for range n {
+		t.nextWord = (t.nextWord + 1) % len(t.ups)
+		t.loads = append(t.loads, t.ups[t.nextWord].load(now, t))
 	}
+	return t.loads
 }
 
 // load describes the upstream as one of the target's.
--- a/internal/berylsched/route.go
+++ b/internal/berylsched/route.go
@@ -20,61 +20,56 @@
 	host string
 	// room is the share of its slots that are free for the class, by what is known.
 	room float64
-	// preferred marks the owner of an upstream that holds the prompt's prefix.
+	// preferred marks the owner of the upstream that holds the prompt's prefix.
 	preferred bool
-	order     int
+	// tie orders equal candidates at random, so that hosts with the same knowledge do not all ask the same owner.
+	tie uint32
 }
 
 // route lists the owners to ask, best first, and sets the upstreams that the ask prefers. It leaves out the hosts that
 // did not answer a moment ago.
 func (s *Scheduler) route(now time.Time, t *table, ask *berylpermit.Ask) []string {
-	places := t.targets[ask.Target]
-	prefer := s.affine(now, places, ask)
-	if len(prefer) > 0 {
-		ask.Prefer = prefer
+	shares := t.shares[ask.Target]
+	first := ""
+	if best := affine(now, shares, ask); len(best) > 0 {
+		first = best[0].owner
+		ask.Prefer = ask.Prefer[:0:0]
+		for _, p := range best {
+			ask.Prefer = append(ask.Prefer, p.upstream)
+		}
+	}
+	list := make([]candidate, 0, len(shares))
+	for _, sh := range shares {
+		if s.peers.suspected(now, sh.host) {
+			continue
+		}
+		c := candidate{host: sh.host, tie: rand.Uint32(), room: sh.room(now, ask)}
+		c.preferred = sh.host == first && c.room > 0
+		list = append(list, c)
 	}
-	list := s.candidates(now, places, ask)
 	slices.SortFunc(list, compareCandidates)
-	hosts := make([]string, 0, len(list))
-	for _, c := range list {
-		hosts = append(hosts, c.host)
+	hosts := make([]string, len(list))
+	for i, c := range list {
+		hosts[i] = c.host
 	}
 	return hosts
 }
 
-// candidates gathers the owners of the usable upstreams of a target.
-func (s *Scheduler) candidates(now time.Time, places []*place, ask *berylpermit.Ask) []candidate {
-	var list []candidate
-	slots := make(map[string]int)
-	used := make(map[string]int)
-	for _, p := range places {
-		if p.leaving || p.owner == "" || avoids(ask, p.upstream) || s.peers.suspected(now, p.owner) {
+// room returns which share of the owner's slots work of the ask's class can have.
+func (sh *share) room(now time.Time, ask *berylpermit.Ask) float64 {
+	slots, used := 0, 0
+	for _, p := range sh.places {
+		if avoids(ask, p.upstream) {
 			continue
 		}
-		if _, ok := slots[p.owner]; !ok {
-			list = append(list, candidate{host: p.owner, order: rand.Int()})
-		}
-		l := s.loadOf(now, p)
-		slots[p.owner] += l.Slots
-		used[p.owner] += min(usedSlots(&l, ask.Class), l.Slots)
-	}
-	for i := range list {
-		c := &list[i]
-		if slots[c.host] > 0 {
-			c.room = 1 - float64(used[c.host])/float64(slots[c.host])
-		}
-		c.preferred = len(ask.Prefer) > 0 && c.room > 0 && ownerOf(places, ask.Prefer[0]) == c.host
+		l := p.fresh(now)
+		slots += l.Slots
+		used += min(usedSlots(&l, ask.Class), l.Slots)
 	}
-	return list
-}
-
-func ownerOf(places []*place, upstream string) string {
-	for _, p := range places {
-		if p.upstream == upstream {
-			return p.owner
-		}
+	if slots == 0 {
+		return 0
 	}
-	return ""
+	return 1 - float64(used)/float64(slots)
 }
 
 // usedSlots counts the slots that work of the class cannot have.
@@ -96,7 +91,7 @@
 	if a.room != b.room {
 		return order(a.room > b.room)
 	}
-	return a.order - b.order
+	return order(a.tie < b.tie)
 }
 
 func order(first bool) int {
@@ -106,43 +101,34 @@
 	return 1
 }
 
-// loadOf returns what is known of an upstream; an unknown one counts as free but for this host's own calls.
-func (s *Scheduler) loadOf(now time.Time, p *place) berylpermit.Load {
-	if l, ok := s.loads.get(now, p.upstream); ok {
-		return l
-	}
-	return berylpermit.Load{Upstream: p.upstream, Slots: p.slots, Online: s.local.get(p.upstream)}
-}
-
-// affine returns the upstreams that share the ask's prefix, the one to try first in front, bounded by load.
-func (s *Scheduler) affine(now time.Time, places []*place, ask *berylpermit.Ask) []string {
+// affine returns the upstreams that share the ask's prefix, the one to try first in front, but none that is far fuller
+// than the others.
+func affine(now time.Time, shares []share, ask *berylpermit.Ask) []*place {
 	if ask.PrefixHash == 0 {
 		return nil
 	}
 	var best [affinityUpstreams]*place
 	var weights [affinityUpstreams]uint64
 	online, slots := 0, 0
-	for _, p := range places {
-		l := s.loadOf(now, p)
-		if p.leaving || p.owner == "" || l.Straggler || avoids(ask, p.upstream) {
-			continue
+	for _, sh := range shares {
+		for _, p := range sh.places {
+			l := p.fresh(now)
+			if l.Straggler || avoids(ask, p.upstream) {
+				continue
+			}
+			online += l.Online
+			slots += l.Slots
+			rankIn(best[:], weights[:], p, mix(p.hash^ask.PrefixHash))
 		}
-		online += l.Online
-		slots += l.Slots
-		rankIn(best[:], weights[:], p, mix(p.hash^ask.PrefixHash))
 	}
 	mean := float64(online+1) / float64(max(slots, 1))
-	var names []string
-	for _, p := range best {
+	return slices.DeleteFunc(best[:], func(p *place) bool {
 		if p == nil {
-			break
+			return true
 		}
-		l := s.loadOf(now, p)
-		if float64(l.Online) < max(affinityBound*mean*float64(l.Slots), 1) {
-			names = append(names, p.upstream)
-		}
-	}
-	return names
+		l := p.fresh(now)
+		return float64(l.Online) >= max(affinityBound*mean*float64(l.Slots), 1)
+	})
 }
 
 // rankIn keeps the places with the highest weights, in order.
--- a/internal/berylsched/scheduler.go
+++ b/internal/berylsched/scheduler.go
@@ -48,13 +48,11 @@
 // Scheduler is one host's part in scheduling: the owner of some upstreams, and the broker for the host's own requests.
 type Scheduler struct {
 	Settings
-	duty   duty
+	duty   *duty
 	outbox outbox
 	holds  holds
 	counts counts
-	loads  loadBook
 	peers  peerBook
-	local  localCounts
 	table  atomic.Pointer[table]
 	seq    atomic.Uint64
 
@@ -79,7 +77,7 @@
 	s.counts = newCounts(s.Metrics)
 	s.duty = newDuty(s)
 	s.outbox = newOutbox(s)
-	s.table.Store(newTable(berylconf.Document{}, nil, s.Owner))
+	s.table.Store(newTable(berylconf.Document{}, nil, s.Owner, nil))
 	return s
 }
 
@@ -127,13 +125,27 @@
 
 // install publishes a new table; the caller holds mu.
 func (s *Scheduler) install() {
-	next := newTable(s.doc, s.members, s.Owner)
+	last := s.table.Load()
+	next := newTable(s.doc, s.members, s.Owner, last)
 	owned := next.ownedBy(s.Host)
 	s.duty.command(func(o *Owner, now time.Time) []Action { return o.Owned(now, owned) })
-	last := s.table.Swap(next)
+	s.table.Store(next)
 	close(last.stale)
 }
 
+// Loads describes the upstreams that this host owns, as of a moment ago, for other hosts.
+func (s *Scheduler) Loads() []berylpermit.Load {
+	if loads := s.duty.loads.Load(); loads != nil {
+		return *loads
+	}
+	return nil
+}
+
+// NoteLoads takes what other hosts say of the upstreams that they own.
+func (s *Scheduler) NoteLoads(loads []berylpermit.Load) {
+	s.table.Load().note(time.Now(), loads)
+}
+
 func ownerConfig(doc berylconf.Document) Config {
 	leaving := make(map[string]bool, len(doc.Rules.Leaving))
 	for _, name := range doc.Rules.Leaving {
--- a/internal/berylsched/table.go
+++ b/internal/berylsched/table.go
@@ -54,12 +54,20 @@
 	owner    string
 	slots    int
 	leaving  bool
+	known    *knowledge
+}
+
+// share is an owner with those of a target's upstreams that may get new work.
+type share struct {
+	host   string
+	places []*place
 }
 
 // table is what a host believes about who owns what; it is never changed once published.
 type table struct {
 	places  map[string]*place
 	targets map[string][]*place
+	shares  map[string][]share
 	members map[string]Member
 	routing berylconf.Routing
 	timeout time.Duration
@@ -68,10 +76,12 @@
 }
 
 // newTable places every upstream on a live host of its region, or on any live host when its region has none.
-func newTable(doc berylconf.Document, members []Member, owner OwnerFunc) *table {
+// What is known of the upstreams is taken over from the last table.
+func newTable(doc berylconf.Document, members []Member, owner OwnerFunc, last *table) *table {
 	t := &table{
 		places:  make(map[string]*place, len(doc.Inventory.Upstreams)),
 		targets: make(map[string][]*place),
+		shares:  make(map[string][]share),
 		members: make(map[string]Member, len(members)),
 		stale:   make(chan struct{}),
 		routing: doc.Rules.Routing,
@@ -86,7 +96,7 @@
 		if len(hosts) == 0 {
 			hosts = all
 		}
-		p := &place{upstream: u.Name, hash: xxhash.Sum64String(u.Name), slots: u.Slots}
+		p := &place{upstream: u.Name, hash: xxhash.Sum64String(u.Name), slots: u.Slots, known: last.knowledge(u.Name)}
 		p.leaving = slices.Contains(doc.Rules.Leaving, u.Name)
 		if len(hosts) > 0 {
 			p.owner = owner(u.Name, hosts)
@@ -94,11 +104,35 @@
 		t.places[u.Name] = p
 		for _, name := range u.Targets() {
 			t.targets[name] = append(t.targets[name], p)
+			t.addShare(name, p)
 		}
 	}
 	return t
 }
 
+// knowledge returns what a table, which may be nil, knows of an upstream.
+func (t *table) knowledge(upstream string) *knowledge {
+	if t != nil && t.places[upstream] != nil {
+		return t.places[upstream].known
+	}
+	return new(knowledge)
+}
+
+// addShare lists an upstream under its owner, if it may get new work.
+func (t *table) addShare(target string, p *place) {
+	if p.leaving || p.owner == "" || p.slots <= 0 {
+		return
+	}
+	shares := t.shares[target]
+	i := slices.IndexFunc(shares, func(s share) bool { return s.host == p.owner })
+	if i < 0 {
+		i = len(shares)
+		shares = append(shares, share{host: p.owner})
+	}
+	shares[i].places = append(shares[i].places, p)
+	t.shares[target] = shares
+}
+
 // hostsByRegion lists the hosts that may own upstreams; when all are leaving, all may.
 func hostsByRegion(doc berylconf.Document, members []Member) (map[string][]string, []string) {
 	region := make(map[string]string, len(doc.Inventory.Hosts))
--- a/internal/berylsched/upstream.go
+++ b/internal/berylsched/upstream.go
@@ -62,10 +62,13 @@
 	// queues hold the waiting asks by kind of work.
 	queues   [kinds]queue
 	arrivals rate
-	loads    []berylpermit.Load
-	pace     pace
-	norm     norm
-	judged   time.Time
+	// loads is what replies carry, described again now and then from the upstream nextWord on.
+	loads     []berylpermit.Load
+	described time.Time
+	nextWord  int
+	pace      pace
+	norm      norm
+	judged    time.Time
 	// firsts and gaps are kept from one judgement to the next to save allocations.
 	firsts []time.Duration
 	gaps   []time.Duration
