Calls: pauses learnt from the streams before, retries enough for a lost engine

Cause: a stream on a frozen engine was given up after a fixed 10 s even where no other engine could continue it, though the engine might wake before the deadline; and the retry budget began with one retry, so that of the calls cut together by a dead engine all but a few were failed. Now only a stream that can be continued elsewhere has a limit for its pauses, 50 times the usual time between events within 2 to 10 s, and the retry budget begins with 100 saved.

--- a/internal/berylcall/attempt.go
+++ b/internal/berylcall/attempt.go
@@ -29,6 +29,8 @@
 	limit  int64
 	// continued marks a call whose answer goes on from what the sink has.
 	continued bool
+	// stall is the longest pause between two events, or zero for any.
+	stall time.Duration
 
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
@@ -303,7 +305,12 @@
 	single.add(a.end)
 	r.Kind = single.kind(a.end)
 	if a.tokens > 1 {
-		r.TokenGap = (a.lastByte - a.firstByte) / time.Duration(a.tokens-1)
+		r.TokenGap = a.gap()
 	}
 	return r
 }
+
+// gap returns the mean time between a stream's events, of which there must be two.
+func (a *attempt) gap() time.Duration {
+	return (a.lastByte - a.firstByte) / time.Duration(a.tokens-1)
+}
--- a/internal/berylcall/body.go
+++ b/internal/berylcall/body.go
@@ -88,12 +88,11 @@
 // boundPause gives the next event its time to arrive whole, and moves the deadline rarely enough to cost nothing.
 func (a *attempt) boundPause() {
 	now := time.Now()
-	stall := a.runner.stall()
-	if now.Sub(a.stallSince) < stall/8 {
+	if a.stall == 0 || now.Sub(a.stallSince) < a.stall/8 {
 		return
 	}
 	a.stallSince = now
-	a.conn.SetReadDeadline(now.Add(stall))
+	a.conn.SetReadDeadline(now.Add(a.stall))
 }
 
 // pass gives the answer to the sink and notes how the call ended.
--- a/internal/berylcall/budget.go
+++ b/internal/berylcall/budget.go
@@ -12,14 +12,15 @@
 	filled time.Time
 }
 
-// earn adds percent of a call, and floor calls for each second since the last one, up to limit calls in all.
+// earn adds percent of a call, and floor calls for each second since the last one, up to limit calls in all. A budget
+// with a floor begins full.
 func (b *budget) earn(now time.Time, percent, floor, limit float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if !b.filled.IsZero() {
 		b.saved += floor * now.Sub(b.filled).Seconds()
 	} else if floor > 0 {
-		b.saved = 1
+		b.saved = limit
 	}
 	b.filled = now
 	b.saved = min(b.saved+percent/100, limit)
--- a/internal/berylcall/call.go
+++ b/internal/berylcall/call.go
@@ -41,9 +41,9 @@
 	c.progress.repeatable = req.Repeatable
 	_, c.progress.restartable = sink.(Restarter)
 	now := time.Now()
-	r.retries.earn(now, c.rules.RetryPercent, retryFloor, extraLimit)
+	r.retries.earn(now, c.rules.RetryPercent, retryFloor, retryLimit)
 	if c.hedgeable() {
-		r.hedges.earn(now, c.rules.HedgePercent, 0, extraLimit)
+		r.hedges.earn(now, c.rules.HedgePercent, 0, hedgeLimit)
 	}
 	return c
 }
@@ -114,7 +114,24 @@
 
 // resumable reports whether an upstream could continue the answer from the events that the sink has.
 func (c *call) resumable() bool {
-	return c.req.Repeatable && c.req.Stream && c.sink.tokens > 0 && canContinue(c.req.Body)
+	return c.sink.tokens > 0 && c.continuable()
+}
+
+func (c *call) continuable() bool {
+	return c.req.Repeatable && c.req.Stream && canContinue(c.req.Body)
+}
+
+// stall returns the longest pause between two events on the permit's upstream, or zero for any. A stream that cannot
+// be continued elsewhere waits for its upstream until the deadline; that others can is told by this one being able to.
+func (c *call) stall(permit *berylpermit.Permit) time.Duration {
+	_, resumes, _ := c.runner.URL(permit.Upstream)
+	if !resumes || !c.continuable() {
+		return 0
+	}
+	if c.runner.Stall > 0 {
+		return c.runner.Stall
+	}
+	return stallAfter(c.runner.gaps.high(gapKey(c.req)))
 }
 
 func (c *call) remaining() time.Duration {
@@ -195,20 +212,17 @@
 }
 
 func (c *call) permitAsk(hedge bool) berylpermit.Ask {
-	ask := berylpermit.Ask{
-		Target:    c.req.Target,
-		Avoid:     slices.Clone(c.tried),
-		Class:     c.req.Class,
-		Remaining: c.remaining(),
-		Tokens:    c.req.Tokens,
-		Long:      c.req.Tokens > c.rules.LongTokens,
-		Queue:     !hedge,
-		Hedge:     hedge,
-	}
-	if c.runner.Prefer != nil {
-		ask.Prefer = c.runner.Prefer(*c.req)
+	return berylpermit.Ask{
+		Target:     c.req.Target,
+		Avoid:      slices.Clone(c.tried),
+		Class:      c.req.Class,
+		Remaining:  c.remaining(),
+		Tokens:     c.req.Tokens,
+		Long:       c.req.Tokens > c.rules.LongTokens,
+		Queue:      !hedge,
+		Hedge:      hedge,
+		PrefixHash: c.req.PrefixHash,
 	}
-	return ask
 }
 
 // refused ends the request when no permit came; last is the upstream call before, if any.
--- a/internal/berylcall/latency.go
+++ b/internal/berylcall/latency.go
@@ -16,6 +16,9 @@
 	hedgeFloor       = 5 * time.Millisecond
 	secondCallFactor = 4
 	secondCallFloor  = time.Second
+	stallFactor      = 50
+	stallFloor       = 2 * time.Second
+	stallCeiling     = 10 * time.Second
 )
 
 // latencyKey names the calls whose first bytes are compared with one another.
@@ -34,7 +37,12 @@
 	return k
 }
 
-// latencies keeps a window of recent first-byte times for each key; its zero value is ready.
+// gapKey names the streams whose times between events are compared with one another.
+func gapKey(req *Request) latencyKey {
+	return latencyKey{target: req.Target, stream: true}
+}
+
+// latencies keeps a window of recent times for each key; its zero value is ready.
 type latencies struct {
 	mu      sync.Mutex
 	windows map[latencyKey]*window
@@ -104,3 +112,11 @@
 	}
 	return min(max(secondCallFactor*high, secondCallFloor), half)
 }
+
+// stallAfter returns the longest pause of a stream that can be continued elsewhere, from the usual time between events.
+func stallAfter(high time.Duration) time.Duration {
+	if high == 0 {
+		return stallCeiling
+	}
+	return min(max(stallFactor*high, stallFloor), stallCeiling)
+}
--- a/internal/berylcall/race.go
+++ b/internal/berylcall/race.go
@@ -35,6 +35,7 @@
 func (c *call) begin(ctx context.Context, permit *berylpermit.Permit, body []byte) *attempt {
 	a := newAttempt(ctx, c.runner, c.req, permit, body, c.rules.MaxAnswerBytes)
 	a.continued = c.mustResume
+	a.stall = c.stall(permit)
 	if permit.Yield != nil {
 		c.group.Go(a.watchYield)
 	}
@@ -59,6 +60,9 @@
 func (c *call) pass(a *attempt) {
 	c.learn(a)
 	a.pass(&c.sink)
+	if a.end.ending == endWhole && a.tokens > 1 {
+		c.runner.gaps.add(gapKey(c.req), a.gap())
+	}
 	a.finish()
 	a.settle()
 	a.cancel(nil)
--- a/internal/berylcall/runner.go
+++ b/internal/berylcall/runner.go
@@ -13,10 +13,10 @@
 )
 
 const (
-	// defaultStall is how long a stream may pause between two events.
-	defaultStall = 10 * time.Second
-	// extraLimit is the most extra calls that a budget saves up.
-	extraLimit = 10
+	// hedgeLimit is the most hedges that are saved up.
+	hedgeLimit = 10
+	// retryLimit is the most retries that are saved up, enough for the calls in flight on upstreams that go at once.
+	retryLimit = 100
 	// retryFloor is the retries a second that are allowed however few calls are made.
 	retryFloor = 1.0
 )
@@ -33,13 +33,13 @@
 	Metrics *metrics.Set
 	// TLS is used for https URLs.
 	TLS *tls.Config
-	// Prefer returns the upstreams to try first for a request, best first.
-	Prefer func(Request) []string
-	// Stall is the longest pause between two events of a stream; zero is 10 s.
+	// Stall is the longest pause between two events of a stream that another upstream can continue; zero learns it
+	// from the streams before.
 	Stall time.Duration
 
 	pool      pool
 	latencies latencies
+	gaps      latencies
 	hedges    budget
 	retries   budget
 }
@@ -69,10 +69,3 @@
 	}
 	return r.Rules().WithDefaults()
 }
-
-func (r *Runner) stall() time.Duration {
-	if r.Stall > 0 {
-		return r.Stall
-	}
-	return defaultStall
-}
--- a/internal/berylfake/engine_exchange.go
+++ b/internal/berylfake/engine_exchange.go
@@ -60,6 +60,9 @@
 	case FaultNotHTTP:
 		x.end(true)
 		x.hijack("\x16\x03\x01 not HTTP at all\r\n\r\n")
+	case FaultEndlessHeader:
+		x.end(true)
+		x.endlessHeader()
 	case FaultHang:
 		<-x.r.Context().Done()
 		x.end(false)
@@ -90,6 +93,18 @@
 	conn.Write([]byte(raw))
 }
 
+func (x *exchange) endlessHeader() {
+	conn, _, err := http.NewResponseController(x.w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	defer conn.Close()
+	_, err = conn.Write([]byte("HTTP/1.1 200 OK\r\n"))
+	for err == nil {
+		_, err = conn.Write([]byte("X-Again: and again\r\n"))
+	}
+}
+
 // wait sleeps, stretched by a slow spell, and reports false when the client has gone.
 func (x *exchange) wait(span time.Duration) bool {
 	span = time.Duration(float64(span) * x.script.factor(time.Now()))
--- a/internal/berylfake/engine_fault.go
+++ b/internal/berylfake/engine_fault.go
@@ -27,6 +27,8 @@
 	FaultCut UpstreamFaultMode = "cut"
 	// FaultNoEnd ends a stream cleanly after UpstreamFault.After tokens without its [DONE].
 	FaultNoEnd UpstreamFaultMode = "no-end"
+	// FaultEndlessHeader answers with a header that does not end.
+	FaultEndlessHeader UpstreamFaultMode = "endless-header"
 	// FaultEndless streams tokens without end, or an endless body.
 	FaultEndless UpstreamFaultMode = "endless"
 	// FaultStall waits UpstreamFault.For before the token with number UpstreamFault.After.
--- a/internal/berylstandin/command.go
+++ b/internal/berylstandin/command.go
@@ -23,6 +23,7 @@
 	Engine   engineOptions   `cmd:"" help:"Play a model engine."`
 	Service  serviceOptions  `cmd:"" help:"Play a plain service, which echoes."`
 	Platform platformOptions `cmd:"" help:"Play the platform's key-value service."`
+	Hosts    hostsOptions    `cmd:"" help:"Play the platform's host list."`
 }
 
 // listenOptions is what every stand-in takes.
--- a/internal/berylstandin/command_test.go
+++ b/internal/berylstandin/command_test.go
@@ -20,6 +20,7 @@
 		want string
 	}{
 		{name: "engine", path: "/v1/models", want: `"object":"list"`},
+		{name: "hosts", path: "", want: "["},
 		{name: "service", path: "/echo", want: `"path":"/echo"`},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
