--- /dev/null
+++ b/internal/berylgate/admit.go
@@ -0,0 +1,115 @@
+package berylgate
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/valyala/fasthttp"
+
+	"berylroad.example/berylroad/internal/berylconf"
+	"berylroad.example/berylroad/internal/beryloutcome"
+)
+
+// authenticate finds the caller of the API key.
+func (g *Gate) authenticate(c fiber.Ctx) error {
+	x := exchangeOf(c)
+	x.lookup = g.lookups.of(g.config.Document())
+	if x.lookup == nil {
+		return notRun("This host has no configuration yet; send the request again.")
+	}
+	x.caller = x.lookup.caller(bearer(&c.RequestCtx().Request.Header))
+	if x.caller == nil {
+		return &beryloutcome.Refusal{
+			Status:  fiber.StatusUnauthorized,
+			Code:    beryloutcome.CodeUnauthorized,
+			Message: `The API key is missing or unknown; send "Authorization: Bearer KEY".`,
+			Param:   fasthttp.HeaderAuthorization,
+		}
+	}
+	return c.Next()
+}
+
+// admit takes a place on this host and uses up the caller's limits until the exchange ends.
+func (x *exchange) admit(tokens int) *beryloutcome.Refusal {
+	g := x.gate
+	if g.inFlight.Add(1) > int64(g.config.MaxConcurrent) {
+		g.inFlight.Add(-1)
+		return notRun("This host has too many requests in flight and has not run this one; send it again.")
+	}
+	x.release = g.leave
+	if g.config.Limits == nil {
+		return nil
+	}
+	release, refusal := g.config.Limits.Take(g.base, x.caller, tokens)
+	if refusal != nil {
+		return refusal
+	}
+	x.release = func() {
+		release()
+		g.leave()
+	}
+	return nil
+}
+
+// leave gives one place on this host back.
+func (g *Gate) leave() {
+	g.inFlight.Add(-1)
+}
+
+// admitMounted admits a request before the handlers of a mounted route.
+func (g *Gate) admitMounted(c fiber.Ctx) error {
+	x := exchangeOf(c)
+	if refusal := x.admit(0); refusal != nil {
+		return refusal
+	}
+	err := c.Next()
+	x.route = strings.Clone(c.Route().Path)
+	return err
+}
+
+// CallerOf returns the authenticated caller of a request on a mounted route.
+func CallerOf(c fiber.Ctx) *berylconf.Caller {
+	return exchangeOf(c).caller
+}
+
+// RequestIDOf returns the id, unique in the fleet, of a request on a mounted route.
+func RequestIDOf(c fiber.Ctx) string {
+	return exchangeOf(c).id
+}
+
+// Refuse makes the refusal the answer of a request on a mounted route, in the OpenAI error shape.
+func Refuse(_ fiber.Ctx, refusal *beryloutcome.Refusal) error {
+	return asError(refusal)
+}
+
+// ReadBody returns a copy of the whole body on a mounted route, refusing more than limit bytes.
+func ReadBody(c fiber.Ctx, limit int) ([]byte, *beryloutcome.Refusal) {
+	return exchangeOf(c).readBody(c.RequestCtx(), limit)
+}
+
+// BodyStream returns the unread body on a mounted route, each of whose reads waits at most gap for bytes.
+func BodyStream(c fiber.Ctx, gap time.Duration) io.Reader {
+	stream := c.RequestCtx().RequestBodyStream()
+	if stream == nil {
+		return http.NoBody
+	}
+	return &bodyStream{stream: stream, ctx: c.RequestCtx(), gap: gap}
+}
+
+// bodyStream moves the connection's read deadline before each read.
+type bodyStream struct {
+	stream io.Reader
+	ctx    *fasthttp.RequestCtx
+	gap    time.Duration
+}
+
+// Read reads the next bytes of the body.
+func (b *bodyStream) Read(data []byte) (int, error) {
+	if err := b.ctx.Conn().SetReadDeadline(time.Now().Add(b.gap)); err != nil {
+		return 0, err
+	}
+	return b.stream.Read(data)
+}
--- a/internal/berylgate/body.go
+++ b/internal/berylgate/body.go
@@ -16,54 +16,93 @@
 const firstRead = 4 << 10
 
 // readBody returns a copy of the request body that outlives the handler, refusing more than limit bytes.
-func readBody(ctx *fasthttp.RequestCtx, limit int) ([]byte, *beryloutcome.Refusal) {
-	declared := ctx.Request.Header.ContentLength()
-	if declared > limit {
-		return nil, tooLarge(limit)
-	}
+// The body counts against the gate's budget until the exchange ends.
+func (x *exchange) readBody(ctx *fasthttp.RequestCtx, limit int) ([]byte, *beryloutcome.Refusal) {
 	stream := ctx.RequestBodyStream()
 	if stream == nil {
 		return nil, nil
 	}
-	body, err := readBounded(stream, declared, limit)
-	if err != nil {
-		return nil, unreadable(err)
-	}
-	if len(body) > limit {
+	r := &bodyReader{gate: x.gate, declared: ctx.Request.Header.ContentLength(), limit: limit}
+	x.body = r
+	if r.declared > limit {
 		return nil, tooLarge(limit)
 	}
-	if declared > 0 && len(body) < declared {
-		return nil, unreadable(io.ErrUnexpectedEOF)
-	}
-	return body, nil
+	return r.read(stream)
 }
 
-// readBounded reads to the end of the stream, but at most one byte over the limit.
-func readBounded(stream io.Reader, declared, limit int) ([]byte, error) {
-	size := firstRead
-	if declared >= 0 {
-		size = declared
+// bodyReader reads one body within its limit and the gate's budget.
+type bodyReader struct {
+	gate     *Gate
+	declared int
+	limit    int
+	held     int64
+}
+
+func (r *bodyReader) read(stream io.Reader) ([]byte, *beryloutcome.Refusal) {
+	size := min(firstRead, r.limit+1)
+	if r.declared >= 0 {
+		size = r.declared
 	}
-	body := make([]byte, 0, size)
-	for len(body) <= limit {
-		if declared >= 0 && len(body) == declared {
-			return body, nil
+	var body []byte
+	for {
+		if !r.reserve(size) {
+			return nil, notRun("This host holds too many request bodies and has not run this one; send it again.")
 		}
-		if len(body) == cap(body) {
-			body = append(body, 0)[:len(body)]
-		}
-		n, err := stream.Read(body[len(body):cap(body)])
+		body = append(make([]byte, 0, size), body...)
+		n, err := fill(stream, body[len(body):size])
 		body = body[:len(body)+n]
-		if errors.Is(err, io.EOF) {
+		switch {
+		case errors.Is(err, io.EOF):
+			return r.ended(body)
+		case err != nil:
+			return nil, unreadable(err)
+		case r.declared >= 0:
 			return body, nil
+		case size > r.limit:
+			return nil, tooLarge(r.limit)
 		}
+		size = min(2*size, r.limit+1)
+	}
+}
+
+// fill reads until the buffer is full; only a clean end of the stream gives io.EOF.
+func fill(stream io.Reader, buffer []byte) (int, error) {
+	n := 0
+	for n < len(buffer) {
+		m, err := stream.Read(buffer[n:])
+		n += m
 		if err != nil {
-			return nil, err
+			return n, err
 		}
 	}
+	return n, nil
+}
+
+// ended accepts a body that the stream ended, unless more was declared.
+func (r *bodyReader) ended(body []byte) ([]byte, *beryloutcome.Refusal) {
+	if r.declared > len(body) {
+		return nil, unreadable(io.ErrUnexpectedEOF)
+	}
 	return body, nil
 }
 
+// reserve holds size bytes of the gate's budget in all, or changes nothing.
+func (r *bodyReader) reserve(size int) bool {
+	more := int64(size) - r.held
+	if r.gate.bodies.Add(more) > r.gate.config.BodyBudget {
+		r.gate.bodies.Add(-more)
+		return false
+	}
+	r.held += more
+	return true
+}
+
+// free gives back what is held of the budget.
+func (r *bodyReader) free() {
+	r.gate.bodies.Add(-r.held)
+	r.held = 0
+}
+
 func tooLarge(limit int) *beryloutcome.Refusal {
 	return &beryloutcome.Refusal{
 		Status:  http.StatusRequestEntityTooLarge,
@@ -80,8 +119,7 @@
 		return &beryloutcome.Refusal{
 			Status:     http.StatusRequestTimeout,
 			Code:       beryloutcome.CodeNotRun,
-			Message:    "The body did not arrive in time and the request was not run; send it again without pauses.",
-			Param:      "body",
+			Message:    "The request did not arrive in time and was not run; send it again without pauses.",
 			RetryAfter: minRetryAfter,
 		}
 	}
--- a/internal/berylgate/exchange.go
+++ b/internal/berylgate/exchange.go
@@ -36,6 +36,10 @@
 	class   string
 	lookup  *lookup
 	caller  *berylconf.Caller
+	// body holds what the request body takes of the gate's budget; nil means nothing.
+	body *bodyReader
+	// release gives back the place on this host and the caller's limits; nil means none were taken.
+	release func()
 	// detached marks an answer that goes on after the handler has returned.
 	detached  bool
 	firstByte atomic.Int64
@@ -49,21 +53,6 @@
 	return x
 }
 
-// CallerOf returns the authenticated caller of a request on a mounted route.
-func CallerOf(c fiber.Ctx) *berylconf.Caller {
-	return exchangeOf(c).caller
-}
-
-// RequestIDOf returns the id, unique in the fleet, of a request on a mounted route.
-func RequestIDOf(c fiber.Ctx) string {
-	return exchangeOf(c).id
-}
-
-// Refuse makes the refusal the answer of a request on a mounted route, in the OpenAI error shape.
-func Refuse(c fiber.Ctx, refusal *beryloutcome.Refusal) error {
-	return refusal
-}
-
 // identify is the outermost handler: it names the request, counts it and turns errors into answers.
 func (g *Gate) identify(c fiber.Ctx) error {
 	x := &exchange{gate: g, id: g.nextID(), started: time.Now(), route: "other", class: "online"}
@@ -114,8 +103,14 @@
 	}
 }
 
-// end counts the request when its answer is over.
+// end counts the request when its answer is over, and gives back what it held.
 func (x *exchange) end(code string) {
+	if x.body != nil {
+		x.body.free()
+	}
+	if x.release != nil {
+		x.release()
+	}
 	x.gate.meter.count(x, code)
 }
 
@@ -136,6 +131,13 @@
 			Code:    beryloutcome.CodeNotFound,
 			Message: "There is no such path; see the paths under /v1 and /services/NAME.",
 		}
+	case http.StatusMethodNotAllowed:
+		return &beryloutcome.Refusal{
+			Status:  routing.Code,
+			Code:    beryloutcome.CodeBadRequest,
+			Message: "The path does not take this method; the Allow header names those that it takes.",
+			Param:   "method",
+		}
 	default:
 		return &beryloutcome.Refusal{
 			Status:  routing.Code,
@@ -184,22 +186,3 @@
 	ctx.Response.Header.Set(headerRequestID, echo)
 	ctx.Response.Header.Set(headerOwnID, id)
 }
-
-// authenticate finds the caller of the API key.
-func (g *Gate) authenticate(c fiber.Ctx) error {
-	x := exchangeOf(c)
-	x.lookup = g.lookups.of(g.config.Document())
-	if x.lookup == nil {
-		return notRun("This host has no configuration yet; send the request again.")
-	}
-	x.caller = x.lookup.caller(bearer(&c.RequestCtx().Request.Header))
-	if x.caller == nil {
-		return &beryloutcome.Refusal{
-			Status:  http.StatusUnauthorized,
-			Code:    beryloutcome.CodeUnauthorized,
-			Message: `The API key is missing or unknown; send "Authorization: Bearer KEY".`,
-			Param:   fasthttp.HeaderAuthorization,
-		}
-	}
-	return c.Next()
-}
--- a/internal/berylgate/gate.go
+++ b/internal/berylgate/gate.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -21,12 +22,13 @@
 
 const (
 	// maxHeaderBytes bounds a request's first line and headers together.
-	maxHeaderBytes = 16 << 10
-	writeBuffer    = 8 << 10
-	maxConnections = 16 << 10
+	maxHeaderBytes = 8 << 10
+	writeBuffer    = 4 << 10
+	maxConnections = 4 << 10
 
 	defaultReadTimeout   = 20 * time.Second
 	defaultMaxConcurrent = 2048
+	defaultBodyBudget    = 32 << 20
 
 	idleTimeout = 2 * time.Minute
 	// writeTimeout bounds a whole answer, and each gap of a streamed one.
@@ -71,6 +73,8 @@
 	ReadTimeout time.Duration
 	// MaxConcurrent bounds the requests in flight on this host; zero is 2,048.
 	MaxConcurrent int
+	// BodyBudget bounds the bytes of all request bodies held at one time; zero is 32 MiB.
+	BodyBudget int64
 	// Notice is how long a planned stop keeps serving after it has become unready.
 	Notice time.Duration
 }
@@ -80,10 +84,14 @@
 	config   Config
 	lookups  lookups
 	server   *fasthttp.Server
+	peers    peers
 	meter    *meter
 	base     context.Context
 	cancel   context.CancelFunc
 	streams  conc.WaitGroup
+	duties   conc.WaitGroup
+	watching sync.Once
+	bodies   atomic.Int64
 	sequence atomic.Uint64
 	inFlight atomic.Int64
 	stopping atomic.Bool
@@ -97,6 +105,9 @@
 	if config.MaxConcurrent == 0 {
 		config.MaxConcurrent = defaultMaxConcurrent
 	}
+	if config.BodyBudget == 0 {
+		config.BodyBudget = defaultBodyBudget
+	}
 	if config.Log == nil {
 		config.Log = silentLog()
 	}
@@ -135,6 +146,7 @@
 	app.Get("/v1/models/*", g.getModel)
 	app.All("/services/*", g.serveService)
 	if g.config.Mount != nil {
+		app.Use(g.admitMounted)
 		g.config.Mount(app)
 	}
 	return app
@@ -142,12 +154,16 @@
 
 // Serve answers callers on the listener until Shutdown, and returns the listener's error if it fails before.
 func (g *Gate) Serve(listener net.Listener) error {
+	g.watching.Do(func() {
+		g.duties.Go(func() { g.peers.run(g.base) })
+	})
 	return g.server.Serve(listener)
 }
 
 // Shutdown stops as planned: it becomes unready, serves on for the notice time, then lets what runs finish.
 // When ctx ends first, the calls still in flight are cancelled and ctx's error is returned.
 func (g *Gate) Shutdown(ctx context.Context) error {
+	defer g.duties.Wait()
 	defer g.cancel()
 	g.stopping.Store(true)
 	g.config.Log.Info("gate: stopping, unready from now")
@@ -184,19 +200,6 @@
 	return g.config.Ready == nil || g.config.Ready()
 }
 
-// enter takes a place for one request in flight.
-func (g *Gate) enter() bool {
-	if g.inFlight.Add(1) <= int64(g.config.MaxConcurrent) {
-		return true
-	}
-	g.inFlight.Add(-1)
-	return false
-}
-
-func (g *Gate) leave() {
-	g.inFlight.Add(-1)
-}
-
 func silentLog() *logrus.Logger {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
--- /dev/null
+++ b/internal/berylgate/gate_test.go
@@ -0,0 +1,380 @@
+package berylgate_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/gofiber/fiber/v3"
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc/pool"
+
+	"berylroad.example/berylroad/internal/berylcall"
+	"berylroad.example/berylroad/internal/berylgate"
+	"berylroad.example/berylroad/internal/beryloutcome"
+)
+
+const eventStream = "text/event-stream"
+
+// post sends one completion and returns the response, whose body the caller closes.
+func post(ctx context.Context, base, fields string, headers ...string) (*http.Response, error) {
+	body := `{"model":"ribdesk-llm","prompt":"hi"` + fields + `}`
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, base+"/v1/completions", strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	r.Header.Set("Content-Type", "application/json")
+	for i := 0; i < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	return http.DefaultClient.Do(r)
+}
+
+// postWhole sends one completion and returns its status, body and the error of reading the body.
+func postWhole(base, fields string, headers ...string) (int, string, error) {
+	response, err := post(context.Background(), base, fields, headers...)
+	if err != nil {
+		return 0, "", err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(body), err
+}
+
+func TestCallersGetTheirOwnAnswers(t *testing.T) {
+	calls := &fakeCalls{do: func(_ context.Context, r berylcall.Request, sink berylcall.Sink) beryloutcome.Result {
+		runtime.Gosched()
+		if r.Stream {
+			return answer(sink, http.StatusOK, eventStream, "data: "+string(r.Body)+"\n\n", chunkDone)
+		}
+		return answer(sink, http.StatusOK, "application/json", string(r.Body))
+	}}
+	_, base := startGate(t, berylgate.Config{Calls: calls})
+	callers := pool.New().WithErrors()
+	for i := range 200 {
+		callers.Go(func() error {
+			for j := range 5 {
+				fields := fmt.Sprintf(`,"user":"u-%d-%d","stream":%t`, i, j, i%2 == 0)
+				status, body, err := postWhole(base, fields)
+				if err != nil || status != http.StatusOK || !strings.Contains(body, fields) {
+					return fmt.Errorf("caller %s got %d %q: %v", fields, status, body, err)
+				}
+			}
+			return nil
+		})
+	}
+	is.New(t).NoErr(callers.Wait())
+}
+
+func TestClosedCallerCancelsTheCall(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		fields string
+		events int
+	}{
+		{name: "plain"},
+		{name: "stream before its first event", fields: `,"stream":true`},
+		{name: "stream that has gone silent", fields: `,"stream":true`, events: 1},
+		{name: "stream that goes on", fields: `,"stream":true`, events: 1 << 30},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			running := make(chan struct{}, 1)
+			ended := make(chan struct{})
+			calls := &fakeCalls{do: func(ctx context.Context, _ berylcall.Request, sink berylcall.Sink) beryloutcome.Result {
+				defer close(ended)
+				running <- struct{}{}
+				for range tc.events {
+					if answer(sink, http.StatusOK, eventStream, chunkOne).Kind == beryloutcome.Cancelled {
+						break
+					}
+				}
+				<-ctx.Done()
+				return beryloutcome.Result{Kind: beryloutcome.Cancelled}
+			}}
+			_, base := startGate(t, berylgate.Config{Calls: calls})
+			ctx, cancel := context.WithCancel(context.Background())
+			go func() {
+				<-running
+				cancel()
+			}()
+			response, err := post(ctx, base, tc.fields)
+			if err == nil {
+				_, err = io.Copy(io.Discard, response.Body)
+			}
+			is.True(err != nil) // The caller has given up.
+			awaitClosed(t, ended)
+		})
+	}
+}
+
+func awaitClosed(t *testing.T, done <-chan struct{}) {
+	t.Helper()
+	select {
+	case <-done:
+	case <-time.After(patience):
+		t.Fatal("not ended in time")
+	}
+}
+
+func TestPlannedStopCutsNothing(t *testing.T) {
+	is := is.New(t)
+	finish := make(chan struct{})
+	release := sync.OnceFunc(func() { close(finish) })
+	defer release()
+	calls := &fakeCalls{do: func(_ context.Context, r berylcall.Request, sink berylcall.Sink) beryloutcome.Result {
+		if !r.Stream {
+			return answer(sink, http.StatusOK, "application/json", "{}")
+		}
+		answer(sink, http.StatusOK, eventStream, chunkOne)
+		<-finish
+		return answer(sink, http.StatusOK, eventStream, chunkTwo, chunkDone)
+	}}
+	gate, base := startGate(t, berylgate.Config{Calls: calls, Notice: 500 * time.Millisecond})
+	response, err := post(context.Background(), base, `,"stream":true`)
+	is.NoErr(err)
+	defer response.Body.Close()
+	ready, err := http.Get(base + "/readyz")
+	is.NoErr(err)
+	is.Equal(ready.StatusCode, http.StatusOK)
+
+	stopped := make(chan error, 1)
+	go func() { stopped <- gate.Shutdown(context.Background()) }()
+	for ready.StatusCode == http.StatusOK {
+		ready, err = http.Get(base + "/readyz")
+		is.NoErr(err)
+	}
+	late, err := post(context.Background(), base, "")
+	is.NoErr(err)
+	is.Equal(late.StatusCode, http.StatusOK) // The notice time serves on.
+	is.True(late.Close)
+	release()
+
+	body, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	is.Equal(string(body), chunkOne+chunkTwo+chunkDone)
+	is.NoErr(<-stopped)
+}
+
+func TestFailedStreamIsNeverWhole(t *testing.T) {
+	is := is.New(t)
+	calls := &fakeCalls{do: func(_ context.Context, _ berylcall.Request, sink berylcall.Sink) beryloutcome.Result {
+		answer(sink, http.StatusOK, eventStream, chunkOne)
+		return beryloutcome.Result{Kind: beryloutcome.Failed}
+	}}
+	_, base := startGate(t, berylgate.Config{Calls: calls})
+
+	status, body, err := postWhole(base, `,"stream":true`)
+
+	is.Equal(status, http.StatusOK)
+	is.Equal(err, io.ErrUnexpectedEOF)
+	is.True(strings.HasPrefix(body, chunkOne+`data: {"error":{`))
+	is.True(!strings.Contains(body, "[DONE]"))
+}
+
+func TestKeyedStream(t *testing.T) {
+	is := is.New(t)
+	keeper := &fakeKeeper{}
+	calls := answering(http.StatusOK, eventStream, chunkOne, chunkTwo, chunkDone)
+	_, base := startGate(t, berylgate.Config{Calls: calls, Once: keeper})
+	for range 2 {
+		_, body, err := postWhole(base, `,"stream":true`, "Idempotency-Key", "k1")
+		is.NoErr(err)
+		is.Equal(body, chunkOne+chunkTwo+chunkDone)
+	}
+	is.Equal(len(calls.seen()), 1) // The second answer is the kept one.
+
+	keeper.refused = &beryloutcome.Refusal{Status: http.StatusServiceUnavailable, Code: beryloutcome.CodeUnknown}
+	_, body, err := postWhole(base, `,"stream":true`, "Idempotency-Key", "k2")
+	is.Equal(err, io.ErrUnexpectedEOF)
+	is.True(strings.Contains(body, "outcome-unknown"))
+	is.True(!strings.Contains(body, "[DONE]")) // An unrecorded run is not passed off as whole.
+}
+
+func TestKeyedStreamOutlivesItsCaller(t *testing.T) {
+	is := is.New(t)
+	gone := make(chan struct{})
+	kept := make(chan struct{})
+	calls := &fakeCalls{do: func(ctx context.Context, _ berylcall.Request, sink berylcall.Sink) beryloutcome.Result {
+		defer close(kept)
+		answer(sink, http.StatusOK, eventStream, chunkOne)
+		<-gone
+		for range 1000 {
+			answer(sink, http.StatusOK, eventStream, chunkTwo)
+		}
+		select {
+		case <-ctx.Done():
+			return beryloutcome.Result{Kind: beryloutcome.Cancelled}
+		case <-time.After(300 * time.Millisecond):
+			return answer(sink, http.StatusOK, eventStream, chunkDone)
+		}
+	}}
+	_, base := startGate(t, berylgate.Config{Calls: calls, Once: &fakeKeeper{}})
+	ctx, cancel := context.WithCancel(context.Background())
+	_, err := post(ctx, base, `,"stream":true`, "Idempotency-Key", "k1")
+	is.NoErr(err)
+	cancel()
+	close(gone)
+	awaitClosed(t, kept)
+	var body string
+	for status := 0; status != http.StatusOK || body == ""; {
+		status, body, err = postWhole(base, `,"stream":true`, "Idempotency-Key", "k1")
+		is.NoErr(err)
+	}
+	is.Equal(body, chunkOne+strings.Repeat(chunkTwo, 1000)+chunkDone)
+	is.Equal(len(calls.seen()), 1)
+}
+
+func TestFullHostRefusesAtOnce(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		config berylgate.Config
+	}{
+		{name: "requests", config: berylgate.Config{MaxConcurrent: 1}},
+		{name: "bodies", config: berylgate.Config{BodyBudget: 60}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			running := make(chan struct{}, 2)
+			finish := make(chan struct{})
+			tc.config.Calls = &fakeCalls{do: func(_ context.Context, _ berylcall.Request, sink berylcall.Sink) beryloutcome.Result {
+				running <- struct{}{}
+				<-finish
+				return answer(sink, http.StatusOK, "application/json", "{}")
+			}}
+			_, base := startGate(t, tc.config)
+			first := make(chan int, 1)
+			go func() {
+				status, _, _ := postWhole(base, "")
+				first <- status
+			}()
+			<-running
+			status, body, err := postWhole(base, "")
+			is.NoErr(err)
+			is.Equal(status, http.StatusServiceUnavailable)
+			is.True(strings.Contains(body, `"not-run"`))
+			close(finish)
+			is.Equal(<-first, http.StatusOK)
+			status, _, err = postWhole(base, "")
+			is.NoErr(err)
+			is.Equal(status, http.StatusOK) // What the first one held is free again.
+		})
+	}
+}
+
+func TestDeadlineEndsTheCall(t *testing.T) {
+	for _, fields := range []string{"", `,"stream":true`} {
+		is := is.New(t)
+		calls := &fakeCalls{do: func(ctx context.Context, r berylcall.Request, _ berylcall.Sink) beryloutcome.Result {
+			select {
+			case <-ctx.Done():
+				is.True(!r.Deadline.After(time.Now()))
+				return beryloutcome.Result{Kind: beryloutcome.Unknown}
+			case <-time.After(patience):
+				return beryloutcome.Result{Kind: beryloutcome.Answered}
+			}
+		}}
+		_, base := startGate(t, berylgate.Config{Calls: calls})
+		status, body, err := postWhole(base, fields, "Berylroad-Timeout", "0.05")
+		is.NoErr(err)
+		is.Equal(status, http.StatusGatewayTimeout)
+		is.True(strings.Contains(body, `"outcome-unknown"`))
+	}
+}
+
+func TestBrokenHandlerLeaksNothing(t *testing.T) {
+	for _, fields := range []string{"", `,"stream":true`} {
+		is := is.New(t)
+		calls := &fakeCalls{do: func(context.Context, berylcall.Request, berylcall.Sink) beryloutcome.Result {
+			panic("secret detail")
+		}}
+		_, base := startGate(t, berylgate.Config{Calls: calls})
+		status, body, err := postWhole(base, fields)
+		is.NoErr(err)
+		is.Equal(status, http.StatusInternalServerError)
+		is.True(strings.Contains(body, `"outcome-unknown"`))
+		is.True(!strings.Contains(body, "secret"))
+	}
+}
+
+func TestMountedRoute(t *testing.T) {
+	is := is.New(t)
+	set := metrics.NewSet()
+	_, base := startGate(t, berylgate.Config{
+		Calls:   answering(http.StatusOK, ""),
+		Metrics: set,
+		Mount: func(r fiber.Router) {
+			r.Post("/v1/batches", func(c fiber.Ctx) error {
+				body, refusal := berylgate.ReadBody(c, 8)
+				if refusal != nil {
+					return berylgate.Refuse(c, refusal)
+				}
+				return c.SendString(berylgate.CallerOf(c).Name + " " + string(body))
+			})
+		},
+	})
+	for body, want := range map[string]string{"job": "counter job", "too long a job": "too-large"} {
+		r, err := http.NewRequest(http.MethodPost, base+"/v1/batches", strings.NewReader(body))
+		is.NoErr(err)
+		r.Header.Set("Authorization", "Bearer "+testKey)
+		response, err := http.DefaultClient.Do(r)
+		is.NoErr(err)
+		got, err := io.ReadAll(response.Body)
+		is.NoErr(err)
+		is.True(strings.Contains(string(got), want))
+	}
+	var text bytes.Buffer
+	set.WritePrometheus(&text)
+	is.True(strings.Contains(text.String(), `berylroad_gate_requests_total{route="/v1/batches",class="online",code="ok"} 1`))
+	is.True(strings.Contains(text.String(), "berylroad_gate_in_flight 0"))
+}
+
+func TestRequestIDs(t *testing.T) {
+	is := is.New(t)
+	calls := answering(http.StatusOK, "application/json", "{}")
+	_, base := startGate(t, berylgate.Config{Calls: calls, Boot: 71})
+	for _, tc := range []struct{ sent, echoed, own string }{
+		{sent: "ticket-9", echoed: "ticket-9", own: "entry-1-1z-1"},
+		{sent: "two words", echoed: "entry-1-1z-2", own: "entry-1-1z-2"},
+	} {
+		response, err := post(context.Background(), base, "", "X-Request-Id", tc.sent)
+		is.NoErr(err)
+		is.Equal(response.Header.Get("X-Request-Id"), tc.echoed)
+		is.Equal(response.Header.Get("Berylroad-Request-Id"), tc.own)
+	}
+	is.Equal(calls.seen()[1].ID, "entry-1-1z-2")
+}
+
+func TestNoGoroutineIsLeftBehind(t *testing.T) {
+	is := is.New(t)
+	calls := &fakeCalls{do: func(ctx context.Context, _ berylcall.Request, sink berylcall.Sink) beryloutcome.Result {
+		answer(sink, http.StatusOK, eventStream, chunkOne)
+		<-ctx.Done()
+		return beryloutcome.Result{Kind: beryloutcome.Unknown}
+	}}
+	gate, base := startGate(t, berylgate.Config{Calls: calls})
+	for range 20 {
+		_, _, err := postWhole(base, `,"stream":true`, "Berylroad-Timeout", "0.01")
+		is.Equal(err, io.ErrUnexpectedEOF) // The deadline has cut the stream.
+	}
+	is.True(goroutinesOfGates() > 0)
+	http.DefaultClient.CloseIdleConnections()
+	is.NoErr(gate.Shutdown(context.Background()))
+	is.Equal(goroutinesOfGates(), 0)
+}
+
+// goroutinesOfGates counts the goroutines that run or were started by this package's non-test code.
+func goroutinesOfGates() int {
+	stacks := make([]byte, 1<<20)
+	stacks = stacks[:runtime.Stack(stacks, true)]
+	return bytes.Count(stacks, []byte("berylgate.(*"))
+}
--- a/internal/berylgate/model.go
+++ b/internal/berylgate/model.go
@@ -38,7 +38,7 @@
 	if refusal := checkJSON(&c.RequestCtx().Request.Header); refusal != nil {
 		return refusal
 	}
-	body, refusal := readBody(c.RequestCtx(), x.lookup.rules.MaxBodyBytes)
+	body, refusal := x.readBody(c.RequestCtx(), x.lookup.rules.MaxBodyBytes)
 	if refusal != nil {
 		return refusal
 	}
--- /dev/null
+++ b/internal/berylgate/peer.go
@@ -0,0 +1,104 @@
+package berylgate
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// peerCheckInterval is how often the connections of waiting callers are looked at.
+	peerCheckInterval = 250 * time.Millisecond
+	// tlsAlert is the record type that a TLS peer sends before it closes.
+	tlsAlert = 21
+)
+
+// peers looks for callers that have closed their connections while a call runs for them.
+// fasthttp reads nothing while a handler runs and so does not notice by itself.
+type peers struct {
+	mu      sync.Mutex
+	watched map[*peer]struct{}
+}
+
+// peer is one watched connection.
+type peer struct {
+	raw  syscall.RawConn
+	tls  bool
+	gone func()
+}
+
+// watch calls gone soon after the connection is closed by its peer, until stop is called.
+func (p *peers) watch(conn net.Conn, gone func()) (stop func()) {
+	w := &peer{gone: gone}
+	if secure, ok := conn.(*tls.Conn); ok {
+		w.tls = true
+		conn = secure.NetConn()
+	}
+	socket, ok := conn.(syscall.Conn)
+	if !ok {
+		return func() {}
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return func() {}
+	}
+	w.raw = raw
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.watched == nil {
+		p.watched = make(map[*peer]struct{})
+	}
+	p.watched[w] = struct{}{}
+	return func() { p.remove(w) }
+}
+
+func (p *peers) remove(w *peer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.watched, w)
+}
+
+// run looks at the watched connections until ctx ends.
+func (p *peers) run(ctx context.Context) {
+	ticker := time.NewTicker(peerCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			p.check()
+		}
+	}
+}
+
+func (p *peers) check() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for w := range p.watched {
+		if w.isGone() {
+			delete(p.watched, w)
+			w.gone()
+		}
+	}
+}
+
+// isGone looks at the next byte on the connection without taking it or waiting for it.
+func (w *peer) isGone() bool {
+	var next [1]byte
+	gone := false
+	err := w.raw.Control(func(descriptor uintptr) {
+		n, _, err := syscall.Recvfrom(int(descriptor), next[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch err {
+		case nil:
+			gone = n == 0 || w.tls && next[0] == tlsAlert
+		case syscall.EAGAIN, syscall.EINTR:
+		default:
+			gone = true
+		}
+	})
+	return gone || err != nil
+}
--- a/internal/berylgate/serve.go
+++ b/internal/berylgate/serve.go
@@ -19,37 +19,19 @@
 
 // serve runs an accepted request and answers it.
 func (g *Gate) serve(c fiber.Ctx, x *exchange, t terms, request berylcall.Request) error {
-	if !g.enter() {
-		return notRun("This host has too many requests in flight and has not run this one; send it again.")
-	}
-	release, refusal := g.take(x, request.Tokens)
-	if refusal != nil {
-		g.leave()
+	if refusal := x.admit(request.Tokens); refusal != nil {
 		return refusal
 	}
-	done := func() {
-		release()
-		g.leave()
-	}
 	ticket, refusal, replayed := g.begin(c.RequestCtx(), x, t, request)
 	if refusal != nil || replayed {
-		done()
 		return asError(refusal)
 	}
 	if request.Stream {
-		return g.stream(c, x, request, ticket, done)
+		return g.stream(c, x, request, ticket)
 	}
-	defer done()
 	return g.plain(c, x, request, ticket)
 }
 
-func (g *Gate) take(x *exchange, tokens int) (func(), *beryloutcome.Refusal) {
-	if g.config.Limits == nil {
-		return func() {}, nil
-	}
-	return g.config.Limits.Take(g.base, x.caller, tokens)
-}
-
 // begin asks whether a keyed request is to run, and answers it from the kept answer when it has run.
 func (g *Gate) begin(ctx *fasthttp.RequestCtx, x *exchange, t terms, request berylcall.Request) (berylonce.Ticket, *beryloutcome.Refusal, bool) {
 	if t.key == "" {
@@ -92,6 +74,9 @@
 func (g *Gate) plain(c fiber.Ctx, x *exchange, request berylcall.Request, ticket berylonce.Ticket) error {
 	ctx, cancel := context.WithDeadline(g.base, request.Deadline)
 	defer cancel()
+	if ticket == nil {
+		defer g.peers.watch(c.RequestCtx().Conn(), cancel)()
+	}
 	var r recorder
 	result := g.config.Calls.Do(ctx, request, &r)
 	if refusal := finish(ctx, ticket, result, r.answer); refusal != nil {
--- a/internal/berylgate/service.go
+++ b/internal/berylgate/service.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"net/http"
+	"net/url"
 	"strings"
 
 	"github.com/gofiber/fiber/v3"
@@ -28,13 +29,13 @@
 	if refusal != nil {
 		return refusal
 	}
-	if isNeverRepeat(service, ctx.URI()) {
+	if isNeverRepeat(service, path) {
 		t.never = true
 	}
 	if t.never && t.key == "" {
 		return needsKey()
 	}
-	body, refusal := readBody(ctx, x.lookup.rules.MaxBodyBytes)
+	body, refusal := x.readBody(ctx, x.lookup.rules.MaxBodyBytes)
 	if refusal != nil {
 		return refusal
 	}
@@ -77,13 +78,14 @@
 
 // isCanonical reports whether a path means the same to every server, so that never-repeat paths can't be dodged.
 func isCanonical(path string) bool {
-	lower := strings.ToLower(path)
-	for _, escaped := range []string{"%2e", "%2f", "%5c", "%00", `\`, "//"} {
-		if strings.Contains(lower, escaped) {
-			return false
-		}
+	decoded, err := url.PathUnescape(path)
+	if err != nil || strings.Count(decoded, "/") != strings.Count(path, "/") {
+		return false
 	}
-	for segment := range strings.SplitSeq(path, "/") {
+	if strings.ContainsAny(decoded, "\\\x00") || strings.Contains(decoded, "//") {
+		return false
+	}
+	for segment := range strings.SplitSeq(decoded, "/") {
 		if segment == "." || segment == ".." {
 			return false
 		}
@@ -91,15 +93,16 @@
 	return true
 }
 
-// isNeverRepeat reports whether the inventory marks the path as one whose calls run at most once.
+// isNeverRepeat reports whether the inventory marks the canonical path as one whose calls run at most once.
 // It compares without regard to case, since some servers do.
-func isNeverRepeat(service *berylconf.Service, uri *fasthttp.URI) bool {
-	path := string(uri.Path()[len(servicesPrefix)-1+len(service.Name)+1:])
-	if path == "" {
-		path = "/"
+func isNeverRepeat(service *berylconf.Service, path string) bool {
+	path, _, _ = strings.Cut(path, "?")
+	decoded, err := url.PathUnescape(path)
+	if err != nil {
+		return true
 	}
 	for _, prefix := range service.NeverRepeat {
-		if len(path) >= len(prefix) && strings.EqualFold(path[:len(prefix)], prefix) {
+		if len(decoded) >= len(prefix) && strings.EqualFold(decoded[:len(prefix)], prefix) {
 			return true
 		}
 	}
--- a/internal/berylgate/stream.go
+++ b/internal/berylgate/stream.go
@@ -32,8 +32,8 @@
 	last []byte
 }
 
-// stream runs a request whose answer is passed on as it arrives; done is called when the call has ended.
-func (g *Gate) stream(c fiber.Ctx, x *exchange, request berylcall.Request, ticket berylonce.Ticket, done func()) error {
+// stream runs a request whose answer is passed on as it arrives.
+func (g *Gate) stream(c fiber.Ctx, x *exchange, request berylcall.Request, ticket berylonce.Ticket) error {
 	ctx, cancel := context.WithDeadline(g.base, request.Deadline)
 	onClose := cancel
 	if ticket != nil {
@@ -46,10 +46,14 @@
 		head:     make(chan berylonce.Answer, 1),
 		refused:  make(chan *beryloutcome.Refusal, 1),
 	}
+	stop := func() {}
+	if ticket == nil {
+		stop = g.peers.watch(c.RequestCtx().Conn(), cancel)
+	}
 	x.detached = true
 	g.streams.Go(func() {
-		defer done()
 		defer cancel()
+		defer stop()
 		s.run(ctx, request)
 	})
 	select {
