sched: early yields, regions, two owners at once, full ring

Cause: the youngest batch permit yields first, so the order to yield often overtakes the grant itself; it was dropped and came again 250 ms later. Orders for unknown permits are remembered and stop the permit as it arrives. Online work goes to another region only when no owner of its own has room. A class number that names none counts as online, since a permit of such a class was counted as batch in one place and as online in another.

New without a fault found: two owners at once, a full ring.

--- a/internal/berylpermit/permit.go
+++ b/internal/berylpermit/permit.go
@@ -25,6 +25,14 @@
 	return "online"
 }
 
+// Known returns the class itself, or Online for a number that names none.
+func (c Class) Known() Class {
+	if c == Batch {
+		return Batch
+	}
+	return Online
+}
+
 // ID names one ask, and the permit granted for it, across the fleet.
 type ID struct {
 	// Host is the asking host's name.
--- a/internal/berylsched/broker.go
+++ b/internal/berylsched/broker.go
@@ -47,6 +47,9 @@
 
 func (s *Scheduler) acquire(ctx context.Context, start time.Time, ask berylpermit.Ask) (*berylpermit.Permit, *beryloutcome.Refusal) {
 	t := s.table.Load()
+	if len(t.places) == 0 {
+		return nil, notRun(0)
+	}
 	if len(t.targets[ask.Target]) == 0 {
 		return nil, notFound(ask.Target)
 	}
--- a/internal/berylsched/failure_test.go
+++ b/internal/berylsched/failure_test.go
@@ -184,6 +184,55 @@
 	})
 }
 
+func TestTwoOwnersAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(document(1, 1), names...)
+		defer f.stop()
+		old := berylsched.RendezvousOwner("u1", names)
+		rest := others(old)
+		for _, name := range rest {
+			f.hosts[name].SetMembers([]berylsched.Member{{Name: rest[0], Boot: 1}, {Name: rest[1], Boot: 1}})
+		}
+		time.Sleep(2 * time.Second)
+		ask := berylpermit.Ask{Target: "m", Remaining: time.Second}
+		first, refusal := f.hosts[old].Acquire(context.Background(), ask)
+		is.Equal(refusal, nil)
+		second, refusal := f.hosts[rest[0]].Acquire(context.Background(), ask)
+		is.Equal(refusal, nil) // for a moment both owners give the slot
+
+		f.setMembers(rest...)
+		time.Sleep(100 * time.Millisecond)
+		second.Release(berylpermit.Report{})
+		_, refusal = f.hosts[rest[1]].Acquire(context.Background(), ask)
+		is.True(refusal != nil) // the new owner has learnt of the old one's permit
+		first.Release(berylpermit.Report{})
+		time.Sleep(10 * time.Millisecond)
+		_, refusal = f.hosts[rest[1]].Acquire(context.Background(), ask)
+		is.Equal(refusal, nil)
+	})
+}
+
+func TestFullRingRefusesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := berylsched.New(berylsched.Settings{Host: "h1", Boot: 1}) // its duty does not run
+		ctx, cancel := context.WithCancel(context.Background())
+		for seq := range uint64(4096) {
+			go func() {
+				_, _ = s.HandleAsk(ctx, "h1", berylpermit.Ask{ID: berylpermit.ID{Host: "h1", Seq: seq}})
+			}()
+		}
+		synctest.Wait()
+		reply, err := s.HandleAsk(ctx, "h1", berylpermit.Ask{ID: berylpermit.ID{Host: "h1", Seq: 9999}})
+		is.NoErr(err)
+		is.Equal(reply.Verdict, berylpermit.Refused)
+		_, err = s.HandleAsk(ctx, "h2", berylpermit.Ask{ID: berylpermit.ID{Host: "h1", Seq: 9999}})
+		is.True(err != nil) // no host may ask in another's name
+		cancel()
+	})
+}
+
 func TestCallerGoesWhileWaiting(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/berylsched/held.go
+++ b/internal/berylsched/held.go
@@ -30,6 +30,9 @@
 type holds struct {
 	mu   sync.Mutex
 	byID map[berylpermit.ID]*hold
+	// early remembers the orders to yield that have overtaken their permit: the youngest permit yields first, so this
+	// is common.
+	early recent
 }
 
 func (t *holds) add(h *hold) {
@@ -39,6 +42,9 @@
 		t.byID = make(map[berylpermit.ID]*hold)
 	}
 	t.byID[h.ID] = h
+	if h.Class == berylpermit.Batch && t.early.has(h.ID) {
+		h.once.Do(func() { close(h.stop) })
+	}
 }
 
 // remove returns false if the permit was released before.
@@ -52,17 +58,21 @@
 	return true
 }
 
-// yield closes the channel of a batch permit; an unknown one was released before.
+// yield closes the channel of a batch permit; an unknown one was released before or is still on its way.
 func (t *holds) yield(id berylpermit.ID) {
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	h := t.byID[id]
-	t.mu.Unlock()
-	if h != nil && h.Class == berylpermit.Batch {
+	if h == nil {
+		t.early.add(id)
+		return
+	}
+	if h.Class == berylpermit.Batch {
 		h.once.Do(func() { close(h.stop) })
 	}
 }
 
-// snapshot lists the held permits and the upstreams they are for.
+// snapshot lists the held permits.
 func (t *holds) snapshot(now time.Time) []berylpermit.HeldPermit {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/berylsched/metrics.go
+++ b/internal/berylsched/metrics.go
@@ -56,10 +56,11 @@
 
 // acquire counts the end of one Acquire.
 func (c *counts) acquire(class berylpermit.Class, granted bool, wait time.Duration) {
+	class = class.Known()
 	if !granted {
-		c.refused[class&1].Inc()
+		c.refused[class].Inc()
 		return
 	}
-	c.acquired[class&1].Inc()
-	c.waits[class&1].Update(wait.Seconds())
+	c.acquired[class].Inc()
+	c.waits[class].Update(wait.Seconds())
 }
--- a/internal/berylsched/owner.go
+++ b/internal/berylsched/owner.go
@@ -129,6 +129,7 @@
 		w.renewed = now
 		return o.actions
 	}
+	ask.Class = ask.Class.Known()
 	t := o.targets[ask.Target]
 	if t == nil || len(t.ups) == 0 {
 		o.reply(berylpermit.Reply{ID: ask.ID, Verdict: berylpermit.NotOwner})
--- a/internal/berylsched/owner_permits.go
+++ b/internal/berylsched/owner_permits.go
@@ -89,7 +89,8 @@
 		o.unqueue(w)
 	}
 	p := o.newPermit()
-	*p = permit{id: hp.ID, up: u, class: hp.Class, long: hp.Long, since: now.Add(-hp.Age), seen: now}
+	age := min(max(hp.Age, 0), maxRemaining)
+	*p = permit{id: hp.ID, up: u, class: hp.Class.Known(), long: hp.Long, since: now.Add(-age), seen: now}
 	o.count(p)
 }
 
@@ -141,31 +142,3 @@
 	}
 	return o.actions
 }
-
-// recent remembers the last ended permits, so that late or doubled messages do not bring them back.
-type recent struct {
-	ring [recentSize]berylpermit.ID
-	next int
-	set  map[berylpermit.ID]struct{}
-}
-
-// recentSize is how many ended permits an owner remembers.
-const recentSize = 4096
-
-func (r *recent) has(id berylpermit.ID) bool {
-	_, ok := r.set[id]
-	return ok
-}
-
-func (r *recent) add(id berylpermit.ID) {
-	if r.has(id) {
-		return
-	}
-	if r.set == nil {
-		r.set = make(map[berylpermit.ID]struct{}, recentSize)
-	}
-	delete(r.set, r.ring[r.next])
-	r.ring[r.next] = id
-	r.set[id] = struct{}{}
-	r.next = (r.next + 1) % recentSize
-}
--- a/internal/berylsched/route.go
+++ b/internal/berylsched/route.go
@@ -20,6 +20,8 @@
 	host string
 	// room is the share of its slots that are free for the class, by what is known.
 	room float64
+	// tier puts owners of this region that have room first, then those of other regions that have, then the rest.
+	tier int
 	// preferred marks the owner of the upstream that holds the prompt's prefix.
 	preferred bool
 	// tie orders equal candidates at random, so that hosts with the same knowledge do not all ask the same owner.
@@ -45,16 +47,29 @@
 		}
 		c := candidate{host: sh.host, tie: rand.Uint32(), room: sh.room(now, ask)}
 		c.preferred = sh.host == first && c.room > 0
+		c.tier = tier(sh.far, c.room)
 		list = append(list, c)
 	}
 	slices.SortFunc(list, compareCandidates)
-	hosts := make([]string, len(list))
-	for i, c := range list {
-		hosts[i] = c.host
+	hosts := make([]string, 0, len(list))
+	for _, c := range list {
+		if !slices.Contains(hosts, c.host) {
+			hosts = append(hosts, c.host)
+		}
 	}
 	return hosts
 }
 
+func tier(far bool, room float64) int {
+	if room <= 0 {
+		return 2
+	}
+	if far {
+		return 1
+	}
+	return 0
+}
+
 // room returns which share of the owner's slots work of the ask's class can have.
 func (sh *share) room(now time.Time, ask *berylpermit.Ask) float64 {
 	slots, used := 0, 0
@@ -83,8 +98,11 @@
 	return l.Online
 }
 
-// compareCandidates puts the preferred owner first, then the one with most room.
+// compareCandidates goes by tier, and there puts the preferred owner first, then the one with most room.
 func compareCandidates(a, b candidate) int {
+	if a.tier != b.tier {
+		return order(a.tier < b.tier)
+	}
 	if a.preferred != b.preferred {
 		return order(a.preferred)
 	}
@@ -113,7 +131,7 @@
 	for _, sh := range shares {
 		for _, p := range sh.places {
 			l := p.fresh(now)
-			if l.Straggler || avoids(ask, p.upstream) {
+			if l.Straggler || p.far || avoids(ask, p.upstream) {
 				continue
 			}
 			online += l.Online
--- a/internal/berylsched/scheduler.go
+++ b/internal/berylsched/scheduler.go
@@ -77,7 +77,7 @@
 	s.counts = newCounts(s.Metrics)
 	s.duty = newDuty(s)
 	s.outbox = newOutbox(s)
-	s.table.Store(newTable(berylconf.Document{}, nil, s.Owner, nil))
+	s.table.Store(newTable(berylconf.Document{}, nil, s.Host, s.Owner, nil))
 	return s
 }
 
@@ -126,7 +126,7 @@
 // install publishes a new table; the caller holds mu.
 func (s *Scheduler) install() {
 	last := s.table.Load()
-	next := newTable(s.doc, s.members, s.Owner, last)
+	next := newTable(s.doc, s.members, s.Host, s.Owner, last)
 	owned := next.ownedBy(s.Host)
 	s.duty.command(func(o *Owner, now time.Time) []Action { return o.Owned(now, owned) })
 	s.table.Store(next)
--- a/internal/berylsched/table.go
+++ b/internal/berylsched/table.go
@@ -54,12 +54,15 @@
 	owner    string
 	slots    int
 	leaving  bool
-	known    *knowledge
+	// far marks an upstream of another region than this host's.
+	far   bool
+	known *knowledge
 }
 
 // share is an owner with those of a target's upstreams that may get new work.
 type share struct {
 	host   string
+	far    bool
 	places []*place
 }
 
@@ -77,7 +80,7 @@
 
 // newTable places every upstream on a live host of its region, or on any live host when its region has none.
 // What is known of the upstreams is taken over from the last table.
-func newTable(doc berylconf.Document, members []Member, owner OwnerFunc, last *table) *table {
+func newTable(doc berylconf.Document, members []Member, self string, owner OwnerFunc, last *table) *table {
 	t := &table{
 		places:  make(map[string]*place, len(doc.Inventory.Upstreams)),
 		targets: make(map[string][]*place),
@@ -90,13 +93,15 @@
 	for _, m := range members {
 		t.members[m.Name] = m
 	}
-	regions, all := hostsByRegion(doc, members)
+	home := regionsOf(doc)
+	regions, all := hostsByRegion(doc, members, home)
 	for _, u := range doc.Inventory.Upstreams {
 		hosts := regions[u.Region]
 		if len(hosts) == 0 {
 			hosts = all
 		}
 		p := &place{upstream: u.Name, hash: xxhash.Sum64String(u.Name), slots: u.Slots, known: last.knowledge(u.Name)}
+		p.far = u.Region != home[self]
 		p.leaving = slices.Contains(doc.Rules.Leaving, u.Name)
 		if len(hosts) > 0 {
 			p.owner = owner(u.Name, hosts)
@@ -124,21 +129,26 @@
 		return
 	}
 	shares := t.shares[target]
-	i := slices.IndexFunc(shares, func(s share) bool { return s.host == p.owner })
+	i := slices.IndexFunc(shares, func(s share) bool { return s.host == p.owner && s.far == p.far })
 	if i < 0 {
 		i = len(shares)
-		shares = append(shares, share{host: p.owner})
+		shares = append(shares, share{host: p.owner, far: p.far})
 	}
 	shares[i].places = append(shares[i].places, p)
 	t.shares[target] = shares
 }
 
-// hostsByRegion lists the hosts that may own upstreams; when all are leaving, all may.
-func hostsByRegion(doc berylconf.Document, members []Member) (map[string][]string, []string) {
+// regionsOf returns the region of each host of the inventory.
+func regionsOf(doc berylconf.Document) map[string]string {
 	region := make(map[string]string, len(doc.Inventory.Hosts))
 	for _, h := range doc.Inventory.Hosts {
 		region[h.Name] = h.Region
 	}
+	return region
+}
+
+// hostsByRegion lists the hosts that may own upstreams; when all are leaving, all may.
+func hostsByRegion(doc berylconf.Document, members []Member, region map[string]string) (map[string][]string, []string) {
 	regions := make(map[string][]string)
 	var staying, leaving []string
 	for _, m := range members {
