Calls: a second call soon on a frozen engine, also before its usual times are known

Before: TestEngineKilled/frozen lost 8 of 72 requests, which waited for their client's 30 s. Cause: a host with fewer than 20 calls knows no usual first-byte time and waited for half of the remaining minute before the second call. The stall of 10 s was ruled out: only calls sent after the freeze were lost. Now a second call follows after 3 s (and 50 ms for each token of a plain answer), and 10 samples are enough to know the usual time. The test of the retry budget counted hedges too; it now runs without them.

--- a/internal/berylcall/hedge_test.go
+++ b/internal/berylcall/hedge_test.go
@@ -103,6 +103,7 @@
 func TestRetriesStayWithinBudget(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t)
+	f.rules = berylconf.Rules{HedgePercent: 0.001} // a hedge would count as a start too
 	bad := f.engine(t, "bad", berylfake.EngineOptions{})
 	good := f.engine(t, "good", berylfake.EngineOptions{})
 	is.NoErr(bad.SetFault(berylfake.UpstreamFault{Mode: berylfake.FaultStatus, Status: 500}))
--- a/internal/berylcall/latency.go
+++ b/internal/berylcall/latency.go
@@ -9,16 +9,19 @@
 
 const (
 	latencySamples   = 128
-	latencyMinimum   = 20
+	latencyMinimum   = 10
 	latencyRefresh   = 16
 	latencyMaxKeys   = 1024
 	latencyQuantile  = 0.95
 	hedgeFloor       = 5 * time.Millisecond
 	secondCallFactor = 4
 	secondCallFloor  = time.Second
-	stallFactor      = 50
-	stallFloor       = 2 * time.Second
-	stallCeiling     = 10 * time.Second
+	// unknownFirst and unknownToken bound the wait for a first byte while no usual one is known.
+	unknownFirst = 3 * time.Second
+	unknownToken = 50 * time.Millisecond
+	stallFactor  = 50
+	stallFloor   = 2 * time.Second
+	stallCeiling = 10 * time.Second
 )
 
 // latencyKey names the calls whose first bytes are compared with one another.
@@ -42,6 +45,14 @@
 	return latencyKey{target: req.Target, stream: true}
 }
 
+// tokensBefore returns how many tokens an upstream makes before the first byte of its answer.
+func tokensBefore(req *Request) int {
+	if req.Stream {
+		return 0
+	}
+	return max(req.Tokens, 0)
+}
+
 // latencies keeps a window of recent times for each key; its zero value is ready.
 type latencies struct {
 	mu      sync.Mutex
@@ -104,13 +115,14 @@
 	return max(high, hedgeFloor)
 }
 
-// secondCallAfter returns how long to wait for the first byte before a second call on the retry budget.
-func secondCallAfter(high, remaining time.Duration) time.Duration {
-	half := remaining / 2
+// secondCallAfter returns how long to wait for the first byte before a second call on the retry budget; tokens are those
+// that an answer needs before its first byte.
+func secondCallAfter(high, remaining time.Duration, tokens int) time.Duration {
+	span := max(secondCallFactor*high, secondCallFloor)
 	if high == 0 {
-		return half
+		span = unknownFirst + time.Duration(tokens)*unknownToken
 	}
-	return min(max(secondCallFactor*high, secondCallFloor), half)
+	return min(span, remaining/2)
 }
 
 // stallAfter returns the longest pause of a stream that can be continued elsewhere, from the usual time between events.
--- a/internal/berylcall/race.go
+++ b/internal/berylcall/race.go
@@ -180,7 +180,7 @@
 func (c *call) newSecondCall() *secondCall {
 	high := c.runner.latencies.high(keyOf(c.req))
 	hedge := hedgeAfter(high)
-	later := secondCallAfter(high, c.remaining())
+	later := secondCallAfter(high, c.remaining(), tokensBefore(c.req))
 	if hedge == 0 || hedge >= later {
 		return &secondCall{timer: time.NewTimer(later), budget: &c.runner.retries}
 	}
