Membership: confirm a lost host within 5 s, and no live one under loss

Now each host probes four ring successors besides a random member, only hosts that have missed a suspect themselves use the short timeout and probe it again meanwhile, a death told to a host that knows nothing against the member has to wait a second for a refutation, and changes of the live hosts are pushed at once. Sync answers are no longer spread as news.

A restarted host whose clock has gone back no longer takes itself for replaced.

--- /dev/null
+++ b/internal/berylhost/bench_test.go
@@ -0,0 +1,59 @@
+package berylhost_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"berylroad.example/berylroad/internal/berylhost"
+)
+
+// BenchmarkConfirm loses one host of a settled fleet again and again, and reports when all others have confirmed it.
+func BenchmarkConfirm(b *testing.B) {
+	for _, count := range []int{6, 24, 96, 420} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			var took []time.Duration
+			for b.Loop() {
+				p := settled(b, uint64(len(took)), count)
+				p.run(time.Duration(p.random.Int64N(int64(5 * time.Second))))
+				p.lose(1)
+				took = append(took, p.until(time.Minute, func() bool { return p.whole(count - 1) }))
+			}
+			slices.Sort(took)
+			b.ReportMetric(float64(took[len(took)/2].Milliseconds()), "p50-ms")
+			b.ReportMetric(float64(took[len(took)-1].Milliseconds()), "worst-ms")
+		})
+	}
+}
+
+// BenchmarkMinute runs a settled fleet for a minute of fake time, the encoding of its messages included.
+func BenchmarkMinute(b *testing.B) {
+	for _, count := range []int{6, 24, 96, 420} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			p := settled(b, 1, count)
+			var rate float64
+			for b.Loop() {
+				rate = traffic(p)
+			}
+			b.ReportMetric(rate, "bytes/s/host")
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N*count*trafficSeconds), "cpu-us/s/host")
+		})
+	}
+}
+
+// BenchmarkFirst finds the owner of an upstream.
+func BenchmarkFirst(b *testing.B) {
+	for _, count := range []int{6, 420} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			live := newPump(1, count).nodes["mu-north-entry-000"].Live()
+			for i := range count {
+				live = append(live, member(fmt.Sprintf("mu-north-entry-%03x", i), 1))
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				berylhost.First("ribdesk-llm-12", live, "mu-north")
+			}
+		})
+	}
+}
--- a/internal/berylhost/event.go
+++ b/internal/berylhost/event.go
@@ -137,10 +137,7 @@
 }
 
 // Replaced says that a later run of this host is up elsewhere.
-type Replaced struct {
-	// By is the later run.
-	By Member
-}
+type Replaced struct{}
 
 // Joined says that the first peer has been heard, or that none answers.
 type Joined struct {
--- a/internal/berylhost/host.go
+++ b/internal/berylhost/host.go
@@ -216,7 +216,7 @@
 			h.notify()
 		case Replaced:
 			h.replaced.Store(true)
-			h.log().WithField("address", a.By.PeerAddress).Error("a later run of this host is up")
+			h.log().Error("a later run of this host is up")
 		case Joined:
 			close(h.joined)
 		}
--- a/internal/berylhost/message.go
+++ b/internal/berylhost/message.go
@@ -7,8 +7,8 @@
 	kindRelay = "member-relay"
 	kindSync  = "member-sync"
 
-	maxNews    = 8
-	maxLoads   = 8
+	maxNews    = 16
+	maxLoads   = 6
 	maxMembers = 2048
 )
 
@@ -16,7 +16,7 @@
 type Digest struct {
 	// Revision is that of the sender's configuration.
 	Revision int64 `cbor:"1,keyasint,omitempty"`
-	// Loads describes some of the upstreams that the sender owns; more than 8 are cut off.
+	// Loads describes some of the upstreams that the sender owns; more than 6 are cut off.
 	Loads []berylpermit.Load `cbor:"2,keyasint,omitempty"`
 }
 
--- a/internal/berylhost/probe.go
+++ b/internal/berylhost/probe.go
@@ -2,24 +2,28 @@
 
 import "time"
 
-// probeDue sends the probes of this moment: one to a ring successor and one to a random member, each once an interval.
+// probeDue sends the probes of this moment, to a ring successor and to a random member.
 func (t *Table) probeDue(now time.Time) {
-	if due(now, &t.nextRing, probeInterval) {
+	if due(now, &t.nextRing, ringInterval) {
 		t.probe(t.views.nextSuccessor(), toCheck)
 	}
-	if due(now, &t.nextProbe, probeInterval) {
+	interval := probeInterval
+	if len(t.suspects) > 0 {
+		interval = hastyInterval // where one host is lost, there may be others
+		t.nextProbe = earlier(t.nextProbe, now.Add(interval))
+	}
+	if due(now, &t.nextProbe, interval) {
 		t.probe(t.views.nextRandom(t.random), toCheck)
 	}
 }
 
 // seekDue probes candidates that are not up, so that late ones and healed partitions are found.
+//
+// While new candidates are unknown it also pulls whole tables, which doubles what a fleet that starts together knows.
 func (t *Table) seekDue(now time.Time) {
-	if due(now, &t.nextSeek, seekInterval) {
-		count := 1
-		if !t.joined {
-			count = seekCount
-		}
-		for range min(count, len(t.views.unknown)) {
+	if now.Before(t.seekUntil) && due(now, &t.nextSeek, seekInterval) && len(t.views.unknown) > 0 {
+		t.needSync = t.joined
+		for range min(seekCount, len(t.views.unknown)) {
 			t.probe(t.views.nextUnknown(), toSeek)
 		}
 	}
@@ -29,6 +33,18 @@
 	}
 }
 
+// pushDue tells some members at once of a change of the live hosts, so that it does not wait for the next probes.
+func (t *Table) pushDue(now time.Time) {
+	if !t.urgent || now.Before(t.nextPush) || t.Self.State == Left {
+		return
+	}
+	t.urgent = false
+	t.nextPush = now.Add(urgentInterval)
+	for range min(urgentCount, len(t.views.others)) {
+		t.probe(t.views.nextRandom(t.random), toSeek)
+	}
+}
+
 // due says whether the time has come, and sets the next one.
 func due(now time.Time, next *time.Time, interval time.Duration) bool {
 	if now.Before(*next) {
@@ -84,14 +100,12 @@
 
 func (t *Table) syncAsked(now time.Time, e SyncAsked) {
 	if e.Self.Name == e.From {
-		t.merge(now, e.Self)
+		t.merge(now, e.Self, true)
 	}
-	members := make([]Member, 0, len(t.entries)+1)
+	members := make([]Member, 0, len(t.views.known)+1)
 	members = append(members, t.Self)
-	for _, other := range t.entries {
-		if other.State != Unknown {
-			members = append(members, other.Member)
-		}
+	for _, other := range t.views.known {
+		members = append(members, other.Member)
 	}
 	t.do(ReplySync{Members: members})
 }
@@ -106,9 +120,10 @@
 	if g.Self.Name != from || from == t.Self.Name {
 		return
 	}
-	t.merge(now, g.Self)
+	spread := limit <= maxNews
+	t.merge(now, g.Self, spread)
 	for _, m := range g.News[:min(limit, len(g.News))] {
-		t.merge(now, m)
+		t.merge(now, m, spread)
 	}
 	if !t.joined {
 		t.joined = true
@@ -133,6 +148,7 @@
 		return
 	}
 	delete(t.pending, p.parent)
+	t.dropEarlierRun(now, e.Gossip.Self)
 	t.take(now, e.From, e.Gossip, limit)
 }
 
@@ -184,13 +200,44 @@
 	t.suspect(now, p)
 }
 
+// dropEarlierRun declares a run dead when another run with older news has answered at its address: the clock of that host
+// has gone back over its restart, and it needs to hear of this to raise its incarnation.
+func (t *Table) dropEarlierRun(now time.Time, answered Member) {
+	e := t.entries[answered.Name]
+	if e == nil || !e.State.live() || e.Boot == answered.Boot || e.PeerAddress != answered.PeerAddress {
+		return
+	}
+	if newer(answered, e.Member) {
+		return
+	}
+	m := e.Member
+	m.State = Dead
+	t.set(now, e, m, true)
+}
+
 // suspect marks a member that nobody reached, unless it has been heard of anew meanwhile.
 func (t *Table) suspect(now time.Time, p *pending) {
 	e := t.entries[p.target]
-	if e == nil || e.State != Alive || e.Incarnation != p.incarnation {
+	if e == nil || !e.State.live() || e.Incarnation != p.incarnation {
 		return
 	}
-	m := e.Member
-	m.State = Suspect
-	t.set(now, e, m)
+	if e.State == Alive {
+		m := e.Member
+		m.State = Suspect
+		t.set(now, e, m, true)
+	}
+	if e.missed {
+		return
+	}
+	e.missed = true
+	e.doubted = true
+	e.recheck = now
+	e.deadline = earlier(e.deadline, e.since.Add(suspicionTimeout))
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
 }
--- a/internal/berylhost/table.go
+++ b/internal/berylhost/table.go
@@ -1,7 +1,9 @@
 package berylhost
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -11,21 +13,33 @@
 	// PauseTimeout is the time between two ticks from which a host counts as having been paused.
 	PauseTimeout = suspicionTimeout
 
-	probeInterval    = time.Second
-	probeTimeout     = 400 * time.Millisecond
-	relayTimeout     = 900 * time.Millisecond
-	relayProbe       = 400 * time.Millisecond
-	syncTimeout      = time.Second
-	suspicionTimeout = 1500 * time.Millisecond
+	probeInterval = time.Second
+	hastyInterval = 500 * time.Millisecond
+	ringInterval  = 500 * time.Millisecond
+	probeTimeout  = 300 * time.Millisecond
+	relayTimeout  = 600 * time.Millisecond
+	relayProbe    = 400 * time.Millisecond
+	syncTimeout   = time.Second
+	// suspicionTimeout is the time to refute for a host that has itself missed the suspect.
+	suspicionTimeout = 2 * time.Second
+	// hearsayTimeout is the time to refute for a host that has only been told.
+	hearsayTimeout = 3500 * time.Millisecond
+	// burialTimeout is the time to refute for a host that is told of a death without having heard of the suspicion.
+	burialTimeout    = time.Second
+	recheckInterval  = 400 * time.Millisecond
+	replaceTimeout   = 5 * time.Second
+	urgentInterval   = 500 * time.Millisecond
 	seekInterval     = time.Second
 	seekDeadInterval = 5 * time.Second
+	seekSpan         = 30 * time.Second
 	joinTimeout      = 3 * time.Second
 	forgetTimeout    = 2 * time.Minute
 
 	relayCount   = 3
 	seekCount    = 3
-	ringCount    = 2
+	ringCount    = 4
 	leaveCount   = 8
+	urgentCount  = 2
 	maxPending   = 64
 	maxFillers   = 3
 	spreadFactor = 3
@@ -52,10 +66,14 @@
 	nextProbe time.Time
 	nextSeek  time.Time
 	nextDead  time.Time
+	seekUntil time.Time
+	nextPush  time.Time
+	rivalAt   time.Time // when a later run of this host was first heard of, or zero
+	replaced  bool
+	urgent    bool // the live hosts have changed and nobody has been told
 	joined    bool
 	needSync  bool
 	syncing   bool
-	replaced  bool
 
 	actions []Action
 }
@@ -65,6 +83,10 @@
 	Member
 	candidate bool
 	since     time.Time // when the state was taken on
+	deadline  time.Time // when a suspect counts as dead
+	missed    bool      // a suspect that this host has itself missed
+	doubted   bool      // a suspect that this host probes itself
+	recheck   time.Time // when to probe a doubted suspect again
 }
 
 // purpose says what a probe is for.
@@ -111,6 +133,7 @@
 		t.leave()
 	}
 	t.refresh()
+	t.pushDue(now)
 	return t.actions
 }
 
@@ -123,7 +146,7 @@
 	t.Self.Incarnation = t.Self.Boot
 	t.started = now
 	t.lastTick = now
-	t.nextRing = now.Add(t.jitter(probeInterval))
+	t.nextRing = now.Add(t.jitter(ringInterval))
 	t.nextProbe = now.Add(t.jitter(probeInterval))
 	t.nextSeek = now
 	t.nextDead = now.Add(t.jitter(seekDeadInterval))
@@ -148,6 +171,7 @@
 	}
 	t.confirm(now)
 	t.checkJoined(now)
+	t.checkReplaced(now)
 	t.probeDue(now)
 	t.seekDue(now)
 	if t.needSync && !t.syncing {
@@ -162,22 +186,35 @@
 	t.syncing = false
 	t.needSync = true
 	for _, e := range t.suspects {
-		e.since = e.since.Add(pause)
+		e.deadline = e.deadline.Add(pause)
 	}
 }
 
-// confirm declares suspects dead whose time to refute is over.
+// confirm declares suspects dead whose time to refute is over, and probes the doubted ones again.
 func (t *Table) confirm(now time.Time) {
-	for _, e := range t.suspects {
-		if now.Sub(e.since) < suspicionTimeout {
+	for _, name := range slices.Sorted(maps.Keys(t.suspects)) {
+		e := t.suspects[name]
+		if !now.Before(e.deadline) {
+			m := e.Member
+			m.State = Dead
+			t.set(now, e, m, true)
 			continue
 		}
-		m := e.Member
-		m.State = Dead
-		t.set(now, e, m)
+		if e.doubted && due(now, &e.recheck, recheckInterval) {
+			t.probe(e, toSeek)
+		}
 	}
 }
 
+// checkReplaced reports a later run of this host that goes on being heard of; an earlier run's news ends with its death.
+func (t *Table) checkReplaced(now time.Time) {
+	if t.replaced || t.rivalAt.IsZero() || now.Sub(t.rivalAt) < replaceTimeout {
+		return
+	}
+	t.replaced = true
+	t.do(Replaced{})
+}
+
 func (t *Table) checkJoined(now time.Time) {
 	if t.joined || now.Sub(t.started) < joinTimeout {
 		return
@@ -187,9 +224,7 @@
 }
 
 func (t *Table) setCandidates(now time.Time, members []Member) {
-	for _, e := range t.entries {
-		e.candidate = false
-	}
+	named := map[string]bool{}
 	for _, m := range members {
 		if m.Name == t.Self.Name || m.Name == "" {
 			continue
@@ -197,9 +232,13 @@
 		e := t.entries[m.Name]
 		if e == nil {
 			if e = t.add(now, m.Name); e == nil {
-				return
+				break
 			}
 		}
+		named[m.Name] = true
+		if !e.candidate && e.State == Unknown {
+			t.seekUntil = now.Add(seekSpan)
+		}
 		e.candidate = true
 		if !e.State.live() {
 			e.PeerAddress = m.PeerAddress
@@ -207,6 +246,9 @@
 			e.FailureDomain = m.FailureDomain
 		}
 	}
+	for name, e := range t.entries {
+		e.candidate = named[name]
+	}
 	t.views.dirty = true
 }
 
--- a/internal/berylhost/views.go
+++ b/internal/berylhost/views.go
@@ -17,7 +17,7 @@
 	others  []*entry // live, shuffled
 	ring    []*entry // live, in the order of the ring from this host on
 	unknown []*entry // candidates that nobody has heard of
-	gone    []*entry // dead or left candidates
+	gone    []*entry // candidates that are not up
 	known   []*entry // all that are not unknown
 
 	atOther, atRing, atUnknown, atKnown int
@@ -48,21 +48,19 @@
 		switch {
 		case e.State.live():
 			v.others = append(v.others, e)
-		case e.State == Unknown && e.candidate:
+			continue
+		case !e.candidate:
+			continue
+		case e.State == Unknown:
 			v.unknown = append(v.unknown, e)
-		case e.candidate:
-			v.gone = append(v.gone, e)
 		}
+		v.gone = append(v.gone, e)
 	}
 	byName := func(a, b *entry) int { return cmp.Compare(a.Name, b.Name) }
 	for _, list := range [][]*entry{v.others, v.unknown, v.gone, v.known} {
 		slices.SortFunc(list, byName)
 	}
-	v.ring = append(v.ring, v.others...)
-	self := xxhash.Sum64String(t.Self.Name)
-	slices.SortStableFunc(v.ring, func(a, b *entry) int {
-		return cmp.Compare(xxhash.Sum64String(a.Name)-self, xxhash.Sum64String(b.Name)-self)
-	})
+	v.ring = ring(v.ring, t.Self, v.others)
 	shuffle(t.random, v.others)
 	shuffle(t.random, v.known)
 }
@@ -88,6 +86,38 @@
 	r.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 }
 
+// ring lists the others in ring order from this host on.
+//
+// The order is the same at all hosts and spreads each failure domain evenly, so that the loss of one leaves most members a
+// predecessor.
+func ring(list []*entry, self Member, others []*entry) []*entry {
+	type place struct {
+		*entry
+		hash uint64
+		at   float64
+	}
+	domains := map[string][]place{}
+	for _, e := range append(slices.Clip(others), &entry{Member: self}) {
+		domains[e.FailureDomain] = append(domains[e.FailureDomain], place{entry: e, hash: xxhash.Sum64String(e.Name)})
+	}
+	var places []place
+	for _, domain := range domains {
+		slices.SortFunc(domain, func(a, b place) int { return cmp.Compare(a.hash, b.hash) })
+		for i := range domain {
+			domain[i].at = (float64(i) + 0.5) / float64(len(domain))
+		}
+		places = append(places, domain...)
+	}
+	slices.SortFunc(places, func(a, b place) int {
+		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.FailureDomain, b.FailureDomain))
+	})
+	start := slices.IndexFunc(places, func(p place) bool { return p.Name == self.Name })
+	for i := 1; i < len(places); i++ {
+		list = append(list, places[(start+i)%len(places)].entry)
+	}
+	return list
+}
+
 // nextRandom returns each other member once in a random order, then again in another one.
 func (v *views) nextRandom(r *rand.Rand) *entry {
 	if len(v.others) == 0 {
@@ -101,15 +131,21 @@
 	return v.others[v.atOther-1]
 }
 
-// nextSuccessor returns this host's next alive members on the ring in turn, with the suspects between them.
+// nextSuccessor returns this host's next alive members on the ring in turn.
 func (v *views) nextSuccessor() *entry {
-	reach := 0
-	for alive := 0; reach < len(v.ring) && alive < ringCount; reach++ {
-		if v.ring[reach].State == Alive {
-			alive++
+	var targets [ringCount]*entry
+	count := 0
+	for _, e := range v.ring {
+		if e.State != Alive {
+			continue
+		}
+		targets[count] = e
+		count++
+		if count == ringCount {
+			break
 		}
 	}
-	return next(v.ring[:reach], &v.atRing)
+	return next(targets[:count], &v.atRing)
 }
 
 func (v *views) nextUnknown() *entry {
