Wire: fault table, fuzz test, benchmark; refusal of our certificate is no lost call

A caller with an expired certificate learnt of it only after its handshake had ended, as a lost call that may have run; the peer reads no request before it has checked the certificate, so this is now unreachable. Dials end with the endpoint. Counters of calls are looked up instead of formatted.

--- /dev/null
+++ b/internal/berylwire/bench_test.go
@@ -0,0 +1,49 @@
+package berylwire_test
+
+import (
+	"context"
+	"testing"
+
+	"berylroad.example/berylroad/internal/berylpermit"
+	"berylroad.example/berylroad/internal/berylwire"
+)
+
+// BenchmarkCall asks for a permit over loopback, both hosts in this process.
+func BenchmarkCall(b *testing.B) {
+	f := newFleet(b)
+	server := f.listen(berylwire.Config{Name: "host-b"})
+	berylwire.Handle(server, "permit-ask", func(_ context.Context, _ string, ask berylpermit.Ask) (berylpermit.Reply, error) {
+		return berylpermit.Reply{ID: ask.ID, Verdict: berylpermit.Granted, Upstream: "ribdesk-llm-12"}, nil
+	})
+	peer := f.serve(server)
+	client := f.listen(berylwire.Config{Name: "host-a"})
+	ask := berylpermit.Ask{ID: berylpermit.ID{Host: "host-a", Boot: 1, Seq: 2}, Target: "ribdesk-llm", Tokens: 300}
+	call := func(b *testing.B) {
+		_, err := berylwire.Call[berylpermit.Ask, berylpermit.Reply](b.Context(), client, peer, "permit-ask", ask)
+		if err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.Run("one at a time", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			call(b)
+		}
+	})
+	b.Run("parallel", func(b *testing.B) {
+		b.ReportAllocs()
+		b.RunParallel(func(pb *testing.PB) {
+			for pb.Next() {
+				call(b)
+			}
+		})
+	})
+	b.Run("first of a connection", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			client = f.listen(berylwire.Config{Name: "host-a"})
+			call(b)
+			client.Close()
+		}
+	})
+}
--- a/internal/berylwire/call.go
+++ b/internal/berylwire/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"github.com/quic-go/quic-go"
 )
@@ -28,15 +29,27 @@
 		fault = BadReply
 	}
 	if err != nil {
-		e.countCall(kind, fault.String())
+		e.countCall(kind, fault)
 		return answer, &Error{Fault: fault, Peer: peer.Name, Kind: kind, Cause: err}
 	}
-	e.countCall(kind, "answered")
+	e.countCall(kind, 0)
 	return answer, nil
 }
 
-func (e *Endpoint) countCall(kind, result string) {
-	e.config.Metrics.GetOrCreateCounter(fmt.Sprintf(`berylroad_wire_calls_total{kind=%q,result=%q}`, kind, result)).Inc()
+// callCounters are the counters of one kind of call, by its fault; the first counts the answered ones.
+type callCounters [BadReply + 1]*metrics.Counter
+
+func (e *Endpoint) countCall(kind string, fault Fault) {
+	found, ok := e.calls.Load(kind)
+	if !ok {
+		made := &callCounters{}
+		for f := range made {
+			name := fmt.Sprintf(`berylroad_wire_calls_total{kind=%q,result=%q}`, kind, Fault(f).String())
+			made[f] = e.config.Metrics.GetOrCreateCounter(name)
+		}
+		found, _ = e.calls.LoadOrStore(kind, made)
+	}
+	found.(*callCounters)[fault].Inc()
 }
 
 // exchange sends a request and returns the body of the answer, over a second connection if the first was already dead.
@@ -61,7 +74,7 @@
 
 // attempt sends a frame over the link to the peer; stale says that the link had been made earlier and has died since.
 func (e *Endpoint) attempt(ctx context.Context, peer Peer, frame []byte) (body []byte, fault Fault, stale bool, err error) {
-	l, err := e.pool.acquire(peer, func(l *link) { e.dial(peer, l) })
+	l, err := e.pool.acquire(peer, e.startDial)
 	if err != nil {
 		return nil, Unreachable, false, err
 	}
@@ -89,17 +102,13 @@
 		stream.CancelWrite(cancelCode)
 	})
 	defer stop()
-	if _, err := stream.Write(frame); err != nil && ctx.Err() == nil && conn.Context().Err() != nil {
-		return nil, Lost, err
-	}
+	// A failed write is found by the read: the peer may have answered without reading all.
+	_, _ = stream.Write(frame)
 	_ = stream.Close()
 	received, err := readFrame(stream, e.config.MaxFrame)
-	if ctx.Err() != nil && err != nil {
-		return nil, Lost, ctx.Err()
-	}
 	if err != nil {
 		stream.CancelRead(cancelCode)
-		return nil, Lost, err
+		return nil, lostFault(err), errors.CombineErrors(ctx.Err(), err)
 	}
 	var answer reply
 	if err := e.codec.dec.Unmarshal(received, &answer); err != nil {
@@ -110,3 +119,14 @@
 	}
 	return answer.Body, 0, nil
 }
+
+// lostFault returns the fault of a request without an answer.
+//
+// With TLS 1.3 a peer checks our certificate after we have begun to send; when it refuses it, it has read no request.
+func lostFault(err error) Fault {
+	var refused *quic.TransportError
+	if errors.As(err, &refused) && refused.Remote && refused.ErrorCode.IsCryptoError() {
+		return Unreachable
+	}
+	return Lost
+}
--- a/internal/berylwire/call_test.go
+++ b/internal/berylwire/call_test.go
@@ -23,7 +23,7 @@
 }
 
 func newFleet(t testing.TB) fleet {
-	ca, err := berylkey.CreateCA(time.Now())
+	ca, err := berylkey.CreateCA(time.Now().AddDate(-3, 0, 0))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/berylwire/endpoint.go
+++ b/internal/berylwire/endpoint.go
@@ -75,7 +75,10 @@
 	quic      *quic.Config
 	handlers  map[string]*handler
 	pool      pool
-	done      chan struct{}
+	calls     sync.Map // from a kind to its *callCounters
+	dials     conc.WaitGroup
+	open      context.Context // ends with Close
+	end       context.CancelFunc
 	closeOnce sync.Once
 }
 
@@ -107,8 +110,9 @@
 		codec:    codec,
 		quic:     quicConfig(),
 		handlers: map[string]*handler{},
-		done:     make(chan struct{}),
 	}
+	e.open, e.end = context.WithCancel(context.Background())
+	config.Metrics.NewGauge("berylroad_wire_connections", func() float64 { return float64(e.pool.count()) })
 	resetKey := quic.StatelessResetKey(config.Credentials.ResetKey())
 	e.transport = &quic.Transport{Conn: socket, StatelessResetKey: &resetKey}
 	e.listener, err = e.transport.Listen(config.Credentials.ServerConfig(protocol), e.quic)
@@ -149,7 +153,7 @@
 	duties.Go(func() { e.sweep(ctx) })
 	select {
 	case <-ctx.Done():
-	case <-e.done:
+	case <-e.open.Done():
 	}
 	cancel()
 	e.Close()
@@ -159,11 +163,12 @@
 // Close ends all connections and closes the socket; calls in flight fail as lost.
 func (e *Endpoint) Close() {
 	e.closeOnce.Do(func() {
-		close(e.done)
+		e.end()
 		_ = e.listener.Close()
 		e.pool.closeAll()
 		_ = e.transport.Close()
 		_ = e.transport.Conn.Close()
+		e.dials.Wait()
 	})
 }
 
--- a/internal/berylwire/error.go
+++ b/internal/berylwire/error.go
@@ -44,7 +44,7 @@
 	case BadReply:
 		return "bad-reply"
 	default:
-		return "none"
+		return "answered"
 	}
 }
 
--- /dev/null
+++ b/internal/berylwire/fault_test.go
@@ -0,0 +1,262 @@
+package berylwire_test
+
+import (
+	"context"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/matryer/is"
+	"github.com/quic-go/quic-go"
+
+	"berylroad.example/berylroad/internal/berylkey"
+	"berylroad.example/berylroad/internal/berylwire"
+)
+
+// longWait bounds a test that hangs; no verdict depends on it.
+const longWait = 20 * time.Second
+
+func TestFaults(t *testing.T) {
+	f := newFleet(t)
+	foreign := newFleet(t)
+	big := strings.Repeat("x", 3000)
+	for _, test := range []struct {
+		name   string
+		client berylwire.Config
+		peer   func(berylwire.Peer) berylwire.Peer
+		kind   string
+		text   string
+		fault  berylwire.Fault
+		cause  string
+	}{
+		{name: "foreign CA", client: berylwire.Config{Credentials: foreign.credentials("host-a")}, fault: berylwire.Unreachable, cause: "certificate"},
+		{name: "expired certificate", client: berylwire.Config{Credentials: f.expired("host-a")}, fault: berylwire.Unreachable, cause: "certificate"},
+		{name: "wrong name", peer: rename("host-c"), fault: berylwire.Unreachable, cause: "host-c"},
+		{name: "nobody there", peer: move("127.0.0.1:9"), fault: berylwire.Unreachable},
+		{name: "bad address", peer: move("nowhere"), fault: berylwire.Unreachable, cause: "address"},
+		{name: "request too large for the caller", text: strings.Repeat("x", 5000), fault: berylwire.Unreachable, cause: "4096"},
+		{name: "request too large for the peer", text: big, fault: berylwire.Malformed, cause: "2048"},
+		{name: "answer too large", kind: "grow", fault: berylwire.Remote, cause: "2048"},
+		{name: "body of another type", kind: "count", fault: berylwire.Malformed},
+		{name: "answer of another type", kind: "number", fault: berylwire.BadReply},
+		{name: "unknown kind", kind: "no-such-kind", fault: berylwire.UnknownKind},
+		{name: "handler error", text: "fail", fault: berylwire.Remote, cause: "asked to fail"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			b := f.listen(berylwire.Config{Name: "host-b", MaxFrame: 2048})
+			berylwire.Handle(b, "grow", func(context.Context, string, question) (question, error) {
+				return question{Text: big}, nil
+			})
+			berylwire.Handle(b, "count", func(_ context.Context, _ string, n int) (int, error) { return n, nil })
+			berylwire.Handle(b, "number", func(context.Context, string, question) (int, error) { return 7, nil })
+			peer := f.serve(b)
+			if test.peer != nil {
+				peer = test.peer(peer)
+			}
+			test.client.Name = "host-a"
+			test.client.MaxFrame = 4096
+			a := f.listen(test.client)
+			if test.kind == "" {
+				test.kind = "echo"
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), longWait)
+			defer cancel()
+			_, err := berylwire.Call[question, question](ctx, a, peer, test.kind, question{Text: test.text})
+			t.Log(err)
+			is.Equal(berylwire.FaultOf(err), test.fault)
+			is.True(strings.Contains(err.Error(), test.cause))
+			unrun := test.fault != berylwire.Remote && test.fault != berylwire.BadReply
+			is.Equal(berylwire.MayHaveRun(err), !unrun)
+		})
+	}
+}
+
+func rename(name string) func(berylwire.Peer) berylwire.Peer {
+	return func(p berylwire.Peer) berylwire.Peer { return berylwire.Peer{Name: name, Address: p.Address} }
+}
+
+func move(address string) func(berylwire.Peer) berylwire.Peer {
+	return func(p berylwire.Peer) berylwire.Peer { return berylwire.Peer{Name: p.Name, Address: address} }
+}
+
+// expired returns credentials that were good two years ago.
+func (f fleet) expired(name string) *berylkey.Credentials {
+	then := time.Now().AddDate(-2, 0, 0)
+	pair, err := f.ca.CreateHost(then, name)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	credentials, err := berylkey.New(then, f.ca.Cert, pair)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return credentials
+}
+
+func TestGarbageIsAnsweredAsMalformed(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	peer := f.serve(f.listen(berylwire.Config{Name: "host-b"}))
+	conn, err := quic.DialAddr(t.Context(), peer.Address, f.credentials("host-a").ClientConfig("host-b", "berylroad/1"), nil)
+	is.NoErr(err)
+	defer func() { is.NoErr(conn.CloseWithError(0, "")) }()
+	stream, err := conn.OpenStream()
+	is.NoErr(err)
+	_, err = stream.Write([]byte("\xffnot CBOR"))
+	is.NoErr(err)
+	is.NoErr(stream.Close())
+	var reply []any
+	is.NoErr(cbor.NewDecoder(stream).Decode(&reply))
+	is.Equal(reply[0], uint64(2)) // malformed
+}
+
+func TestEndOfTheCallersContextEndsTheHandlers(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	b := f.listen(berylwire.Config{Name: "host-b"})
+	started, ended := make(chan struct{}), make(chan struct{})
+	berylwire.Handle(b, "wait", func(ctx context.Context, _ string, _ question) (question, error) {
+		close(started)
+		<-ctx.Done()
+		close(ended)
+		return question{}, ctx.Err()
+	})
+	peer := f.serve(b)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-started
+		cancel()
+	}()
+	_, err := berylwire.Call[question, question](ctx, f.listen(berylwire.Config{Name: "host-a"}), peer, "wait", question{})
+	is.Equal(berylwire.FaultOf(err), berylwire.Lost)
+	is.True(errors.Is(err, context.Canceled))
+	<-ended
+}
+
+func TestSurplusRequestsOfAKindAreRefusedUnrun(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	b := f.listen(berylwire.Config{Name: "host-b", MaxPerKind: 1})
+	started, release := make(chan struct{}), make(chan struct{})
+	berylwire.Handle(b, "wait", func(context.Context, string, question) (question, error) {
+		close(started)
+		<-release
+		return question{}, nil
+	})
+	peer := f.serve(b)
+	a := f.listen(berylwire.Config{Name: "host-a"})
+	first := make(chan error, 1)
+	go func() {
+		_, err := berylwire.Call[question, question](context.Background(), a, peer, "wait", question{})
+		first <- err
+	}()
+	<-started
+	_, err := berylwire.Call[question, question](t.Context(), a, peer, "wait", question{})
+	is.Equal(berylwire.FaultOf(err), berylwire.Busy)
+	_, err = berylwire.Call[question, question](t.Context(), a, peer, "echo", question{})
+	is.NoErr(err) // another kind has its own bound
+	close(release)
+	is.NoErr(<-first)
+}
+
+// street carries datagrams between one caller and a peer that can be changed or cut off without a word to the caller.
+type street struct {
+	socket *net.UDPConn
+	caller atomic.Pointer[net.UDPAddr]
+	target atomic.Pointer[net.UDPAddr] // nil swallows all
+}
+
+func newStreet(t *testing.T) *street {
+	is := is.New(t)
+	socket, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	is.NoErr(err)
+	t.Cleanup(func() { _ = socket.Close() })
+	s := &street{socket: socket}
+	go s.carry()
+	return s
+}
+
+func (s *street) carry() {
+	buffer := make([]byte, 1<<16)
+	for {
+		n, from, err := s.socket.ReadFromUDP(buffer)
+		if err != nil {
+			return
+		}
+		target := s.target.Load()
+		switch {
+		case target == nil:
+		case from.Port == target.Port:
+			_, _ = s.socket.WriteToUDP(buffer[:n], s.caller.Load())
+		case s.caller.CompareAndSwap(nil, from) || from.Port == s.caller.Load().Port:
+			_, _ = s.socket.WriteToUDP(buffer[:n], target)
+		}
+	}
+}
+
+func (s *street) lead(t *testing.T, to *berylwire.Endpoint) {
+	address, err := net.ResolveUDPAddr("udp", to.Addr())
+	is.New(t).NoErr(err)
+	s.target.Store(address)
+}
+
+func TestPeerRestartedAtTheSameAddressIsReachedAtOnce(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	credentials := f.credentials("host-b")
+	before := f.listen(berylwire.Config{Name: "host-b", Credentials: credentials})
+	after := f.listen(berylwire.Config{Name: "host-b", Credentials: credentials})
+	f.serve(before)
+	f.serve(after)
+	s := newStreet(t)
+	s.lead(t, before)
+	a := f.listen(berylwire.Config{Name: "host-a"})
+	peer := berylwire.Peer{Name: "host-b", Address: s.socket.LocalAddr().String()}
+	_, err := berylwire.Call[question, question](t.Context(), a, peer, "echo", question{})
+	is.NoErr(err)
+	s.lead(t, after) // the old run says nothing more
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	_, err = berylwire.CallIdempotent[question, question](ctx, a, peer, "echo", question{Text: "long enough for a stateless reset"})
+	is.NoErr(err) // before the silence of the old connection is noticed
+}
+
+func TestFrozenPeerHoldsNoCallerBeyondItsContext(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		called bool // whether there is a connection from before
+		fault  berylwire.Fault
+	}{
+		{name: "never answered", fault: berylwire.Unreachable},
+		{name: "frozen after a call", called: true, fault: berylwire.Lost},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t)
+			b := f.listen(berylwire.Config{Name: "host-b"})
+			f.serve(b)
+			s := newStreet(t)
+			a := f.listen(berylwire.Config{Name: "host-a"})
+			peer := berylwire.Peer{Name: "host-b", Address: s.socket.LocalAddr().String()}
+			if test.called {
+				s.lead(t, b)
+				_, err := berylwire.Call[question, question](t.Context(), a, peer, "echo", question{})
+				is.NoErr(err)
+				s.target.Store(nil)
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+			defer cancel()
+			_, err := berylwire.Call[question, question](ctx, a, peer, "echo", question{})
+			is.Equal(berylwire.FaultOf(err), test.fault)
+			is.True(errors.Is(err, context.DeadlineExceeded))
+			s.lead(t, b)
+			_, err = berylwire.CallIdempotent[question, question](t.Context(), a, peer, "echo", question{})
+			is.NoErr(err) // after the thaw
+		})
+	}
+}
--- /dev/null
+++ b/internal/berylwire/fuzz_test.go
@@ -0,0 +1,48 @@
+package berylwire
+
+import (
+	"context"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"berylroad.example/berylroad/internal/berylpermit"
+)
+
+// FuzzAnswer feeds frames to an endpoint that has one handler with a deep request type.
+func FuzzAnswer(f *testing.F) {
+	codec, err := newCodec()
+	is.New(f).NoErr(err)
+	e := &Endpoint{config: Config{MaxPerKind: 1}, codec: codec, handlers: map[string]*handler{}}
+	handled := 0
+	h := newHandler(e, func(_ context.Context, _ string, held berylpermit.Held) (berylpermit.Held, error) {
+		handled++
+		return held, nil
+	})
+	e.handlers["held"] = h
+	body, err := codec.enc.Marshal(berylpermit.Held{Host: "host-a", Permits: make([]berylpermit.HeldPermit, 3)})
+	is.New(f).NoErr(err)
+	whole, err := codec.enc.Marshal(request{Kind: "held", Body: body})
+	is.New(f).NoErr(err)
+	f.Add(whole)
+	f.Add(whole[:len(whole)/2])
+	f.Add(append(whole, 0))
+	f.Add([]byte{})
+	f.Add([]byte("\x82\x64held\xa1\x03\x9b\x00\x00\x00\x7f\xff\xff\xff\xff")) // an array of 2^39 elements that are not there
+	f.Add([]byte("\x82\x64held\xa1\x01\x5b\x7f\xff\xff\xff\xff\xff\xff\xff")) // a string of 2^63 bytes
+	f.Add([]byte("\x82\x64held\xa1\x03\x9f\xff"))                             // an array of unknown length
+	f.Add([]byte("\x82\x64held\xa2\x01\x61a\x01\x61b"))                       // a key twice
+	f.Add([]byte("\x82\x64held\xc1\x00"))                                     // a tag
+	f.Add([]byte("\x82\x64held" + strings.Repeat("\x81", 100) + "\x00"))      // nested too deep
+	f.Fuzz(func(t *testing.T, frame []byte) {
+		is := is.New(t)
+		before := handled
+		answer := e.answer(t.Context(), "host-a", frame)
+		is.Equal(answer.Status == statusOK, handled > before) // handled and answered, or neither
+		is.Equal(len(h.slots), 0)
+		if answer.Status == statusOK {
+			is.NoErr(codec.dec.Wellformed(answer.Body))
+		}
+	})
+}
--- a/internal/berylwire/pool.go
+++ b/internal/berylwire/pool.go
@@ -37,7 +37,7 @@
 }
 
 // acquire returns the link to a peer, making one if there is none alive; release it after the call.
-func (p *pool) acquire(peer Peer, dial func(*link)) (*link, error) {
+func (p *pool) acquire(peer Peer, dial func(Peer, *link)) (*link, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
@@ -50,7 +50,7 @@
 			p.links = map[Peer]*link{}
 		}
 		p.links[peer] = l
-		go dial(l)
+		dial(peer, l)
 	}
 	l.active++
 	return l, nil
@@ -90,22 +90,34 @@
 func (l *link) close() {
 	select {
 	case <-l.ready:
-		if l.err == nil {
-			_ = l.conn.CloseWithError(closeCode, "closing")
-		}
 	default:
+		return
+	}
+	if l.err == nil {
+		_ = l.conn.CloseWithError(closeCode, "closing")
 	}
 }
 
-// dial makes the connection of a link.
-func (e *Endpoint) dial(peer Peer, l *link) {
-	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
+func (p *pool) count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.links)
+}
+
+// startDial makes the connection of a link in the background.
+func (e *Endpoint) startDial(peer Peer, l *link) {
+	e.dials.Go(func() {
+		defer close(l.ready)
+		l.conn, l.err = e.dial(peer)
+	})
+}
+
+func (e *Endpoint) dial(peer Peer) (*quic.Conn, error) {
+	ctx, cancel := context.WithTimeout(e.open, handshakeTimeout)
 	defer cancel()
-	defer close(l.ready)
 	address, err := net.ResolveUDPAddr("udp", peer.Address)
 	if err != nil {
-		l.err = err
-		return
+		return nil, err
 	}
-	l.conn, l.err = e.transport.Dial(ctx, address, e.config.Credentials.ClientConfig(peer.Name, protocol), e.quic)
+	return e.transport.Dial(ctx, address, e.config.Credentials.ClientConfig(peer.Name, protocol), e.quic)
 }
--- a/internal/berylwire/serve.go
+++ b/internal/berylwire/serve.go
@@ -25,6 +25,13 @@
 	if e.handlers[kind] != nil || len(kind) > maxKindBytes {
 		panic("berylwire: kind registered twice or too long: " + kind)
 	}
+	e.handlers[kind] = newHandler(e, h)
+	e.handlers[kind].handled = e.config.Metrics.NewCounter(fmt.Sprintf(`berylroad_wire_handled_total{kind=%q}`, kind))
+	e.handlers[kind].refused = e.config.Metrics.NewCounter(fmt.Sprintf(`berylroad_wire_refused_total{kind=%q}`, kind))
+}
+
+// newHandler wraps a typed handler.
+func newHandler[Req, Reply any](e *Endpoint, h func(context.Context, string, Req) (Reply, error)) *handler {
 	run := func(ctx context.Context, peer string, body []byte) reply {
 		var req Req
 		if err := e.codec.dec.Unmarshal(body, &req); err != nil {
@@ -40,11 +47,11 @@
 		}
 		return reply{Body: encoded}
 	}
-	e.handlers[kind] = &handler{
+	return &handler{
 		run:     run,
 		slots:   make(chan struct{}, e.config.MaxPerKind),
-		handled: e.config.Metrics.NewCounter(fmt.Sprintf(`berylroad_wire_handled_total{kind=%q}`, kind)),
-		refused: e.config.Metrics.NewCounter(fmt.Sprintf(`berylroad_wire_refused_total{kind=%q}`, kind)),
+		handled: &metrics.Counter{},
+		refused: &metrics.Counter{},
 	}
 }
 
