--- a/internal/berylsched/compare_test.go
+++ b/internal/berylsched/compare_test.go
@@ -158,7 +158,7 @@
 	loads := []load{
 		{name: "short alone", short: 200},
 		{name: "short and batch", short: 200, batch: 120},
-		{name: "short and long", short: 200, long: 18},
+		{name: "short and long", short: 200, long: 30},
 		{name: "short, long and batch", short: 200, long: 8, batch: 120},
 		{name: "two slow upstreams", short: 200, slowUpstream: 2},
 	}
--- a/internal/berylsched/health.go
+++ b/internal/berylsched/health.go
@@ -34,8 +34,6 @@
 	regrowStep = 0.1
 	// returnShare is the share of slots with which an upstream comes back.
 	returnShare = 0.5
-	// stallRatio is how many times the mean a call must last to count as stalled.
-	stallRatio = 4.0
 )
 
 // moving is an exponentially weighted moving mean of a time span.
@@ -79,8 +77,6 @@
 	gap   moving
 	// slow is how many times the norm the upstream takes, as last judged.
 	slow float64
-	// stall is how many times the mean busy time its longest short call has lasted.
-	stall float64
 	// cut is the share of the slots that is not given.
 	cut float64
 	// fresh counts the samples since the last judgement.
@@ -208,9 +204,5 @@
 
 // weight is by how much slower than the others the upstream is, at least 1.
 func (h *health) weight() float64 {
-	w := max(h.slow, 1)
-	if h.stall >= stallRatio {
-		w = max(w, h.stall)
-	}
-	return w
+	return max(h.slow, 1)
 }
--- a/internal/berylsched/judge.go
+++ b/internal/berylsched/judge.go
@@ -10,8 +10,6 @@
 const (
 	// judgeEvery is the time between two comparisons of a target's upstreams.
 	judgeEvery = 250 * time.Millisecond
-	// sweepEvery is the time between two looks at all permits.
-	sweepEvery = 250 * time.Millisecond
 	// peerFresh is how long the word of another owner counts.
 	peerFresh = 5 * time.Second
 	// normLeast is how many upstreams must be known for a median to mean anything.
@@ -117,21 +115,3 @@
 	slices.Sort(list)
 	return list[(len(list)-1)/2]
 }
-
-// sweep frees the permits that no report names any more, and finds the upstreams whose short calls last far longer
-// than usual before any report says so.
-func (o *Owner) sweep(now time.Time) {
-	for _, u := range o.ups {
-		u.health.stall = 0
-	}
-	for _, p := range o.permits {
-		if now.Sub(p.seen) > permitLease {
-			o.uncount(p)
-			continue
-		}
-		if p.class == berylpermit.Online && !p.long {
-			h := &p.up.health
-			h.stall = max(h.stall, quotient(now.Sub(p.since), h.busy[shortOnline].mean))
-		}
-	}
-}
--- a/internal/berylsched/owner.go
+++ b/internal/berylsched/owner.go
@@ -16,6 +16,8 @@
 	yieldAgain = 250 * time.Millisecond
 	// permitLease is how long a permit lives without a report of its holder.
 	permitLease = 15 * time.Second
+	// sweepEvery is the time between two looks at all permits.
+	sweepEvery = time.Second
 	// missedGrace is the least age of a permit that a report may leave out to its loss.
 	missedGrace = 500 * time.Millisecond
 	// missedReports is how many reports in a row must leave a permit out before it is freed.
--- a/internal/berylsched/owner_fleet.go
+++ b/internal/berylsched/owner_fleet.go
@@ -142,10 +142,7 @@
 			o.repeatYields(now, u)
 		}
 	}
-	if now.Sub(o.swept) >= sweepEvery {
-		o.swept = now
-		o.sweep(now)
-	}
+	o.sweep(now)
 	for _, t := range o.tgts {
 		t.judge(now)
 		t.refresh(now, o)
--- a/internal/berylsched/owner_permits.go
+++ b/internal/berylsched/owner_permits.go
@@ -113,6 +113,19 @@
 	}
 }
 
+// sweep frees the permits that no report names any more.
+func (o *Owner) sweep(now time.Time) {
+	if now.Sub(o.swept) < sweepEvery {
+		return
+	}
+	o.swept = now
+	for _, p := range o.permits {
+		if now.Sub(p.seen) > permitLease {
+			o.uncount(p)
+		}
+	}
+}
+
 // HostGone frees all permits and asks of one run of a host.
 func (o *Owner) HostGone(now time.Time, host string, boot uint64) []Action {
 	o.begin(now)
--- a/internal/berylsched/route.go
+++ b/internal/berylsched/route.go
@@ -13,6 +13,8 @@
 	affinityUpstreams = 2
 	// affinityBound is how much fuller than the mean an upstream may be and still be preferred for its cache.
 	affinityBound = 1.25
+	// localBonus is how much fuller this host's own upstreams may be and still go first, since asking takes no hop.
+	localBonus = 0.1
 )
 
 // candidate is an owner that may be asked.
@@ -48,6 +50,9 @@
 		c := candidate{host: sh.host, tie: rand.Uint32(), room: sh.room(now, ask)}
 		c.preferred = sh.host == first && c.room > 0
 		c.tier = tier(sh.far, c.room)
+		if sh.host == s.Host {
+			c.room += localBonus
+		}
 		list = append(list, c)
 	}
 	slices.SortFunc(list, compareCandidates)
