Keys: tests of loading, reload and names; a lasting reload error is reported once

Each way in which files can be wrong has its own error that says what to do, and a failed reload keeps the old credentials. Run repeated the same error every 5 s.

--- a/internal/berylkey/key_test.go
+++ b/internal/berylkey/key_test.go
@@ -1,6 +1,10 @@
 package berylkey_test
 
 import (
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -9,14 +13,134 @@
 	"berylroad.example/berylroad/internal/berylkey"
 )
 
-func TestNewNamesTheHost(t *testing.T) {
+// files is a folder with the CA certificate and one host's pair.
+type files struct {
+	t      *testing.T
+	folder string
+	ca     berylkey.Pair
+}
+
+func newFiles(t *testing.T) files {
+	ca, err := berylkey.CreateCA(time.Now().AddDate(-3, 0, 0))
+	is.New(t).NoErr(err)
+	f := files{t: t, folder: t.TempDir(), ca: ca}
+	f.write("ca.pem", ca.Cert, 0o644)
+	f.writeHost(time.Now(), "host-a")
+	return f
+}
+
+func (f files) write(name string, text []byte, mode os.FileMode) {
+	path := filepath.Join(f.folder, name)
+	is.New(f.t).NoErr(os.WriteFile(path, text, mode))
+	is.New(f.t).NoErr(os.Chmod(path, mode))
+}
+
+// writeHost makes a pair at that time and puts it into the folder.
+func (f files) writeHost(made time.Time, name string) berylkey.Pair {
+	pair, err := f.ca.CreateHost(made, name, net.IPv4(127, 0, 0, 1))
+	is.New(f.t).NoErr(err)
+	f.write("host.pem", pair.Cert, 0o644)
+	f.write("host.key", pair.Key, 0o600)
+	return pair
+}
+
+func (f files) load() (*berylkey.Credentials, error) {
+	in := func(name string) string { return filepath.Join(f.folder, name) }
+	return berylkey.Load(in("ca.pem"), in("host.pem"), in("host.key"))
+}
+
+func TestLoad(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		change func(files)
+		want   string // part of the error, or empty
+	}{
+		{name: "good", change: func(files) {}},
+		{name: "expired", change: func(f files) { f.writeHost(time.Now().AddDate(-2, 0, 0), "host-a") }, want: "expired at"},
+		{name: "not yet valid", change: func(f files) { f.writeHost(time.Now().AddDate(0, 0, 2), "host-a") }, want: "clock"},
+		{name: "foreign", change: func(f files) { f.write("ca.pem", newFiles(f.t).ca.Cert, 0o644) }, want: "not signed by this fleet's CA"},
+		{name: "key of another certificate", change: func(f files) { f.write("host.key", f.ca.Key, 0o600) }, want: "does not belong"},
+		{name: "CA in place of the host", change: func(f files) { f.write("host.pem", f.ca.Cert, 0o644) }, want: "does not belong"},
+		{name: "key readable by the group", change: func(f files) { f.mode("host.key", 0o640) }, want: "chmod 600"},
+		{name: "key readable by others", change: func(f files) { f.mode("host.key", 0o604) }, want: "chmod 600"},
+		{name: "no key", change: func(f files) { f.remove("host.key") }, want: "no such file"},
+		{name: "no PEM", change: func(f files) { f.write("host.pem", []byte("hello"), 0o644) }, want: "host certificate: no PEM"},
+		{name: "too large", change: func(f files) { f.write("ca.pem", make([]byte, 1<<20), 0o644) }, want: "larger than"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFiles(t)
+			test.change(f)
+			credentials, err := f.load()
+			if test.want == "" {
+				is.NoErr(err)
+				is.Equal(credentials.Name(), "host-a")
+				return
+			}
+			is.True(err != nil)
+			t.Log(err)
+			is.True(strings.Contains(err.Error(), test.want))
+		})
+	}
+}
+
+func (f files) mode(name string, mode os.FileMode) {
+	is.New(f.t).NoErr(os.Chmod(filepath.Join(f.folder, name), mode))
+}
+
+func (f files) remove(name string) {
+	is.New(f.t).NoErr(os.Remove(filepath.Join(f.folder, name)))
+}
+
+func TestReload(t *testing.T) {
 	is := is.New(t)
-	now := time.Now()
-	ca, err := berylkey.CreateCA(now)
+	f := newFiles(t)
+	credentials, err := f.load()
 	is.NoErr(err)
-	pair, err := ca.CreateHost(now, "host-a")
+	config := credentials.ServerConfig("test")
+	until := credentials.Until()
+
+	changed, err := credentials.Reload()
 	is.NoErr(err)
-	credentials, err := berylkey.New(now, ca.Cert, pair)
+	is.Equal(changed, false) // the files are the same
+
+	f.writeHost(time.Now().Add(-24*time.Hour), "host-a")
+	changed, err = credentials.Reload()
+	is.NoErr(err)
+	is.True(changed)
+	is.True(credentials.Until().Before(until))
+	current, err := config.GetConfigForClient(nil)
 	is.NoErr(err)
+	is.Equal(current.Certificates[0].Leaf.NotAfter, credentials.Until()) // a listener from before follows
+
+	f.write("host.pem", []byte("half a file"), 0o644)
+	_, err = credentials.Reload()
+	is.True(err != nil)
+	is.Equal(credentials.Name(), "host-a") // the old ones stay
+
+	f.writeHost(time.Now(), "host-b")
+	_, err = credentials.Reload()
+	is.True(err != nil) // another host's
 	is.Equal(credentials.Name(), "host-a")
 }
+
+func TestHostNames(t *testing.T) {
+	for name, good := range map[string]bool{
+		"mu-north-a-1": true, "host.thies-nord": true, "a": true,
+		"": false, "-a": false, "a-": false, "Host": false, "a_b": false, "10.0.0.1": false, "a b": false,
+		strings.Repeat("a", 64): false,
+	} {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).Equal(berylkey.CheckName(name) == nil, good)
+		})
+	}
+}
+
+func TestCallerKeys(t *testing.T) {
+	is := is.New(t)
+	key, hash := berylkey.NewCallerKey()
+	other, _ := berylkey.NewCallerKey()
+	is.True(key != other)
+	is.Equal(hash, berylkey.HashCallerKey(key))
+	is.Equal(berylkey.HashCallerKey("abc"), "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad")
+}
--- a/internal/berylkey/load.go
+++ b/internal/berylkey/load.go
@@ -66,10 +66,11 @@
 	return true, nil
 }
 
-// Run reloads the files when they change until the context ends, and reports each reload (nil) and each failed one.
+// Run reloads the files when they change until the context ends, and reports each reload (nil) and each new error.
 func (c *Credentials) Run(ctx context.Context, report func(error)) {
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
+	last := ""
 	for {
 		select {
 		case <-ctx.Done():
@@ -77,9 +78,14 @@
 		case <-ticker.C:
 		}
 		changed, err := c.Reload()
-		if changed || err != nil {
+		text := ""
+		if err != nil {
+			text = err.Error()
+		}
+		if changed || text != "" && text != last {
 			report(err)
 		}
+		last = text
 	}
 }
 
