--- a/internal/berylcall/call.go
+++ b/internal/berylcall/call.go
@@ -131,7 +131,7 @@
 	if c.runner.Stall > 0 {
 		return c.runner.Stall
 	}
-	return stallAfter(c.runner.gaps.high(gapKey(c.req)))
+	return stallAfter(c.runner.gaps.typical(gapKey(c.req)))
 }
 
 func (c *call) remaining() time.Duration {
--- a/internal/berylcall/latency.go
+++ b/internal/berylcall/latency.go
@@ -12,7 +12,9 @@
 	latencyMinimum   = 10
 	latencyRefresh   = 16
 	latencyMaxKeys   = 1024
-	latencyQuantile  = 0.95
+	highQuantile     = 0.9
+	usualQuantile    = 0.5
+	hedgeFactor      = 2
 	hedgeFloor       = 5 * time.Millisecond
 	secondCallFactor = 4
 	secondCallFloor  = time.Second
@@ -59,17 +61,25 @@
 	windows map[latencyKey]*window
 }
 
-// window is a ring of samples and their high quantile.
+// window is a ring of samples.
 type window struct {
 	samples [latencySamples]time.Duration
 	count   int
-	high    time.Duration
+	typical typical
+}
+
+// typical describes recent times; zeros mean that too few samples are known.
+type typical struct {
+	// usual is the median.
+	usual time.Duration
+	// high is the 90th percentile.
+	high time.Duration
 }
 
 func (w *window) add(sample time.Duration) {
 	w.samples[w.count%latencySamples] = sample
 	w.count++
-	if w.count >= latencyMinimum && (w.count%latencyRefresh == 0 || w.high == 0) {
+	if w.count >= latencyMinimum && (w.count%latencyRefresh == 0 || w.typical.high == 0) {
 		w.refresh()
 	}
 }
@@ -77,7 +87,8 @@
 func (w *window) refresh() {
 	sorted := slices.Clone(w.samples[:min(w.count, latencySamples)])
 	slices.Sort(sorted)
-	w.high = sorted[int(latencyQuantile*float64(len(sorted)))]
+	w.typical.usual = sorted[int(usualQuantile*float64(len(sorted)))]
+	w.typical.high = sorted[int(highQuantile*float64(len(sorted)))]
 }
 
 func (l *latencies) add(k latencyKey, sample time.Duration) {
@@ -97,38 +108,40 @@
 	w.add(sample)
 }
 
-// high returns the recent 95th percentile, or zero when too few samples are known.
-func (l *latencies) high(k latencyKey) time.Duration {
+// typical returns the recent times of a key.
+func (l *latencies) typical(k latencyKey) typical {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if w := l.windows[k]; w != nil {
-		return w.high
+		return w.typical
 	}
-	return 0
+	return typical{}
 }
 
-// hedgeAfter returns how long to wait for the first byte before a hedge, or zero for never.
-func hedgeAfter(high time.Duration) time.Duration {
-	if high == 0 {
+// hedgeAfter returns how long to wait for the first byte before a hedge, or zero for never. It is the 90th percentile,
+// which up to a tenth of slow calls do not move, and at least twice the median, so that calls only just late do not
+// use up the budget.
+func hedgeAfter(t typical) time.Duration {
+	if t.high == 0 {
 		return 0
 	}
-	return max(high, hedgeFloor)
+	return max(t.high, hedgeFactor*t.usual, hedgeFloor)
 }
 
 // secondCallAfter returns how long to wait for the first byte before a second call on the retry budget; tokens are those
 // that an answer needs before its first byte.
-func secondCallAfter(high, remaining time.Duration, tokens int) time.Duration {
-	span := max(secondCallFactor*high, secondCallFloor)
-	if high == 0 {
+func secondCallAfter(t typical, remaining time.Duration, tokens int) time.Duration {
+	span := max(secondCallFactor*t.high, secondCallFloor)
+	if t.high == 0 {
 		span = unknownFirst + time.Duration(tokens)*unknownToken
 	}
 	return min(span, remaining/2)
 }
 
 // stallAfter returns the longest pause of a stream that can be continued elsewhere, from the usual time between events.
-func stallAfter(high time.Duration) time.Duration {
-	if high == 0 {
+func stallAfter(t typical) time.Duration {
+	if t.high == 0 {
 		return stallCeiling
 	}
-	return min(max(stallFactor*high, stallFloor), stallCeiling)
+	return min(max(stallFactor*t.high, stallFloor), stallCeiling)
 }
--- a/internal/berylcall/race.go
+++ b/internal/berylcall/race.go
@@ -167,7 +167,7 @@
 	})
 }
 
-// secondCall decides when a request gets a second upstream call: after the recent p95 of first bytes from the hedge
+// secondCall decides when a request gets a second upstream call: after the usual time to a first byte from the hedge
 // budget, or much later from the retry budget.
 type secondCall struct {
 	timer *time.Timer
@@ -178,9 +178,9 @@
 }
 
 func (c *call) newSecondCall() *secondCall {
-	high := c.runner.latencies.high(keyOf(c.req))
-	hedge := hedgeAfter(high)
-	later := secondCallAfter(high, c.remaining(), tokensBefore(c.req))
+	known := c.runner.latencies.typical(keyOf(c.req))
+	hedge := hedgeAfter(known)
+	later := secondCallAfter(known, c.remaining(), tokensBefore(c.req))
 	if hedge == 0 || hedge >= later {
 		return &secondCall{timer: time.NewTimer(later), budget: &c.runner.retries}
 	}
