--- a/internal/berylserve/operator.go
+++ b/internal/berylserve/operator.go
@@ -2,34 +2,38 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
+
+	"github.com/gofiber/fiber/v3"
 )
 
 const (
-	operatorHeaderTimeout = 5 * time.Second
-	operatorStopTimeout   = time.Second
+	operatorTimeout     = 5 * time.Second
+	operatorStopTimeout = time.Second
 )
 
 // serveOperators answers metrics and health on the operators' listener until ctx ends.
 func (h *Host) serveOperators(ctx context.Context) {
-	routes := http.NewServeMux()
-	routes.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { h.metrics.WritePrometheus(w) })
-	routes.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	routes.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+	app := fiber.New(fiber.Config{ReadTimeout: operatorTimeout, WriteTimeout: operatorTimeout})
+	app.Get("/metrics", func(c fiber.Ctx) error {
+		h.metrics.WritePrometheus(c)
+		return nil
+	})
+	app.Get("/healthz", func(c fiber.Ctx) error { return c.SendStatus(fiber.StatusOK) })
+	app.Get("/readyz", func(c fiber.Ctx) error {
 		if !h.ready() {
-			http.Error(w, "no configuration yet, or still joining the other hosts", http.StatusServiceUnavailable)
+			return c.Status(fiber.StatusServiceUnavailable).SendString("no configuration yet, or still joining the other hosts")
 		}
+		return c.SendStatus(fiber.StatusOK)
 	})
-	server := &http.Server{Handler: routes, ReadHeaderTimeout: operatorHeaderTimeout}
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
 		<-ctx.Done()
-		grace, cancel := context.WithTimeout(context.Background(), operatorStopTimeout)
-		defer cancel()
-		_ = server.Shutdown(grace)
+		_ = app.ShutdownWithTimeout(operatorStopTimeout)
 	}()
-	_ = server.Serve(h.operators)
+	if err := app.Listener(h.operators, fiber.ListenConfig{DisableStartupMessage: true}); err != nil {
+		h.Log.WithError(err).Error("the operators' listener failed")
+	}
 	<-stopped
 }
