sched: a configuration or member list that is in force already changes nothing; loss and doubling test

Cause of the first: the serving process passes both on at each change of either, and each made all waiting asks look for their owners again and all holders report.

--- a/internal/berylsched/bench_test.go
+++ b/internal/berylsched/bench_test.go
@@ -132,6 +132,50 @@
 	}
 }
 
+// BenchmarkWaiting reports the bytes that one waiting Acquire takes at its own host, goroutines included.
+func BenchmarkWaiting(b *testing.B) {
+	few, many := waitingBytes(b, 500), waitingBytes(b, 2500)
+	for b.Loop() {
+	}
+	b.ReportMetric(float64(many-few)/2000, "B/waiting")
+	b.ReportMetric(0, "ns/op")
+}
+
+// waitingBytes returns the memory in use while that many callers wait for the one slot of an upstream.
+func waitingBytes(b *testing.B, callers int) int64 {
+	var doc berylconf.Document
+	doc.Inventory.Upstreams = []berylconf.Upstream{{Name: "upstream-1", Models: []string{"m"}, Slots: 1}}
+	s := New(Settings{Host: "entry-1", Boot: 1})
+	s.SetConfig(doc)
+	s.SetMembers([]Member{{Name: "entry-1", Boot: 1}})
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { s.Run(ctx) })
+	ask := berylpermit.Ask{Target: "m", Remaining: time.Hour}
+	if _, refusal := s.Acquire(ctx, ask); refusal != nil {
+		b.Fatal(refusal)
+	}
+	before := memoryInUse()
+	for range callers {
+		wg.Go(func() { _, _ = s.Acquire(ctx, ask) })
+	}
+	for s.counts.waiting.Load() < int64(callers) {
+		time.Sleep(time.Millisecond)
+	}
+	used := memoryInUse() - before
+	cancel()
+	wg.Wait()
+	return used
+}
+
+// memoryInUse returns the bytes of heap objects and goroutine stacks.
+func memoryInUse() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc + m.StackInuse)
+}
+
 // BenchmarkTick is what the owner does forty times a second whatever happens.
 func BenchmarkTick(b *testing.B) {
 	o, now, _ := fullOwner(600, 1000)
--- a/internal/berylsched/failure_test.go
+++ b/internal/berylsched/failure_test.go
@@ -116,13 +116,13 @@
 	})
 }
 
-// TestNoPermitIsLostForEver loses messages, moves ownership and freezes owners, and then counts the slots that are left.
+// TestNoPermitIsLostForEver loses and doubles messages, moves ownership and freezes owners, and then counts the slots that are left.
 func TestNoPermitIsLostForEver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.NewRelaxed(t)
 		f := newFleet(document(6, 2), names...)
 		defer f.stop()
-		f.setLoss(0.05)
+		f.disturb(0.05, 0.05)
 		var wg sync.WaitGroup
 		for i := range 30 {
 			s := f.hosts[names[i%3]]
@@ -155,7 +155,7 @@
 			f.freeze(name, false)
 		}
 		wg.Wait()
-		f.setLoss(0)
+		f.disturb(0, 0)
 		time.Sleep(20 * time.Second)
 		ask := berylpermit.Ask{Target: "m", Remaining: 200 * time.Millisecond}
 		for range 12 {
@@ -167,6 +167,48 @@
 	})
 }
 
+// TestSlotsHoldUnderLossAndDoubling keeps ownership as it is: then no message that is lost or doubled gives a slot twice.
+func TestSlotsHoldUnderLossAndDoubling(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(document(6, 2), names...)
+		defer f.stop()
+		f.disturb(0.1, 0.1)
+		var mu sync.Mutex
+		inFlight := make(map[string]int)
+		most, granted := 0, 0
+		count := func(upstream string, n int) {
+			mu.Lock()
+			defer mu.Unlock()
+			inFlight[upstream] += n
+			most = max(most, inFlight[upstream])
+			granted += max(n, 0)
+		}
+		var wg sync.WaitGroup
+		for i := range 30 {
+			wg.Go(func() {
+				for range 50 {
+					p, refusal := f.hosts[names[i%3]].Acquire(context.Background(), berylpermit.Ask{
+						Target: "m", Long: i%2 == 0, Remaining: 5 * time.Second,
+					})
+					if refusal != nil {
+						time.Sleep(refusal.RetryAfter)
+						continue
+					}
+					count(p.Upstream, 1)
+					time.Sleep(100 * time.Millisecond)
+					count(p.Upstream, -1)
+					p.Release(berylpermit.Report{Kind: beryloutcome.Answered, Busy: 100 * time.Millisecond})
+				}
+			})
+		}
+		wg.Wait()
+		t.Logf("%d permits granted", granted)
+		is.True(granted > 500)
+		is.Equal(most, 2) // the slots of each upstream
+	})
+}
+
 func TestLongHeldPermitIsNotGivenTwice(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/berylsched/fleet_test.go
+++ b/internal/berylsched/fleet_test.go
@@ -27,11 +27,11 @@
 	hosts  map[string]*berylsched.Scheduler
 	gone   map[string]bool
 	frozen map[string]bool
-	// loss is the share of messages that the network loses, drawn from random.
-	loss   float64
-	random *rand.Rand
-	cancel context.CancelFunc
-	wg     sync.WaitGroup
+	// loss and double are the shares of messages that the network loses or doubles, drawn from random.
+	loss, double float64
+	random       *rand.Rand
+	cancel       context.CancelFunc
+	wg           sync.WaitGroup
 }
 
 func newFleet(doc berylconf.Document, names ...string) *fleet {
@@ -61,10 +61,33 @@
 	}
 }
 
-func (f *fleet) setLoss(loss float64) {
+func (f *fleet) disturb(loss, double float64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.loss = loss
+	f.loss, f.double = loss, double
+}
+
+// copies is how often a message arrives that is not lost.
+func (f *fleet) copies() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.random.Float64() < f.double {
+		return 2
+	}
+	return 1
+}
+
+// tell takes a message that needs no answer to a host, now and then twice.
+func (f *fleet) tell(ctx context.Context, from, to string, take func(*berylsched.Scheduler) error) error {
+	var last error
+	for range f.copies() {
+		s, err := f.cross(ctx, from, to)
+		if err != nil {
+			return err
+		}
+		last = take(s)
+	}
+	return last
 }
 
 func (f *fleet) stop() {
@@ -113,44 +136,30 @@
 	if err != nil {
 		return berylpermit.Reply{}, err
 	}
-	reply, err := s.HandleAsk(ctx, l.from, ask)
-	if err != nil {
-		return reply, err
+	var reply berylpermit.Reply
+	for range l.fleet.copies() {
+		if reply, err = s.HandleAsk(ctx, l.from, ask); err != nil {
+			return reply, err
+		}
 	}
 	_, err = l.fleet.cross(ctx, host, l.from)
 	return reply, err
 }
 
 func (l link) Withdraw(ctx context.Context, host string, m berylpermit.Withdraw) error {
-	s, err := l.fleet.cross(ctx, l.from, host)
-	if err != nil {
-		return err
-	}
-	return s.HandleWithdraw(l.from, m)
+	return l.fleet.tell(ctx, l.from, host, func(s *berylsched.Scheduler) error { return s.HandleWithdraw(l.from, m) })
 }
 
 func (l link) Release(ctx context.Context, host string, m berylpermit.Release) error {
-	s, err := l.fleet.cross(ctx, l.from, host)
-	if err != nil {
-		return err
-	}
-	return s.HandleRelease(l.from, m)
+	return l.fleet.tell(ctx, l.from, host, func(s *berylsched.Scheduler) error { return s.HandleRelease(l.from, m) })
 }
 
 func (l link) SendYield(ctx context.Context, host string, m berylpermit.Yield) error {
-	s, err := l.fleet.cross(ctx, l.from, host)
-	if err != nil {
-		return err
-	}
-	return s.HandleYield(l.from, m)
+	return l.fleet.tell(ctx, l.from, host, func(s *berylsched.Scheduler) error { return s.HandleYield(l.from, m) })
 }
 
 func (l link) SendHeld(ctx context.Context, host string, m berylpermit.Held) error {
-	s, err := l.fleet.cross(ctx, l.from, host)
-	if err != nil {
-		return err
-	}
-	return s.HandleHeld(l.from, m)
+	return l.fleet.tell(ctx, l.from, host, func(s *berylsched.Scheduler) error { return s.HandleHeld(l.from, m) })
 }
 
 // document is a configuration with that many upstreams, all for the target "m".
--- a/internal/berylsched/scheduler.go
+++ b/internal/berylsched/scheduler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -90,11 +91,15 @@
 	wg.Wait()
 }
 
-// SetConfig installs a configuration; it may be called before Run and at any time after.
+// SetConfig installs a configuration, unless it has the revision of the one in force; it may be called before Run and at
+// any time after.
 func (s *Scheduler) SetConfig(doc berylconf.Document) {
 	doc.Rules = doc.Rules.WithDefaults()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if doc.Revision != 0 && doc.Revision == s.doc.Revision {
+		return
+	}
 	s.doc = doc
 	config := ownerConfig(doc)
 	s.duty.command(func(o *Owner, now time.Time) []Action { return o.Configure(now, config) })
@@ -105,22 +110,20 @@
 func (s *Scheduler) SetMembers(members []Member) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if slices.Equal(members, s.members) {
+		return
+	}
 	for _, old := range s.members {
 		if !hasRun(members, old) {
 			s.duty.command(func(o *Owner, now time.Time) []Action { return o.HostGone(now, old.Name, old.Boot) })
 		}
 	}
-	s.members = append([]Member(nil), members...)
+	s.members = slices.Clone(members)
 	s.install()
 }
 
 func hasRun(members []Member, run Member) bool {
-	for _, m := range members {
-		if m.Name == run.Name && m.Boot == run.Boot {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(members, func(m Member) bool { return m.Name == run.Name && m.Boot == run.Boot })
 }
 
 // install publishes a new table; the caller holds mu.
