Configuration spread by watch; a new host takes nobody for gone

Cause: the watching hosts read the platform each second, and a host that had just started knew no peer and so took every holder of a keyed request and every job's owner for gone.

Ruled out: more watchers (the platform counts each waiting watch as a call); waiting with the start itself until all peers are heard (a lost host would delay it).

Result: two watches a region and one read a minute from the others; on fake time a configuration is installed at once by a watcher, pulled from the peer that told of it, and never goes back when the platform does (4 tests). For 3 s after its first peer a host answers "alive" for all.

--- a/internal/berylserve/follow.go
+++ b/internal/berylserve/follow.go
@@ -5,12 +5,16 @@
 	"slices"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"berylroad.example/berylroad/internal/berylconf"
 	"berylroad.example/berylroad/internal/berylhost"
 	"berylroad.example/berylroad/internal/berylsched"
 )
 
+// settleTime is how long a new host takes every other for alive.
+const settleTime = 3 * time.Second
+
 // watchersPerRegion is how many hosts of a region watch the platform.
 const watchersPerRegion = 2
 
@@ -103,13 +107,13 @@
 // watchesPlatform reports whether this host is one of its region's few that watch the platform.
 func (h *Host) watchesPlatform() bool {
 	region := h.Settings.Region
-	ranked := berylhost.Rank(berylconfKey+region, h.members.Live(), region)
+	ranked := berylhost.Rank(watchKey+region, h.members.Live(), region)
 	ranked = ranked[:min(watchersPerRegion, len(ranked))]
 	return slices.ContainsFunc(ranked, func(m berylhost.Member) bool { return m.Name == h.Settings.Host })
 }
 
-// berylconfKey starts the rendezvous key by which a region's watchers are chosen.
-const berylconfKey = "configuration-watch/"
+// watchKey starts the rendezvous key by which a region's watchers are chosen.
+const watchKey = "configuration-watch/"
 
 // digest is what this host tells peers on its probes.
 func (h *Host) digest() berylhost.Digest {
@@ -124,15 +128,31 @@
 // memberView answers the duties' questions about members.
 type memberView struct {
 	host *Host
+	// joined is when the first peer was seen to have been heard, in nanoseconds of Unix time, or zero.
+	joined atomic.Int64
 }
 
-// Alive reports whether that run of the host is still a member.
+// Alive reports whether that run of the host may still be up; while this host is new, everyone may.
 func (v *memberView) Alive(host string, boot uint64) bool {
+	if !v.settled() {
+		return true
+	}
 	return slices.ContainsFunc(v.host.members.Live(), func(m berylhost.Member) bool {
 		return m.Name == host && m.Boot == boot
 	})
 }
 
+// settled reports whether this host has been a member for long enough to have heard of every other.
+func (v *memberView) settled() bool {
+	select {
+	case <-v.host.members.Joined():
+	default:
+		return false
+	}
+	v.joined.CompareAndSwap(0, time.Now().UnixNano())
+	return time.Since(time.Unix(0, v.joined.Load())) >= settleTime
+}
+
 // First reports whether this host comes first for the key among the live hosts.
 func (v *memberView) First(key string) bool {
 	first, ok := berylhost.First(key, v.host.members.Live(), v.host.Settings.Region)
--- a/internal/berylserve/host.go
+++ b/internal/berylserve/host.go
@@ -105,7 +105,7 @@
 // assemble makes the duties in the order in which they need each other.
 func (h *Host) assemble() error {
 	var err error
-	h.platform, err = berylplatform.New(berylplatform.Config{Endpoints: h.Settings.Platform, Metrics: h.metrics})
+	h.platform, err = berylplatform.New(berylplatform.Config{Endpoints: h.Settings.Platform, Metrics: h.metrics, Log: h.Log})
 	if err != nil {
 		return errors.Wrap(err, "platform")
 	}
--- a/internal/berylspread/spread.go
+++ b/internal/berylspread/spread.go
@@ -8,6 +8,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
 
 	"berylroad.example/berylroad/internal/berylconf"
 	"berylroad.example/berylroad/internal/berylplatform"
@@ -17,7 +18,8 @@
 const Key = "/berylroad/configuration"
 
 const (
-	watchInterval = time.Second
+	// roleInterval is how often a host looks whether it is still one of the few that watch.
+	roleInterval = time.Second
 	// idleInterval is how often a host that does not watch reads the platform, should its peers tell it nothing.
 	idleInterval = time.Minute
 	startRetry   = 500 * time.Millisecond
@@ -29,9 +31,10 @@
 // ErrNone says that a peer has no configuration of a higher revision.
 var ErrNone = errors.New("the peer has no newer configuration")
 
-// Reader reads the platform's service.
-type Reader interface {
+// Platform reads and watches the platform's service.
+type Platform interface {
 	Get(ctx context.Context, key string) berylplatform.Read
+	Watch(ctx context.Context, target berylplatform.Target, from int64, handle func(berylplatform.Change))
 }
 
 // Peers pulls a configuration from another host.
@@ -45,7 +48,7 @@
 	// Store takes the configurations.
 	Store *berylconf.Store
 	// Platform reads the newest.
-	Platform Reader
+	Platform Platform
 	// Peers pulls from other hosts.
 	Peers Peers
 	// Seeds names the peers to ask while there is no configuration yet.
@@ -88,7 +91,56 @@
 
 // Run keeps the store up to date until ctx ends.
 func (d *Duty) Run(ctx context.Context) {
-	timer := time.NewTimer(0)
+	var loops conc.WaitGroup
+	loops.Go(func() { d.watchLoop(ctx) })
+	loops.Go(func() { d.pullLoop(ctx) })
+	loops.Wait()
+}
+
+// watchLoop watches the platform while this host is one of the few that do.
+func (d *Duty) watchLoop(ctx context.Context) {
+	ticker := time.NewTicker(roleInterval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		if d.Watches() {
+			d.watch(ctx, ticker.C)
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+	}
+}
+
+// watch watches until the role passes to other hosts.
+func (d *Duty) watch(ctx context.Context, roles <-chan time.Time) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var watching conc.WaitGroup
+	defer watching.Wait()
+	watching.Go(func() {
+		d.Platform.Watch(ctx, berylplatform.Target{Key: Key}, 0, func(change berylplatform.Change) {
+			for i := range change.Records {
+				d.install("platform", change.Records[i].Value)
+			}
+		})
+	})
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-roles:
+			if !d.Watches() {
+				cancel()
+			}
+		}
+	}
+}
+
+// pullLoop pulls from peers that told of a higher revision, and reads the platform now and then.
+func (d *Duty) pullLoop(ctx context.Context) {
+	timer := time.NewTimer(startRetry)
 	defer timer.Stop()
 	for {
 		select {
@@ -99,38 +151,35 @@
 				d.pull(ctx, h.peer)
 			}
 		case <-timer.C:
-			d.read(ctx)
+			d.look(ctx)
 			timer.Reset(d.interval())
 		}
 	}
 }
 
-// interval returns the jittered time until the next read of the platform.
+// interval returns the jittered time until the next look.
 func (d *Duty) interval() time.Duration {
 	interval := idleInterval
-	switch {
-	case d.Store.Current() == nil:
+	if d.Store.Current() == nil {
 		interval = startRetry
-	case d.Watches():
-		interval = watchInterval
 	}
 	return interval*3/4 + rand.N(interval/2)
 }
 
-// read takes the platform's configuration, or at the start a peer's when the platform does not answer.
-func (d *Duty) read(ctx context.Context) {
-	read := d.Platform.Get(ctx, Key)
-	if read.Status == berylplatform.Done {
-		if read.Record.Revision != 0 {
-			d.install("platform", read.Record.Value)
+// look asks the peers of the settings before the first configuration, and later the platform.
+func (d *Duty) look(ctx context.Context) {
+	if d.Store.Current() == nil {
+		for _, seed := range d.Seeds {
+			d.pull(ctx, seed)
 		}
 		return
 	}
-	if d.Store.Current() != nil {
+	if d.Watches() {
 		return
 	}
-	for _, seed := range d.Seeds {
-		d.pull(ctx, seed)
+	read := d.Platform.Get(ctx, Key)
+	if read.Status == berylplatform.Done && read.Record.Revision != 0 {
+		d.install("platform", read.Record.Value)
 	}
 }
 
--- /dev/null
+++ b/internal/berylspread/spread_test.go
@@ -0,0 +1,191 @@
+package berylspread_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"berylroad.example/berylroad/internal/berylconf"
+	"berylroad.example/berylroad/internal/berylplatform"
+	"berylroad.example/berylroad/internal/berylspread"
+)
+
+// platform is a platform's service in memory; watches hear of each write.
+type platform struct {
+	mu       sync.Mutex
+	down     bool
+	value    []byte
+	revision int64
+	reads    int
+	watches  []func(berylplatform.Change)
+}
+
+func (p *platform) record() []berylplatform.Record {
+	if p.revision == 0 {
+		return nil
+	}
+	return []berylplatform.Record{{Value: p.value, Revision: p.revision}}
+}
+
+func (p *platform) write(t *testing.T, revision int64) {
+	t.Helper()
+	data, err := berylconf.Encode(&berylconf.Document{Revision: revision})
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.writeRaw(data)
+}
+
+func (p *platform) writeRaw(data []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.value = data
+	p.revision++
+	for _, handle := range p.watches {
+		handle(berylplatform.Change{Records: p.record()})
+	}
+}
+
+func (p *platform) Get(context.Context, string) berylplatform.Read {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reads++
+	if p.down {
+		return berylplatform.Read{Status: berylplatform.Unavailable}
+	}
+	read := berylplatform.Read{Status: berylplatform.Done}
+	for _, r := range p.record() {
+		read.Record = r
+	}
+	return read
+}
+
+func (p *platform) Watch(ctx context.Context, _ berylplatform.Target, _ int64, handle func(berylplatform.Change)) {
+	p.mu.Lock()
+	if !p.down {
+		handle(berylplatform.Change{Snapshot: true, Records: p.record()})
+		p.watches = append(p.watches, handle)
+	}
+	p.mu.Unlock()
+	<-ctx.Done()
+	p.mu.Lock()
+	p.watches = nil
+	p.mu.Unlock()
+}
+
+// peers answers pulls from other stores.
+type peers map[string]*berylconf.Store
+
+func (p peers) Pull(_ context.Context, peer string, above int64) ([]byte, error) {
+	store := p[peer]
+	if store == nil {
+		return nil, errors.New("unreachable")
+	}
+	document := store.Current()
+	if document == nil || document.Revision <= above {
+		return nil, berylspread.ErrNone
+	}
+	return berylconf.Encode(document)
+}
+
+// start runs a duty on fake time until the test ends.
+func start(t *testing.T, p *platform, others peers, watches func() bool) (*berylspread.Duty, *berylconf.Store) {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	store := &berylconf.Store{}
+	d := berylspread.New(berylspread.Config{
+		Store: store, Platform: p, Peers: others, Seeds: []string{"gone", "peer"}, Watches: watches,
+		Metrics: metrics.NewSet(), Log: log,
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		d.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return d, store
+}
+
+func always() bool { return true }
+func never() bool  { return false }
+
+func TestWatcherInstallsAtOnceAndNeverGoesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := &platform{}
+		_, store := start(t, p, nil, always)
+		p.write(t, 3)
+		synctest.Wait()
+		is.Equal(store.Revision(), int64(3))
+		p.write(t, 2) // The platform came back from an older state.
+		p.writeRaw([]byte("garbage"))
+		time.Sleep(5 * time.Minute)
+		is.Equal(store.Revision(), int64(3))
+	})
+}
+
+func TestOthersPullFromThePeerThatTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ahead := &berylconf.Store{}
+		ahead.Install(&berylconf.Document{Revision: 9})
+		p := &platform{}
+		p.write(t, 4)
+		d, store := start(t, p, peers{"ahead": ahead}, never)
+		d.Heard("gone", 8)
+		d.Heard("ahead", 9)
+		synctest.Wait()
+		is.Equal(store.Revision(), int64(9))
+		time.Sleep(10 * time.Minute)
+		is.Equal(store.Revision(), int64(9)) // the platform's 4 does not replace it
+		is.True(p.reads <= 15)               // a host that does not watch reads about once a minute
+	})
+}
+
+func TestStartDuringAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		peer := &berylconf.Store{}
+		_, store := start(t, &platform{down: true}, peers{"peer": peer}, always)
+		time.Sleep(time.Minute)
+		is.Equal(store.Current(), nil) // without platform and peers there is none
+		peer.Install(&berylconf.Document{Revision: 6})
+		time.Sleep(2 * time.Second)
+		is.Equal(store.Revision(), int64(6))
+	})
+}
+
+func TestRolePasses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var mu sync.Mutex
+		watching := false
+		p := &platform{}
+		p.write(t, 1)
+		_, store := start(t, p, nil, func() bool {
+			mu.Lock()
+			defer mu.Unlock()
+			return watching
+		})
+		time.Sleep(2 * time.Second)
+		is.Equal(store.Current(), nil) // neither watching nor told
+		mu.Lock()
+		watching = true
+		mu.Unlock()
+		time.Sleep(2 * time.Second)
+		is.Equal(store.Revision(), int64(1))
+	})
+}
