Calls: ask for a second call again when no slot was free at first

Cause: a hedge that got no permit was the last try, so a request on a hung engine waited for its deadline (test: outcome-unknown after 20 s).

--- a/internal/berylcall/hedge_test.go
+++ b/internal/berylcall/hedge_test.go
@@ -51,6 +51,23 @@
 	eventually(t, func() bool { return slow.Counts().Running == 0 }) // the engine sees the cancel
 }
 
+// TestSecondCallIsAskedForAgain has no free slot elsewhere at the time of the hedge.
+func TestSecondCallIsAskedForAgain(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.rules = berylconf.Rules{HedgePercent: 50}
+	slow := f.engine(t, "slow", berylfake.EngineOptions{})
+	f.engine(t, "fast", berylfake.EngineOptions{})
+	warm(t, f)
+	is.NoErr(slow.SetFault(berylfake.UpstreamFault{Mode: berylfake.FaultHang}))
+	f.broker.hedgesRefused = 2
+	result := f.Do(context.Background(), chat("refused-at-first", true, 5), &sink{})
+	is.Equal(result.Kind, beryloutcome.Answered)
+	is.Equal(result.Upstream, "fast")
+	is.Equal(result.Attempts, 2)
+	is.Equal(f.broker.hedgesRefused, 0)
+}
+
 func TestNoHedge(t *testing.T) {
 	for _, tt := range []struct {
 		name    string
--- a/internal/berylcall/helpers_test.go
+++ b/internal/berylcall/helpers_test.go
@@ -26,12 +26,18 @@
 	reports   map[string][]berylpermit.Report
 	held      int
 	yield     chan struct{}
+	// hedgesRefused is how many asks for a second permit are still to be refused.
+	hedgesRefused int
 }
 
 func (b *broker) Acquire(ctx context.Context, ask berylpermit.Ask) (*berylpermit.Permit, *beryloutcome.Refusal) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.asks = append(b.asks, ask)
+	if ask.Hedge && b.hedgesRefused > 0 {
+		b.hedgesRefused--
+		return nil, &beryloutcome.Refusal{Status: 503, Code: beryloutcome.CodeNotRun, Message: "full"}
+	}
 	for _, name := range b.upstreams {
 		if slices.Contains(ask.Avoid, name) {
 			continue
--- a/internal/berylcall/race.go
+++ b/internal/berylcall/race.go
@@ -102,7 +102,7 @@
 			}
 			if o.attempt == nil {
 				c.progress.attempts--
-				second.budget.refund()
+				second.refused(c)
 				continue
 			}
 			last = o.attempt.end
@@ -121,7 +121,6 @@
 // launchSecond asks for a second permit and calls its upstream, without holding up the first call.
 func (c *call) launchSecond(ctx context.Context, opened chan<- opening) {
 	c.progress.attempts++
-	c.runner.countStep("hedges")
 	ask := c.permitAsk(true)
 	body := c.body()
 	c.group.Go(func() {
@@ -135,6 +134,7 @@
 			opened <- opening{}
 			return
 		}
+		c.runner.countStep("hedges")
 		a := c.begin(ctx, permit, body)
 		opened <- opening{a, c.open(a)}
 	})
@@ -168,12 +168,12 @@
 }
 
 // secondCall decides when a request gets a second upstream call: after the usual time to a first byte from the hedge
-// budget, or much later from the retry budget.
+// budget, or much later, and then again and again, from the retry budget.
 type secondCall struct {
 	timer *time.Timer
 	// budget is the one that pays at the timer's next expiry.
 	budget *budget
-	// later is the time from the first expiry to the second, or zero for no second one.
+	// later is the time from the next expiry to the one after it.
 	later time.Duration
 }
 
@@ -182,12 +182,12 @@
 	hedge := hedgeAfter(known)
 	later := secondCallAfter(known, c.remaining(), tokensBefore(c.req))
 	if hedge == 0 || hedge >= later {
-		return &secondCall{timer: time.NewTimer(later), budget: &c.runner.retries}
+		return &secondCall{timer: time.NewTimer(later), budget: &c.runner.retries, later: secondCallFloor}
 	}
 	return &secondCall{timer: time.NewTimer(hedge), budget: &c.runner.hedges, later: later - hedge}
 }
 
-// due reports, at the timer's expiry, whether the second call is made now; otherwise the timer may run once more.
+// due reports, at the timer's expiry, whether the second call is asked for now.
 func (s *secondCall) due(c *call) bool {
 	if c.progress.attempts >= c.rules.MaxAttempts {
 		return false
@@ -195,10 +195,19 @@
 	if s.budget.spend() {
 		return true
 	}
-	if s.later > 0 {
-		s.timer.Reset(s.later)
-		s.budget = &c.runner.retries
-		s.later = 0
-	}
+	s.retry(c)
 	return false
 }
+
+// refused takes note that the second call got no permit.
+func (s *secondCall) refused(c *call) {
+	s.budget.refund()
+	s.retry(c)
+}
+
+// retry has the second call asked for once more, on the retry budget.
+func (s *secondCall) retry(c *call) {
+	s.timer.Reset(s.later)
+	s.later = secondCallFloor
+	s.budget = &c.runner.retries
+}
