Owners' loads ride on probes; the platform's host list counts as leaving

Ruled out: taking new hosts from the list (it has no addresses, and it lags); it only ever adds to those that are leaving, and a list that cannot be read leaves the last one in force.

Result: both are wired; a table-free test of the list's changes passes. Not measured yet: how long after the list's change the last call starts.

--- a/internal/berylserve/follow.go
+++ b/internal/berylserve/follow.go
@@ -52,25 +52,28 @@
 	for {
 		configured := h.store.Changed()
 		moved := h.members.Changed()
-		h.passOn(ctx)
+		leaving, listed := h.listed.names()
+		h.passOn(ctx, leaving)
 		select {
 		case <-ctx.Done():
 			return
 		case <-configured:
 		case <-moved:
+		case <-listed:
 		}
 	}
 }
 
-func (h *Host) passOn(ctx context.Context) {
+func (h *Host) passOn(ctx context.Context, leaving []string) {
 	live := h.members.Live()
 	if document := h.store.Current(); document != nil {
 		h.upstreams.install(document.Inventory.Upstreams)
+		document = withLeaving(document, leaving)
 		h.scheduler.SetConfig(*document)
 		h.members.SetCandidates(ctx, h.candidates())
 		h.platform.SetShare(document.Rules.PlatformCallsPerSecond / float64(max(len(live), 1)))
 	}
-	h.scheduler.SetMembers(h.schedulerMembers(live))
+	h.scheduler.SetMembers(h.schedulerMembers(live, leaving))
 }
 
 // candidates returns the hosts that may be members: the inventory's, and before the first configuration the settings' peers.
@@ -95,11 +98,11 @@
 	return members
 }
 
-func (h *Host) schedulerMembers(live []berylhost.Member) []berylsched.Member {
+func (h *Host) schedulerMembers(live []berylhost.Member, leaving []string) []berylsched.Member {
 	rules := h.store.Rules()
 	members := make([]berylsched.Member, len(live))
 	for i, m := range live {
-		members[i] = berylsched.Member{Name: m.Name, Boot: m.Boot, Leaving: rules.IsLeaving(m.Name)}
+		members[i] = berylsched.Member{Name: m.Name, Boot: m.Boot, Leaving: rules.IsLeaving(m.Name) || slices.Contains(leaving, m.Name)}
 	}
 	return members
 }
@@ -117,12 +120,13 @@
 
 // digest is what this host tells peers on its probes.
 func (h *Host) digest() berylhost.Digest {
-	return berylhost.Digest{Revision: h.store.Revision()}
+	return berylhost.Digest{Revision: h.store.Revision(), Loads: h.scheduler.Loads()}
 }
 
 // receive takes what a peer tells on its probes.
 func (h *Host) receive(peer string, digest berylhost.Digest) {
 	h.spread.Heard(peer, digest.Revision)
+	h.scheduler.NoteLoads(digest.Loads)
 }
 
 // memberView answers the duties' questions about members.
--- a/internal/berylserve/host.go
+++ b/internal/berylserve/host.go
@@ -55,6 +55,7 @@
 	callers   net.Listener
 	operators net.Listener
 	upstreams *upstreamIndex
+	listed    hostList
 }
 
 // New binds the host's addresses and puts its duties together; Run makes them work. It fails when an address is taken.
@@ -194,7 +195,7 @@
 	var duties conc.WaitGroup
 	failed := make(chan error, 1)
 	for _, duty := range []func(context.Context){
-		h.wire.Serve, h.members.Run, h.spread.Run, h.scheduler.Run, h.once.Run, h.follow, h.serveOperators,
+		h.wire.Serve, h.members.Run, h.spread.Run, h.scheduler.Run, h.once.Run, h.follow, h.readHostList, h.serveOperators,
 	} {
 		duties.Go(func() { duty(work) })
 	}
--- /dev/null
+++ b/internal/berylserve/hostlist_test.go
@@ -0,0 +1,35 @@
+package berylserve
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"berylroad.example/berylroad/internal/berylconf"
+	"berylroad.example/berylroad/internal/berylplatform"
+)
+
+func TestListedLeaving(t *testing.T) {
+	is := is.New(t)
+	var l hostList
+	before, changed := l.names()
+	is.Equal(len(before), 0)
+	l.install(leavingNames([]berylplatform.ListedHost{
+		{Name: "b", State: berylplatform.HostLeaving},
+		{Name: "c", State: berylplatform.HostLive},
+		{Name: "a", State: berylplatform.HostLeaving},
+	}))
+	<-changed
+	leaving, next := l.names()
+	is.True(slices.Equal(leaving, []string{"a", "b"}))
+	l.install([]string{"b", "a"})
+	select {
+	case <-next:
+		t.Error("the same list counts as a change")
+	default:
+	}
+	document := &berylconf.Document{Rules: berylconf.Rules{Leaving: []string{"x"}}}
+	is.True(slices.Equal(withLeaving(document, leaving).Rules.Leaving, []string{"x", "a", "b"}))
+	is.True(slices.Equal(document.Rules.Leaving, []string{"x"})) // the document itself is shared and stays as it is
+}
--- a/internal/berylsettings/settings.go
+++ b/internal/berylsettings/settings.go
@@ -25,6 +25,8 @@
 	OperatorAddress string `json:"operator-address" help:"IP address and TCP port for metrics and health." env:"BERYLROAD_OPERATOR_ADDRESS"`
 	// Platform lists base URLs of the platform's key-value service, tried in turn.
 	Platform []string `json:"platform" help:"Base URLs of the platform's key-value service, tried in turn." env:"BERYLROAD_PLATFORM"`
+	// HostList is the URL of the platform's list of hosts; empty means that there is none.
+	HostList string `json:"host-list" help:"URL of the platform's list of live and leaving hosts." env:"BERYLROAD_HOST_LIST"`
 	// Peers lists NAME=ADDRESS of hosts to ask for the configuration when the platform is away.
 	Peers []string `json:"peers" help:"NAME=ADDRESS of hosts to ask for the configuration while the platform is away." env:"BERYLROAD_PEERS"`
 	// CAFile is the PEM file of the fleet's certificate authority.
