sched: a waiting ask looks elsewhere after 2 s, a frozen owner delays an ask by 30 ms

Causes, each with a test that failed first: - An ask waited at the same two owners until one of them had room. A batch ask beside a slot that had freed at a third owner was granted nothing within 3 s (TestWaitingAskFindsRoomElsewhere). It now ranks the owners anew after 2 s; its deadline keeps its place in line. - An ask to a frozen owner took 250 ms before the next owner was asked (TestFrozenOwnerDelaysNobodyForLong, longest wait over 50 ms). The next is now asked beside it after 30 ms, and the silent host is still found out after 250 ms. Ruled out: a shorter timeout, since a starved machine would then suspect hosts that are well.

--- a/internal/berylsched/books.go
+++ b/internal/berylsched/books.go
@@ -11,7 +11,7 @@
 const (
 	// loadFresh is how long a load is worth using.
 	loadFresh = 2 * time.Second
-	// suspectFor is how long a host that did not answer is asked last.
+	// suspectFor is how long a host that did not answer is left out.
 	suspectFor = time.Second
 	// noteEvery is the least time between two loads of one upstream that are stored.
 	noteEvery = 2 * time.Millisecond
--- a/internal/berylsched/broker.go
+++ b/internal/berylsched/broker.go
@@ -17,12 +17,16 @@
 const (
 	// askTimeout is how long an owner may take to answer an ask that does not wait.
 	askTimeout = 250 * time.Millisecond
+	// askPatience is how long an owner may take before the next one is asked beside it.
+	askPatience = 30 * time.Millisecond
 	// firstTries is how many owners are asked before the ask waits at any.
 	firstTries = 2
 	// maxOwners is how many owners may refuse an ask before its caller is refused.
 	maxOwners = 6
 	// waitingPlaces is at how many owners one ask waits at once.
 	waitingPlaces = 2
+	// waitingTime is how long an ask waits at the same owners.
+	waitingTime = 2 * time.Second
 	// localAllowance is how many online permits a host takes for each upstream while it reaches no owner.
 	localAllowance = 1
 	// reaskPause is the time between two tries to reach any owner.
@@ -119,43 +123,6 @@
 	}
 }
 
-// tryFirst asks owners in turn without waiting; it returns those to wait at if none grants.
-func (a *acquisition) tryFirst(ctx context.Context, hosts []string) (*berylpermit.Permit, []string) {
-	var reached []string
-	for i, host := range hosts {
-		if len(reached) == firstTries {
-			return nil, waitingOrder(reached, hosts[i:])
-		}
-		if ctx.Err() != nil {
-			return nil, nil
-		}
-		v := a.send(ctx, host, a.next(false), askTimeout)
-		if v.err != nil {
-			a.counts.reasked.Inc()
-			continue
-		}
-		if v.reply.Verdict == berylpermit.Granted {
-			return a.granted(&v), nil
-		}
-		a.noteRefusal(v.reply.Wait)
-		reached = append(reached, host)
-	}
-	return nil, reached
-}
-
-// waitingOrder lists where to wait: at an owner not asked yet, whose room may be better than it is known to be, and at
-// those that have answered; the others follow in case these refuse.
-func waitingOrder(reached, rest []string) []string {
-	var hosts []string
-	if len(rest) > 0 {
-		hosts = append(hosts, rest[0])
-		rest = rest[1:]
-	}
-	hosts = append(hosts, reached...)
-	hosts = append(hosts, rest...)
-	return hosts[:min(len(hosts), maxOwners)]
-}
-
 // next returns the ask under a new ID.
 func (a *acquisition) next(queue bool) berylpermit.Ask {
 	ask := a.ask
--- a/internal/berylsched/broker_queue.go
+++ b/internal/berylsched/broker_queue.go
@@ -9,7 +9,8 @@
 )
 
 // queue waits at up to two owners at once; the first grant wins. It returns final when the owners have refused, and
-// not final when the asks must start again because owners were lost.
+// not final when the ask must start again because owners were lost or others may have more room by now; its deadline
+// keeps its place in line.
 func (a *acquisition) queue(ctx context.Context, t *table, hosts []string) (*berylpermit.Permit, bool) {
 	ctx, cancel := context.WithCancel(ctx)
 	verdicts := make(chan verdict, len(hosts))
@@ -27,11 +28,15 @@
 			go func() { verdicts <- a.waitAt(one, host) }()
 		}
 	}
+	again := time.NewTimer(waitingTime)
+	defer again.Stop()
 	refused := 0
 	for ask(); len(waiting) > 0; {
 		select {
 		case <-ctx.Done():
 			return nil, false
+		case <-again.C:
+			return nil, false
 		case <-t.stale:
 			t = a.table.Load()
 			a.leave(t, waiting)
--- a/internal/berylsched/failure_test.go
+++ b/internal/berylsched/failure_test.go
@@ -92,6 +92,28 @@
 	})
 }
 
+func TestFrozenOwnerDelaysNobodyForLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(document(12, 4), names...)
+		defer f.stop()
+		f.freeze("h3", true)
+		longest := time.Duration(0)
+		for range 400 {
+			start := time.Now()
+			p, refusal := f.hosts["h1"].Acquire(context.Background(), berylpermit.Ask{
+				Target: "m", PrefixHash: uint64(start.UnixNano()), Remaining: 5 * time.Second,
+			})
+			is.Equal(refusal, nil)
+			longest = max(longest, time.Since(start))
+			p.Release(berylpermit.Report{Kind: beryloutcome.Answered, Busy: time.Second})
+			time.Sleep(10 * time.Millisecond)
+		}
+		is.True(longest > 4*hop) // the frozen owner was asked
+		is.True(longest < 50*time.Millisecond)
+	})
+}
+
 func TestNoOwnerReachable(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -209,6 +231,36 @@
 	})
 }
 
+// TestWaitingAskFindsRoomElsewhere frees one slot after the other, wherever the one batch ask may wait.
+func TestWaitingAskFindsRoomElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(document(9, 1), names...)
+		defer f.stop()
+		time.Sleep(2 * time.Second)
+		online := berylpermit.Ask{Target: "m", Remaining: time.Minute}
+		var held []*berylpermit.Permit
+		for range 9 {
+			p, refusal := f.hosts["h1"].Acquire(context.Background(), online)
+			is.Equal(refusal, nil)
+			held = append(held, p)
+		}
+		for _, p := range held {
+			batch := acquireLater(f.hosts["h2"], berylpermit.Ask{Target: "m", Class: berylpermit.Batch, Remaining: time.Hour})
+			time.Sleep(500 * time.Millisecond)
+			p.Release(berylpermit.Report{Kind: beryloutcome.Answered, Busy: time.Second})
+			released := time.Now()
+			b := <-batch
+			is.True(time.Since(released) < 3*time.Second)
+			is.Equal(b.Upstream, p.Upstream)
+			b.Release(berylpermit.Report{Kind: beryloutcome.Answered, Busy: time.Second})
+			time.Sleep(10 * time.Millisecond)
+			_, refusal := f.hosts["h1"].Acquire(context.Background(), online)
+			is.Equal(refusal, nil)
+		}
+	})
+}
+
 func TestLongHeldPermitIsNotGivenTwice(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
