--- a/internal/berylcall/bench_test.go
+++ b/internal/berylcall/bench_test.go
@@ -11,7 +11,12 @@
 	"testing"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"berylroad.example/berylroad/internal/berylconf"
+	"berylroad.example/berylroad/internal/berylfake"
 	"berylroad.example/berylroad/internal/beryloutcome"
+	"berylroad.example/berylroad/internal/berylpermit"
 )
 
 const benchEvents = 1000
@@ -218,3 +223,62 @@
 		c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}"))
 	}
 }
+
+// BenchmarkBreaks measures the time from a stream's event to what follows it: its next event from another engine when
+// the connection breaks, and the engine's notice of a cancelled and of a yielded call.
+func BenchmarkBreaks(b *testing.B) {
+	for _, name := range []string{"resume", "cancel", "yield"} {
+		b.Run(name, func(b *testing.B) {
+			f := newFleet(b)
+			a := f.engine(b, "a", berylfake.EngineOptions{Resume: true})
+			f.engine(b, "b", berylfake.EngineOptions{Resume: true})
+			fault := berylfake.UpstreamFault{Mode: berylfake.FaultStall, After: 5, For: berylconf.Duration(time.Minute)}
+			if name == "resume" {
+				fault.Mode = berylfake.FaultCut
+			}
+			if err := a.SetFault(fault); err != nil {
+				b.Fatal(err)
+			}
+			times := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
+			for b.Loop() {
+				times.RecordValue(breakOnce(f, name, a).Microseconds())
+			}
+			b.ReportMetric(float64(times.ValueAtQuantile(50))/1000, "p50-ms")
+			b.ReportMetric(float64(times.ValueAtQuantile(99))/1000, "p99-ms")
+		})
+	}
+}
+
+func breakOnce(f *fleet, name string, engine *berylfake.Engine) time.Duration {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	f.broker.yield = make(chan struct{})
+	req := chat("break", true, 20)
+	var broken, next time.Time
+	s := &sink{onEvent: func(events int) {
+		if events == 6 {
+			next = time.Now()
+		}
+		if events != 5 {
+			return
+		}
+		broken = time.Now()
+		switch name {
+		case "cancel":
+			cancel()
+		case "yield":
+			close(f.broker.yield)
+		}
+	}}
+	if name == "yield" {
+		req.Class = berylpermit.Batch
+	}
+	f.Do(ctx, req, s)
+	if name == "resume" {
+		return next.Sub(broken)
+	}
+	for engine.Counts().Running > 0 {
+		time.Sleep(20 * time.Microsecond)
+	}
+	return time.Since(broken)
+}
--- a/internal/berylcall/call.go
+++ b/internal/berylcall/call.go
@@ -75,7 +75,8 @@
 	return e
 }
 
-// prepare readies the next upstream call after one that ended with e, and reports whether there is one.
+// prepare readies the next upstream call after one that ended with e, and reports whether there is one. The first retry
+// does not wait, since it goes elsewhere.
 func (c *call) prepare(ctx context.Context, e end) bool {
 	c.progress.started = c.sink.started
 	c.progress.resumable = c.resumable()
@@ -96,6 +97,9 @@
 	c.mustResume = step == resume
 	c.runner.countStep(stepName(step))
 	c.avoid(e.upstream)
+	if c.progress.attempts == 1 {
+		return ctx.Err() == nil
+	}
 	return c.pause(ctx)
 }
 
@@ -160,7 +164,7 @@
 	if refusal == nil || len(c.tried) == 0 || ctx.Err() != nil {
 		return permit, refusal
 	}
-	if c.mustResume {
+	if c.mustResume || !c.pause(ctx) {
 		return nil, refusal
 	}
 	c.tried = nil
