--- a/internal/berylsched/broker.go
+++ b/internal/berylsched/broker.go
@@ -85,7 +85,7 @@
 // verdict is what one owner has said, or that it could not be reached.
 type verdict struct {
 	host  string
-	ask   berylpermit.Ask
+	ask   *berylpermit.Ask
 	reply berylpermit.Reply
 	err   error
 }
@@ -124,30 +124,30 @@
 }
 
 // next returns the ask under a new ID.
-func (a *acquisition) next(queue bool) berylpermit.Ask {
+func (a *acquisition) next(queue bool) *berylpermit.Ask {
 	ask := a.ask
 	ask.ID = a.nextID()
 	ask.Queue = queue
-	return ask
+	return &ask
 }
 
 // send asks one owner once; a refusal for want of ownership counts as not reached.
-func (s *Scheduler) send(ctx context.Context, host string, ask berylpermit.Ask, timeout time.Duration) verdict {
-	v := verdict{host: host, ask: ask}
+func (s *Scheduler) send(ctx context.Context, host string, ask *berylpermit.Ask, timeout time.Duration) *verdict {
+	v := &verdict{host: host, ask: ask}
 	now := time.Now()
 	s.peers.asking(now, host)
 	sending, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	if host == s.Host {
-		v.reply, v.err = s.HandleAsk(sending, host, ask)
+		v.reply, v.err = s.HandleAsk(sending, host, *ask)
 	} else {
-		v.reply, v.err = s.Transport.Ask(sending, host, ask)
+		v.reply, v.err = s.Transport.Ask(sending, host, *ask)
 	}
 	if v.err != nil {
 		if ctx.Err() == nil {
 			s.peers.silent(time.Now(), host)
 		}
-		s.withdraw(&v)
+		s.withdraw(v)
 		return v
 	}
 	s.peers.answered(host)
@@ -166,7 +166,7 @@
 	if p := a.table.Load().places[v.reply.Upstream]; p != nil {
 		p.bump(v.ask.Class)
 	}
-	return a.hold(&v.ask, v.reply.Upstream, v.host)
+	return a.hold(v.ask, v.reply.Upstream, v.host)
 }
 
 func (a *acquisition) noteRefusal(wait time.Duration) {
@@ -190,7 +190,7 @@
 		}
 		ask := a.next(false)
 		a.counts.unowned.Inc()
-		return a.hold(&ask, p.upstream, "")
+		return a.hold(ask, p.upstream, "")
 	}
 	return nil
 }
--- a/internal/berylsched/broker_first.go
+++ b/internal/berylsched/broker_first.go
@@ -12,7 +12,7 @@
 func (a *acquisition) tryFirst(ctx context.Context, hosts []string) (*berylpermit.Permit, []string) {
 	var reached []string
 	rest := hosts
-	verdicts := make(chan verdict, len(hosts))
+	verdicts := make(chan *verdict, len(hosts))
 	left := 0
 	defer func() { a.abandon(verdicts, left) }()
 	ask := func() {
@@ -35,7 +35,7 @@
 		case v := <-verdicts:
 			left--
 			if v.err == nil && v.reply.Verdict == berylpermit.Granted {
-				return a.granted(&v), nil
+				return a.granted(v), nil
 			}
 			if v.err != nil {
 				a.counts.reasked.Inc()
@@ -55,7 +55,7 @@
 }
 
 // sendAside asks an owner once. The ask outlives its caller, so that a host that does not answer is found out.
-func (a *acquisition) sendAside(ctx context.Context, host string, verdicts chan<- verdict) {
+func (a *acquisition) sendAside(ctx context.Context, host string, verdicts chan<- *verdict) {
 	ctx = context.WithoutCancel(ctx)
 	ask := a.next(false)
 	if host == a.Host {
--- a/internal/berylsched/broker_queue.go
+++ b/internal/berylsched/broker_queue.go
@@ -13,7 +13,7 @@
 // keeps its place in line.
 func (a *acquisition) queue(ctx context.Context, t *table, hosts []string) (*berylpermit.Permit, bool) {
 	ctx, cancel := context.WithCancel(ctx)
-	verdicts := make(chan verdict, len(hosts))
+	verdicts := make(chan *verdict, len(hosts))
 	waiting := make(map[string]context.CancelFunc)
 	defer func() {
 		cancel()
@@ -46,7 +46,7 @@
 			waiting[v.host]()
 			delete(waiting, v.host)
 			if v.err == nil && v.reply.Verdict == berylpermit.Granted {
-				return a.granted(&v), false
+				return a.granted(v), false
 			}
 			if v.err == nil {
 				a.noteRefusal(v.reply.Wait)
@@ -83,7 +83,7 @@
 }
 
 // waitAt keeps an ask in one owner's queue until it is granted or refused, or the owner no longer answers.
-func (a *acquisition) waitAt(ctx context.Context, host string) verdict {
+func (a *acquisition) waitAt(ctx context.Context, host string) *verdict {
 	ask := a.next(true)
 	for {
 		ask.Remaining = time.Until(a.deadline)
@@ -95,14 +95,14 @@
 }
 
 // abandon gives back what the asks still under way may yet be granted.
-func (a *acquisition) abandon(verdicts <-chan verdict, left int) {
+func (a *acquisition) abandon(verdicts <-chan *verdict, left int) {
 	if left == 0 {
 		return
 	}
 	go func() {
 		for range left {
 			if v := <-verdicts; v.err == nil {
-				a.withdraw(&v)
+				a.withdraw(v)
 			}
 		}
 	}()
