--- a/internal/berylload/run.go
+++ b/internal/berylload/run.go
@@ -103,7 +103,7 @@
 			f.Refused++
 		case broken:
 			f.Broken++
-		default:
+		case whole:
 			f.Whole++
 			_ = first.RecordValue(min(max(s.first.Microseconds(), 1), maxMicros))
 			_ = total.RecordValue(min(max(s.total.Microseconds(), 1), maxMicros))
