Processes: table of upstream faults against what callers are told

Cause: nothing showed through the whole path that not-run is true, only the decision tables of berylcall. Each of 15 faults at every engine and service stand-in meets seven kinds of call (plain, stream, keyed, never-repeat, order); what the caller hears is compared with the runs counted by body hash, and calls must be answered again after it.

Seen: TestNotRunIsTrue passes, 15 faults, 48 s with TestRefusedAtOnce on a shared machine. With unrun() taken as always true in berylcall it fails in the three cases tried (drop, hang, 500): 2 or 3 runs behind a not-run. First try: one fleet for all faults; there each fault doubles the time that upstreams are set aside, and after the sixth no call was answered for 30 s although the engines were well again. So each fault has its own fleet.

Fails: TestRefusedAtOnce, listed in KNOWN-RED: callers are refused truthfully but only at the end of their deadline (11.6 to 12 s of 12 s) when every upstream refuses.

--- /dev/null
+++ b/internal/berylprocess/notrun_test.go
@@ -0,0 +1,264 @@
+package berylprocess
+
+import (
+	"fmt"
+	"net/http"
+	"regexp"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+
+	"berylroad.example/berylroad/internal/berylconf"
+	"berylroad.example/berylroad/internal/berylfake"
+)
+
+const (
+	// faultDeadline is the deadline of calls that meet a fault.
+	faultDeadline = 4 * time.Second
+	// refuseDeadline is the deadline of calls that upstreams refuse.
+	refuseDeadline = 12 * time.Second
+	// atOnce bounds a refusal, which must not be held back to the deadline.
+	atOnce = 9 * time.Second
+	// pause is how long stand-ins refuse connections, answer late or stall.
+	pause = berylconf.Duration(faultDeadline)
+	// fleetsAtOnce bounds the fleets that run side by side.
+	fleetsAtOnce = 3
+)
+
+// kind is one way in which a caller may send a call.
+type kind struct {
+	name   string
+	keyed  bool
+	never  bool
+	stream bool
+	order  bool
+}
+
+var kinds = []kind{
+	{name: "plain"},
+	{name: "stream", stream: true},
+	{name: "keyed", keyed: true},
+	{name: "keyed stream", keyed: true, stream: true},
+	{name: "never", never: true, keyed: true},
+	{name: "never stream", never: true, keyed: true, stream: true},
+	{name: "order", never: true, keyed: true, order: true},
+}
+
+// request returns a call of that kind whose body no other text gives.
+func (k kind) request(text string, deadline time.Duration) request {
+	r := request{path: "/v1/chat/completions", body: chatBody(text, 10, k.stream), header: http.Header{}}
+	if k.order {
+		r = order("", text)
+	}
+	r.header = http.Header{"Berylroad-Timeout": {fmt.Sprint(deadline.Seconds())}}
+	if k.keyed {
+		r.header.Set("Idempotency-Key", regexp.MustCompile(`\W+`).ReplaceAllString(text, "-"))
+	}
+	if k.never && !k.order {
+		r.header.Set("Berylroad-Repeat", "never")
+	}
+	return r
+}
+
+// started returns how often the engine and service stand-ins have begun to run a body.
+func (f *fleet) started(body []byte) int {
+	total := f.runs(body)
+	for _, e := range f.engines {
+		total += f.counts(e).ByBody[berylfake.BodyHash(body)].Started
+	}
+	return total
+}
+
+var codePattern = regexp.MustCompile(`"code":"([a-z-]+)"`)
+
+// ended returns the error code of a reply, also of one that a stream ends with, "" for a whole answer, and "lost"
+// for a connection that ended without a word.
+func (r reply) ended() string {
+	if found := codePattern.FindSubmatch(r.body); found != nil {
+		return string(found[1])
+	}
+	if r.err != nil {
+		return "lost"
+	}
+	if r.status != http.StatusOK {
+		return fmt.Sprint("status ", r.status)
+	}
+	return ""
+}
+
+// told is what a caller was told of one call.
+type told struct {
+	kind
+	reply
+	sent []byte
+	took time.Duration
+}
+
+// meet sends one call of each kind at once, over the hosts in turn.
+func (f *fleet) meet(text string, deadline time.Duration) []told {
+	all := make([]told, len(kinds))
+	var calls conc.WaitGroup
+	for i, k := range kinds {
+		calls.Go(func() {
+			r := k.request(text+" "+k.name, deadline)
+			begin := time.Now()
+			reply := f.send(f.t.Context(), f.hosts[i%len(f.hosts)], r)
+			all[i] = told{kind: k, reply: reply, sent: r.body, took: time.Since(begin)}
+		})
+	}
+	calls.Wait()
+	return all
+}
+
+// checkTold compares what a caller was told with what ran.
+func (f *fleet) checkTold(is *is.I, c told) (ran int) {
+	f.t.Helper()
+	ran = f.started(c.sent)
+	end := c.ended()
+	f.t.Logf("%s: %q, status %d, ran %d, took %s", c.name, end, c.status, ran, c.took.Round(time.Millisecond))
+	is.True(end != "lost") // the hosts live
+	switch end {
+	case "":
+		is.True(ran > 0)
+		is.True(c.order || c.whole(c.sent, c.stream)) // an answer is whole or it is an error
+	case "not-run", "over-limit", "bad-request", "too-large", "unauthorized", "not-found":
+		is.Equal(ran, 0) // what was refused as not run did not run
+	case "outcome-unknown", "upstream-failed":
+		is.True(ran > 0 || c.never) // what may be repeated and has not run is told so
+	default:
+		f.t.Errorf("%s: unexpected end %q", c.name, end)
+	}
+	if end == "not-run" {
+		is.True(c.header.Get("Retry-After") != "")
+	}
+	if c.never {
+		is.True(ran <= 1)
+	}
+	return ran
+}
+
+func (f *fleet) upstreams() []*upstream {
+	return slices.Concat(f.engines, f.services)
+}
+
+// faultAll scripts the same fault at every engine and service stand-in.
+func (f *fleet) faultAll(fault berylfake.UpstreamFault) {
+	f.t.Helper()
+	for _, u := range f.upstreams() {
+		f.fault(u, fault)
+	}
+}
+
+// reachable reports whether every engine and service stand-in takes connections.
+func (f *fleet) reachable() bool {
+	for _, u := range f.upstreams() {
+		response, err := http.Get(u.url + "/standin/counts")
+		if err != nil {
+			return false
+		}
+		response.Body.Close()
+	}
+	return true
+}
+
+// recover clears all faults and waits until calls of each kind are answered again and nothing runs any more.
+func (f *fleet) recover(text string) {
+	f.t.Helper()
+	f.faultAll(berylfake.UpstreamFault{})
+	f.fault(f.platform, berylfake.Fault{})
+	n := 0
+	f.eventually("each kind of call is answered again", func() bool {
+		n++
+		for _, c := range f.meet(fmt.Sprintf("%s, after it %d", text, n), faultDeadline) {
+			if c.ended() != "" {
+				return false
+			}
+		}
+		return true
+	})
+	f.eventually("nothing runs", func() bool { return f.running() == 0 })
+}
+
+// running returns how many calls the stand-ins run.
+func (f *fleet) running() int {
+	total := 0
+	for _, u := range f.upstreams() {
+		total += f.counts(u).Running
+	}
+	return total
+}
+
+// TestNotRunIsTrue compares, for each way in which upstreams fail, what callers are told with what upstreams ran.
+func TestNotRunIsTrue(t *testing.T) {
+	fleets := make(chan struct{}, fleetsAtOnce)
+	for _, test := range []struct {
+		name  string
+		fault berylfake.UpstreamFault
+		// unrun marks a fault that runs nothing.
+		unrun bool
+		// unsure marks one of which a call that must not be repeated may be told that it may have run.
+		unsure bool
+	}{
+		{name: "refuse", fault: berylfake.UpstreamFault{Mode: berylfake.FaultRefuse, For: pause}, unrun: true},
+		{name: "429", fault: berylfake.UpstreamFault{Mode: berylfake.FaultStatus, Status: 429}, unrun: true},
+		{name: "503", fault: berylfake.UpstreamFault{Mode: berylfake.FaultStatus, Status: 503}, unrun: true, unsure: true},
+		{name: "500", fault: berylfake.UpstreamFault{Mode: berylfake.FaultStatus, Status: 500}},
+		{name: "drop", fault: berylfake.UpstreamFault{Mode: berylfake.FaultDrop}},
+		{name: "garbage", fault: berylfake.UpstreamFault{Mode: berylfake.FaultGarbage}},
+		{name: "not HTTP", fault: berylfake.UpstreamFault{Mode: berylfake.FaultNotHTTP}},
+		{name: "endless header", fault: berylfake.UpstreamFault{Mode: berylfake.FaultEndlessHeader}},
+		{name: "cut", fault: berylfake.UpstreamFault{Mode: berylfake.FaultCut, After: 3}},
+		{name: "no end", fault: berylfake.UpstreamFault{Mode: berylfake.FaultNoEnd, After: 3}},
+		{name: "endless", fault: berylfake.UpstreamFault{Mode: berylfake.FaultEndless}},
+		{name: "stall", fault: berylfake.UpstreamFault{Mode: berylfake.FaultStall, After: 3, For: 2 * pause}},
+		{name: "hang", fault: berylfake.UpstreamFault{Mode: berylfake.FaultHang}},
+		{name: "late", fault: berylfake.UpstreamFault{Mode: berylfake.FaultLate, For: 2 * pause}},
+		{name: "crossed", fault: berylfake.UpstreamFault{Mode: berylfake.FaultCrossed}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			fleets <- struct{}{}
+			defer func() { <-fleets }()
+			is := is.New(t)
+			f := startFleet(t, plan{hosts: 2, engines: 2, services: 2, slots: 8, resume: true, engineFlags: quickEngine})
+			f.faultAll(test.fault)
+			replies := f.meet(test.name, faultDeadline)
+			f.eventually("the stand-ins can be asked", f.reachable)
+			ran := 0
+			for _, c := range replies {
+				ran += f.checkTold(is, c)
+				if test.unrun {
+					is.True(c.ended() == "not-run" || c.never && test.unsure)
+				}
+			}
+			is.Equal(ran == 0, test.unrun) // the fault was met
+			f.recover(test.name)
+		})
+	}
+}
+
+// TestRefusedAtOnce checks that callers whom every upstream turns away hear so long before their deadline.
+func TestRefusedAtOnce(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		fault berylfake.UpstreamFault
+	}{
+		{"refuse", berylfake.UpstreamFault{Mode: berylfake.FaultRefuse, For: berylconf.Duration(refuseDeadline)}},
+		{"429", berylfake.UpstreamFault{Mode: berylfake.FaultStatus, Status: http.StatusTooManyRequests}},
+		{"503", berylfake.UpstreamFault{Mode: berylfake.FaultStatus, Status: http.StatusServiceUnavailable}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := startFleet(t, plan{hosts: 2, engines: 2, services: 2, slots: 8, resume: true, engineFlags: quickEngine})
+			f.faultAll(test.fault)
+			for _, c := range f.meet(test.name, refuseDeadline) {
+				t.Logf("%s: %q, took %s", c.name, c.ended(), c.took.Round(time.Millisecond))
+				is.True(c.took < atOnce)
+			}
+		})
+	}
+}
