Calls: report what late calls show of their upstream

Now a lost call reports its wait as a lower bound of the first-token time, and a deadline or a cancel is a fault only after an unusually long wait. A plain answer whose content-length is over the limit is refused before it is read.

--- a/internal/berylcall/attempt.go
+++ b/internal/berylcall/attempt.go
@@ -214,11 +214,15 @@
 }
 
 func (a *attempt) report() berylpermit.Report {
+	busy := time.Since(a.began)
 	r := berylpermit.Report{
 		FirstToken: a.firstByte,
 		Tokens:     a.tokens,
-		Busy:       time.Since(a.began),
-		Fault:      a.end.ending.fault(),
+		Busy:       busy,
+		Fault:      a.end.ending.fault(a.late(busy)),
+	}
+	if errors.Is(context.Cause(a.ctx), errLoser) && a.firstByte == 0 {
+		r.FirstToken = busy
 	}
 	single := progress{repeatable: a.req.Repeatable}
 	single.add(a.end)
@@ -229,6 +233,15 @@
 	return r
 }
 
+// late reports whether the first byte, or the event after the last one, has been missing for unusually long.
+func (a *attempt) late(busy time.Duration) bool {
+	if a.firstByte == 0 {
+		known := a.runner.latencies.typical(keyOf(a.req))
+		return busy >= lateAfter(known, tokensBefore(a.req))
+	}
+	return a.mode == bodyEvents && busy-a.lastByte >= stallAfter(a.runner.gaps.typical(gapKey(a.req)))
+}
+
 // gap returns the mean time between a stream's events, of which there must be two.
 func (a *attempt) gap() time.Duration {
 	return (a.lastByte - a.firstByte) / time.Duration(a.tokens-1)
--- a/internal/berylcall/body.go
+++ b/internal/berylcall/body.go
@@ -106,7 +106,6 @@
 	default:
 		err = a.passOpaque(sink)
 	}
-	a.lastByte = time.Since(a.began)
 	switch {
 	case sink.err != nil:
 		a.fail(a.cancelled(endCancelled), "the answer could not be passed on")
@@ -128,6 +127,7 @@
 		}
 		if e.token {
 			a.tokens++
+			a.lastByte = time.Since(a.began)
 			sink.tokens++
 		}
 		if e.done {
@@ -147,13 +147,16 @@
 
 // passDocument passes a JSON answer on when it is whole and valid.
 func (a *attempt) passDocument(sink *tracked) error {
+	if a.openEnded() {
+		return errBodyOpen
+	}
+	if int64(a.response.Header.ContentLength()) > a.limit {
+		return errAnswerTooLarge
+	}
 	body, err := io.ReadAll(bodyReader{a})
 	if err != nil {
 		return err
 	}
-	if a.openEnded() {
-		return errBodyOpen
-	}
 	if a.response.StatusCode() < 300 && !json.Valid(body) {
 		return errBodyGarbage
 	}
--- a/internal/berylcall/ending.go
+++ b/internal/berylcall/ending.go
@@ -43,11 +43,13 @@
 	return names[e]
 }
 
-// fault reports whether the ending speaks against the upstream.
-func (e ending) fault() bool {
+// fault reports whether the ending speaks against the upstream. A call ended from this side does so only if it was late.
+func (e ending) fault(late bool) bool {
 	switch e {
-	case endWhole, endRefused, endCancelled, endYielded:
+	case endWhole, endRefused, endYielded:
 		return false
+	case endDeadline, endCancelled:
+		return late
 	default:
 		return true
 	}
--- a/internal/berylcall/latency.go
+++ b/internal/berylcall/latency.go
@@ -131,11 +131,15 @@
 // secondCallAfter returns how long to wait for the first byte before a second call on the retry budget; tokens are those
 // that an answer needs before its first byte.
 func secondCallAfter(t typical, remaining time.Duration, tokens int) time.Duration {
-	span := max(secondCallFactor*t.high, secondCallFloor)
+	return min(lateAfter(t, tokens), remaining/2)
+}
+
+// lateAfter returns from when on a missing first byte speaks against the upstream.
+func lateAfter(t typical, tokens int) time.Duration {
 	if t.high == 0 {
-		span = unknownFirst + time.Duration(tokens)*unknownToken
+		return unknownFirst + time.Duration(tokens)*unknownToken
 	}
-	return min(span, remaining/2)
+	return max(secondCallFactor*t.high, secondCallFloor)
 }
 
 // stallAfter returns the longest pause of a stream that can be continued elsewhere, from the usual time between events.
--- a/internal/berylpermit/permit.go
+++ b/internal/berylpermit/permit.go
@@ -141,7 +141,8 @@
 type Report struct {
 	// Kind says how the call ended.
 	Kind beryloutcome.Kind `cbor:"1,keyasint"`
-	// FirstToken is the time from the call's start to its first body byte, or zero if none came.
+	// FirstToken is the time from the call's start to its first body byte, or zero if none came; of a call that was
+	// given up because another one was faster, it is how long it had waited.
 	FirstToken time.Duration `cbor:"2,keyasint,omitempty"`
 	// TokenGap is the mean time between streamed events, or zero.
 	TokenGap time.Duration `cbor:"3,keyasint,omitempty"`
