--- a/internal/berylsched/broker.go
+++ b/internal/berylsched/broker.go
@@ -94,16 +94,16 @@
 
 func (a *acquisition) run(ctx context.Context) (*berylpermit.Permit, *beryloutcome.Refusal) {
 	for {
-		if ctx.Err() != nil {
-			return nil, a.ended(ctx)
-		}
 		t := a.table.Load()
 		hosts := a.route(time.Now(), t, &a.ask)
 		permit, reached := a.tryFirst(ctx, hosts)
 		if permit != nil {
 			return permit, nil
 		}
-		if a.ask.Hedge {
+		if ctx.Err() != nil {
+			return nil, a.ended(ctx)
+		}
+		if a.ask.Hedge || !t.mayServe(&a.ask) {
 			return nil, a.refuse()
 		}
 		if len(reached) > 0 {
--- a/internal/berylsched/broker_queue.go
+++ b/internal/berylsched/broker_queue.go
@@ -40,7 +40,7 @@
 		case <-t.stale:
 			t = a.table.Load()
 			a.leave(t, waiting)
-			hosts = a.fresh(t, hosts, waiting)
+			hosts = a.fresh(t, waiting)
 			ask()
 		case v := <-verdicts:
 			waiting[v.host]()
@@ -72,7 +72,7 @@
 }
 
 // fresh lists the owners of a new table where the ask does not wait yet.
-func (a *acquisition) fresh(t *table, old []string, waiting map[string]context.CancelFunc) []string {
+func (a *acquisition) fresh(t *table, waiting map[string]context.CancelFunc) []string {
 	var hosts []string
 	for _, host := range a.route(time.Now(), t, &a.ask) {
 		if waiting[host] == nil {
--- a/internal/berylsched/failure_test.go
+++ b/internal/berylsched/failure_test.go
@@ -232,6 +232,44 @@
 }
 
 // TestWaitingAskFindsRoomElsewhere frees one slot after the other, wherever the one batch ask may wait.
+func TestCallerThatWentGetsNoPermit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(document(2, 1), names...)
+		defer f.stop()
+		f.setMembers("h2", "h3")
+		f.freeze("h2", true)
+		f.freeze("h3", true)
+		ctx, cancel := context.WithCancel(context.Background())
+		time.AfterFunc(10*time.Millisecond, cancel)
+		p, refusal := f.hosts["h1"].Acquire(ctx, berylpermit.Ask{Target: "m", Remaining: time.Minute})
+		is.True(p == nil)
+		is.Equal(refusal.Code, beryloutcome.CodeCancelled)
+	})
+}
+
+func TestNothingToWaitFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		doc := document(1, 1)
+		f := newFleet(doc, names...)
+		defer f.stop()
+		start := time.Now()
+		_, refusal := f.hosts["h1"].Acquire(context.Background(), berylpermit.Ask{
+			Target: "m", Avoid: []string{"u1"}, Remaining: time.Minute,
+		})
+		is.Equal(refusal.Code, beryloutcome.CodeNotRun)
+		doc.Revision++
+		doc.Rules.Leaving = []string{"u1"}
+		for _, s := range f.hosts {
+			s.SetConfig(doc)
+		}
+		_, refusal = f.hosts["h1"].Acquire(context.Background(), berylpermit.Ask{Target: "m", Remaining: time.Minute})
+		is.Equal(refusal.Code, beryloutcome.CodeNotRun)
+		is.True(time.Since(start) < time.Second) // no refusal is held back
+	})
+}
+
 func TestWaitingAskFindsRoomElsewhere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/berylsched/fleet_test.go
+++ b/internal/berylsched/fleet_test.go
@@ -93,6 +93,7 @@
 func (f *fleet) stop() {
 	f.cancel()
 	f.wg.Wait()
+	time.Sleep(time.Second) // asks to silent hosts outlive their callers by a moment
 }
 
 func (f *fleet) lose(name string) {
--- a/internal/berylsched/judge.go
+++ b/internal/berylsched/judge.go
@@ -44,6 +44,13 @@
 	return loads
 }
 
+// inherit starts a new ownership with what the last owner has said of the upstream.
+func (u *upstream) inherit(now time.Time) {
+	if u.peer.Straggler && now.Sub(u.peer.at) < peerFresh {
+		u.health.setAside(now, slowBackoff, slowBackoffMost)
+	}
+}
+
 // judge compares the target's owned upstreams with the median of all of them.
 func (t *target) judge(now time.Time) {
 	if now.Sub(t.judged) < judgeEvery {
--- a/internal/berylsched/owner.go
+++ b/internal/berylsched/owner.go
@@ -119,7 +119,7 @@
 	*w = waiter{target: t, renewed: now, deadline: now.Add(ask.Remaining), order: o.order}
 	q := &t.queues[k]
 	wait := t.pace.wait(now, k, q.rank(w)+1)
-	if !ask.Queue || ask.Hedge || q.len() >= maxWaiting || !t.pace.inTime(k, ask.Remaining, wait) {
+	if !ask.Queue || ask.Hedge || q.len() >= maxWaiting || !t.mayServe(ask) || !t.pace.inTime(k, ask.Remaining, wait) {
 		o.refuse(t, ask.ID, wait)
 		o.recycle(w)
 		return
@@ -190,7 +190,7 @@
 	if k == batchWork && now.Before(u.settled) {
 		return false
 	}
-	return len(ask.Avoid) == 0 || !slices.Contains(ask.Avoid, u.name)
+	return !avoids(ask, u.name)
 }
 
 // preemptable returns the upstream whose youngest batch permit loses the least work, or nil.
--- a/internal/berylsched/owner_fleet.go
+++ b/internal/berylsched/owner_fleet.go
@@ -64,6 +64,7 @@
 			u.owned = true
 			u.term = uint64(now.UnixNano())
 			u.settled = now.Add(settleTime)
+			u.inherit(now)
 		}
 		if !owned[u.name] && u.owned {
 			o.forget(u)
@@ -164,15 +165,15 @@
 	}
 }
 
-// dropLate refuses the waiting asks that cannot be in time, even if the next slot frees at once, and those that are not
-// asked for any more.
+// dropLate refuses the waiting asks that cannot be in time, even if the next slot frees at once, those that nothing may
+// serve any more and those that are not asked for any more.
 func (o *Owner) dropLate(now time.Time, t *target) {
 	for k := shortOnline; k < kinds; k++ {
 		q := &t.queues[k]
 		for i := 0; i < q.len(); {
 			w := q.live()[i]
 			wait := t.pace.wait(now, k, i)
-			wanted := now.Sub(w.renewed) <= askLease
+			wanted := now.Sub(w.renewed) <= askLease && t.mayServe(&w.ask)
 			if wanted && t.pace.inTime(k, w.deadline.Sub(now), wait) {
 				i++
 				continue
--- a/internal/berylsched/owner_permits.go
+++ b/internal/berylsched/owner_permits.go
@@ -85,13 +85,15 @@
 	if hr := o.holders[holderKey{h.Host, h.Boot}]; hr != nil && len(hr.permits) >= maxHeldPermits {
 		return
 	}
-	if w := o.waiting[hp.ID]; w != nil {
-		o.unqueue(w)
-	}
+	w := o.waiting[hp.ID]
 	p := o.newPermit()
 	age := min(max(hp.Age, 0), maxRemaining)
 	*p = permit{id: hp.ID, up: u, class: hp.Class.Known(), long: hp.Long, since: now.Add(-age), seen: now}
 	o.count(p)
+	if w != nil {
+		o.unqueue(w)
+		o.replyGranted(p, nil)
+	}
 }
 
 func (o *Owner) freeMissing(now time.Time, hr *holder, named map[berylpermit.ID]bool) {
--- a/internal/berylsched/pace.go
+++ b/internal/berylsched/pace.go
@@ -57,6 +57,16 @@
 	return idle
 }
 
+// mayServe says whether any upstream could ever be granted to the ask as things are.
+func (t *target) mayServe(ask *berylpermit.Ask) bool {
+	for _, u := range t.ups {
+		if u.usable() && !avoids(ask, u.name) {
+			return true
+		}
+	}
+	return false
+}
+
 // pace is how fast a target's slots free, as of its last refresh.
 type pace struct {
 	// slots counts the slots of the upstreams in use.
--- a/internal/berylsched/table.go
+++ b/internal/berylsched/table.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"berylroad.example/berylroad/internal/berylconf"
+	"berylroad.example/berylroad/internal/berylpermit"
 )
 
 // Member is one live host.
@@ -169,6 +170,11 @@
 	return regions, staying
 }
 
+// mayServe says whether the ask could be granted by any owner.
+func (t *table) mayServe(ask *berylpermit.Ask) bool {
+	return slices.ContainsFunc(t.targets[ask.Target], func(p *place) bool { return allowed(p, ask) })
+}
+
 // ownedBy returns the names of the upstreams that a host owns, sorted.
 func (t *table) ownedBy(host string) []string {
 	var names []string
