A never-repeat request confirms its claim right before its call

Cause: the ticket's Check stood unused. A holder that was paused between its claim and its permit could run an order whose caller had meanwhile been told outcome-unknown elsewhere; at most once held all the same.

Ruled out: checking in the gate before Do, since the wait for a permit lies after it.

A pause between that check and the first byte remains possible.

--- a/internal/berylcall/call.go
+++ b/internal/berylcall/call.go
@@ -57,6 +57,9 @@
 	last := end{ending: endConnect, detail: "no upstream was called"}
 	for {
 		permit, refusal := c.acquire(ctx)
+		if refusal == nil {
+			refusal = c.confirm(ctx, permit)
+		}
 		if refusal != nil {
 			return c.refused(ctx, last, refusal)
 		}
@@ -67,6 +70,18 @@
 	}
 }
 
+// confirm asks whether a request that is not repeatable may still run, and gives the permit back when it may not.
+func (c *call) confirm(ctx context.Context, permit *berylpermit.Permit) *beryloutcome.Refusal {
+	if c.req.Repeatable || c.req.Confirm == nil {
+		return nil
+	}
+	refusal := c.req.Confirm(ctx)
+	if refusal != nil {
+		permit.Release(berylpermit.Report{Kind: beryloutcome.NotRun})
+	}
+	return refusal
+}
+
 // endFor returns the end to report: a caller that gave up meanwhile hears of nothing else.
 func endFor(ctx context.Context, e end) end {
 	if e.ending != endWhole && errors.Is(context.Cause(ctx), context.Canceled) {
--- a/internal/berylcall/request.go
+++ b/internal/berylcall/request.go
@@ -1,8 +1,10 @@
 package berylcall
 
 import (
+	"context"
 	"time"
 
+	"berylroad.example/berylroad/internal/beryloutcome"
 	"berylroad.example/berylroad/internal/berylpermit"
 )
 
@@ -24,6 +26,9 @@
 	Stream bool
 	// Repeatable marks a request that may run more than once.
 	Repeatable bool
+	// Confirm is asked, with a permit in hand, right before each upstream call of a request that is not repeatable; a
+	// refusal ends the request unrun. Nil means that none need be asked.
+	Confirm func(ctx context.Context) *beryloutcome.Refusal
 	// Class is the priority class.
 	Class berylpermit.Class
 	// Deadline is when the answer must be whole.
--- a/internal/berylgate/serve.go
+++ b/internal/berylgate/serve.go
@@ -26,6 +26,9 @@
 	if refusal != nil || replayed {
 		return asError(refusal)
 	}
+	if checker, ok := ticket.(berylonce.Checker); ok {
+		request.Confirm = func(ctx context.Context) *beryloutcome.Refusal { return checker.Check(ctx, time.Now()) }
+	}
 	if request.Stream {
 		return g.stream(c, x, request, ticket)
 	}
