--- /dev/null
+++ b/internal/beryllimit/bench_test.go
@@ -0,0 +1,93 @@
+package beryllimit
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"testing"
+
+	"berylroad.example/berylroad/internal/berylconf"
+)
+
+// benchLimiter returns a limiter alone with n callers that have every kind of limit.
+func benchLimiter(n int) (*Limiter, []berylconf.Caller) {
+	document := &berylconf.Document{}
+	for i := range n {
+		document.Inventory.Callers = append(document.Inventory.Callers, berylconf.Caller{
+			Name: fmt.Sprintf("caller-%04d", i), RequestsPerSecond: 1e9, Concurrent: 1000, TokensPerMinute: 1e12,
+		})
+	}
+	limiter := New(Config{
+		Self:     "entry-1",
+		Live:     func() []string { return []string{"entry-1"} },
+		Document: func() *berylconf.Document { return document },
+	})
+	return limiter, document.Inventory.Callers
+}
+
+func BenchmarkTake(b *testing.B) {
+	limiter, callers := benchLimiter(370)
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		release, refusal := limiter.Take(context.Background(), &callers[i%len(callers)], 100)
+		if refusal != nil {
+			b.Fatal(refusal)
+		}
+		release()
+		i++
+	}
+}
+
+func BenchmarkTakeWithoutLimit(b *testing.B) {
+	limiter, _ := benchLimiter(0)
+	caller := &berylconf.Caller{Name: "free"}
+	b.ReportAllocs()
+	for b.Loop() {
+		release, _ := limiter.Take(context.Background(), caller, 100)
+		release()
+	}
+}
+
+func BenchmarkHandleAsk(b *testing.B) {
+	for _, callers := range []int{370, 3700} {
+		b.Run(fmt.Sprint(callers), func(b *testing.B) {
+			limiter, all := benchLimiter(callers)
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				ask := Ask{Caller: all[i%callers].Name, Requests: 1, Tokens: 100, Slots: 1}
+				if _, err := limiter.HandleAsk(context.Background(), "entry-2", ask); err != nil {
+					b.Fatal(err)
+				}
+				i++
+			}
+		})
+	}
+}
+
+// BenchmarkMemory reports the heap bytes that one active caller takes on a host that is also its owner.
+func BenchmarkMemory(b *testing.B) {
+	for _, callers := range []int{370, 3700} {
+		b.Run(fmt.Sprint(callers), func(b *testing.B) {
+			var each float64
+			for b.Loop() {
+				limiter, all := benchLimiter(callers)
+				before := heap()
+				for i := range all {
+					_, _ = limiter.Take(context.Background(), &all[i], 100)
+				}
+				each = float64(heap()-before) / float64(callers)
+				runtime.KeepAlive(limiter)
+			}
+			b.ReportMetric(each, "B/caller")
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
