Calls: refuse paths that do not fit a request line; reading pass

A batch file's url reaches the runner as a path; one with a blank or line break could have forged header lines (test fails without the check: the service ran it). A caller that goes away while a retry waits for its permit is told cancelled; a second call that failed is avoided by the retry too.

--- a/internal/berylcall/body.go
+++ b/internal/berylcall/body.go
@@ -1,10 +1,8 @@
 package berylcall
 
 import (
-	"crypto/tls"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
 	"strings"
 	"time"
@@ -58,14 +56,6 @@
 	return path == "/v1/chat/completions" || path == "/v1/completions"
 }
 
-func statusDetail(status int) string {
-	return fmt.Sprintf("it answered with status %d", status)
-}
-
-func newTLSConfig() *tls.Config {
-	return &tls.Config{MinVersion: tls.VersionTLS12}
-}
-
 // bodyReader counts and bounds what is read of a body.
 type bodyReader struct {
 	a *attempt
--- a/internal/berylcall/call.go
+++ b/internal/berylcall/call.go
@@ -1,12 +1,11 @@
 package berylcall
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net/http"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -223,7 +222,7 @@
 
 func noUpstream() *beryloutcome.Refusal {
 	return &beryloutcome.Refusal{
-		Status:     503,
+		Status:     http.StatusServiceUnavailable,
 		Code:       beryloutcome.CodeNotRun,
 		Message:    "no upstream can take the request; send it again",
 		RetryAfter: comeBack,
@@ -247,7 +246,7 @@
 // refused ends the request when no permit came; last is the upstream call before, if any.
 func (c *call) refused(ctx context.Context, last end, refusal *beryloutcome.Refusal) beryloutcome.Result {
 	if c.progress.attempts > 0 && (c.progress.ran || c.sink.started) {
-		return c.result(last)
+		return c.result(endFor(ctx, last))
 	}
 	result := beryloutcome.Result{Kind: beryloutcome.NotRun, Refusal: refusal, Attempts: c.progress.attempts}
 	if errors.Is(context.Cause(ctx), context.Canceled) {
@@ -256,6 +255,7 @@
 	return result
 }
 
+// result ends the request with what its last upstream call came to.
 func (c *call) result(e end) beryloutcome.Result {
 	result := c.progress.result(e)
 	result.FirstToken = c.firstByte
@@ -270,29 +270,3 @@
 	}
 	return continuedBody(c.req.Body, c.sink.tokens)
 }
-
-const continueField = `"continue_from"`
-
-// canContinue reports whether the field that continues an answer can be added to a request body.
-func canContinue(body []byte) bool {
-	trimmed := bytes.TrimLeft(body, " \t\r\n")
-	if len(trimmed) == 0 || trimmed[0] != '{' {
-		return false
-	}
-	return !bytes.Contains(body, []byte(continueField))
-}
-
-// continuedBody adds the number of tokens already given to a request body.
-func continuedBody(body []byte, tokens int) []byte {
-	open := bytes.IndexByte(body, '{') + 1
-	rest := bytes.TrimLeft(body[open:], " \t\r\n")
-	continued := make([]byte, 0, len(body)+len(continueField)+16)
-	continued = append(continued, '{')
-	continued = append(continued, continueField...)
-	continued = append(continued, ':')
-	continued = strconv.AppendInt(continued, int64(tokens), 10)
-	if len(rest) > 0 && rest[0] != '}' {
-		continued = append(continued, ',')
-	}
-	return append(continued, rest...)
-}
--- a/internal/berylcall/connect.go
+++ b/internal/berylcall/connect.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/url"
 	"time"
@@ -41,7 +42,7 @@
 	}
 	config := a.runner.TLS.Clone()
 	if config == nil {
-		config = newTLSConfig()
+		config = &tls.Config{MinVersion: tls.VersionTLS12}
 	}
 	if config.ServerName == "" {
 		config.ServerName = u.Hostname()
--- a/internal/berylcall/ending.go
+++ b/internal/berylcall/ending.go
@@ -1,6 +1,9 @@
 package berylcall
 
-import "net/http"
+import (
+	"fmt"
+	"net/http"
+)
 
 // ending names how one upstream call ended.
 type ending uint8
@@ -87,3 +90,7 @@
 		return endWhole
 	}
 }
+
+func statusDetail(status int) string {
+	return fmt.Sprintf("it answered with status %d", status)
+}
--- a/internal/berylcall/race.go
+++ b/internal/berylcall/race.go
@@ -32,6 +32,7 @@
 	return a.end
 }
 
+// begin prepares a call; it is safe to use while another call of the request runs.
 func (c *call) begin(ctx context.Context, permit *berylpermit.Permit, body []byte) *attempt {
 	a := newAttempt(ctx, c.runner, c.req, permit, body, c.rules.MaxAnswerBytes)
 	a.continued = c.mustResume
@@ -68,6 +69,7 @@
 	a.cancel(nil)
 }
 
+// learn notes the time to the first byte.
 func (c *call) learn(a *attempt) {
 	if c.firstByte == 0 {
 		c.firstByte = a.firstByte
@@ -107,6 +109,7 @@
 			}
 			last = o.attempt.end
 			c.progress.add(last)
+			c.avoid(last.upstream)
 		case <-second.timer.C:
 			if pending == 1 && second.due(c) {
 				c.avoid(first.permit.Upstream)
--- /dev/null
+++ b/internal/berylcall/resume.go
@@ -0,0 +1,33 @@
+package berylcall
+
+import (
+	"bytes"
+	"strconv"
+)
+
+// continueField is the engines' request field that counts the tokens already given.
+const continueField = `"continue_from"`
+
+// canContinue reports whether the field that continues an answer can be added to a request body.
+func canContinue(body []byte) bool {
+	trimmed := bytes.TrimLeft(body, " \t\r\n")
+	if len(trimmed) == 0 || trimmed[0] != '{' {
+		return false
+	}
+	return !bytes.Contains(body, []byte(continueField))
+}
+
+// continuedBody adds the number of tokens already given to a request body.
+func continuedBody(body []byte, tokens int) []byte {
+	open := bytes.IndexByte(body, '{') + 1
+	rest := bytes.TrimLeft(body[open:], " \t\r\n")
+	continued := make([]byte, 0, len(body)+len(continueField)+16)
+	continued = append(continued, '{')
+	continued = append(continued, continueField...)
+	continued = append(continued, ':')
+	continued = strconv.AppendInt(continued, int64(tokens), 10)
+	if len(rest) > 0 && rest[0] != '}' {
+		continued = append(continued, ',')
+	}
+	return append(continued, rest...)
+}
--- a/internal/berylcall/runner.go
+++ b/internal/berylcall/runner.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"crypto/tls"
+	"net/http"
+	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -46,6 +48,9 @@
 
 // Do carries one request to its end; the sink's calls come from this goroutine.
 func (r *Runner) Do(ctx context.Context, req Request, sink Sink) beryloutcome.Result {
+	if !cleanPath(req.Path) {
+		return badPath()
+	}
 	c := newCall(r, &req, sink)
 	if !req.Deadline.IsZero() {
 		var cancel context.CancelFunc
@@ -58,6 +63,23 @@
 	return result
 }
 
+// cleanPath reports whether a path fits into a request line; a path from a batch file may hold anything.
+func cleanPath(path string) bool {
+	if !strings.HasPrefix(path, "/") {
+		return false
+	}
+	return !strings.ContainsFunc(path, func(c rune) bool { return c <= ' ' || c == '\x7f' })
+}
+
+func badPath() beryloutcome.Result {
+	return beryloutcome.Result{Kind: beryloutcome.NotRun, Refusal: &beryloutcome.Refusal{
+		Status:  http.StatusBadRequest,
+		Code:    beryloutcome.CodeBadRequest,
+		Message: "the path must begin with a slash and hold no blank or control character",
+		Param:   "url",
+	}}
+}
+
 // Close closes the idle connections.
 func (r *Runner) Close() {
 	r.pool.close()
--- a/internal/berylcall/runner_test.go
+++ b/internal/berylcall/runner_test.go
@@ -232,6 +232,22 @@
 	eventually(t, func() bool { return runtime.NumGoroutine() <= settled })
 }
 
+func TestBadPath(t *testing.T) {
+	for _, path := range []string{"", "orders", "/a b", "/a HTTP/1.1\r\nX-Caller: other", "/a\x00"} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t)
+			service := f.service(t, "a", berylfake.ServiceOptions{})
+			req := order("bad-path")
+			req.Path = path
+			result := f.Do(context.Background(), req, &sink{})
+			is.Equal(result.Kind, beryloutcome.NotRun)
+			is.Equal(result.Refusal.Code, beryloutcome.CodeBadRequest)
+			is.Equal(service.Counts().Started, 0)
+		})
+	}
+}
+
 func TestMetrics(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t)
