berylgate: bodies of mounted routes are bounded; beryllimit in smaller files

Cause: the gate streams request bodies, and handlers of mounted routes read them with fiber's own calls, which know no limit: an upload of any size, or a compressed one, was taken into memory.

--- a/internal/berylgate/admit.go
+++ b/internal/berylgate/admit.go
@@ -1,10 +1,7 @@
 package berylgate
 
 import (
-	"io"
-	"net/http"
 	"strings"
-	"time"
 
 	"github.com/gofiber/fiber/v3"
 	"github.com/valyala/fasthttp"
@@ -59,12 +56,21 @@
 	g.inFlight.Add(-1)
 }
 
-// admitMounted admits a request before the handlers of a mounted route.
+// admitMounted admits a request before the handlers of a mounted route, and reads its body within the rules' limit.
 func (g *Gate) admitMounted(c fiber.Ctx) error {
 	x := exchangeOf(c)
 	if refusal := x.admit(0); refusal != nil {
 		return refusal
 	}
+	ctx := c.RequestCtx()
+	if refusal := checkEncoding(&ctx.Request.Header); refusal != nil {
+		return refusal
+	}
+	body, refusal := x.readBody(ctx, x.lookup.rules.MaxBodyBytes)
+	if refusal != nil {
+		return refusal
+	}
+	ctx.Request.SetBodyRaw(body)
 	err := c.Next()
 	x.route = strings.Clone(c.Route().Path)
 	return err
@@ -84,32 +90,3 @@
 func Refuse(_ fiber.Ctx, refusal *beryloutcome.Refusal) error {
 	return asError(refusal)
 }
-
-// ReadBody returns a copy of the whole body on a mounted route, refusing more than limit bytes.
-func ReadBody(c fiber.Ctx, limit int) ([]byte, *beryloutcome.Refusal) {
-	return exchangeOf(c).readBody(c.RequestCtx(), limit)
-}
-
-// BodyStream returns the unread body on a mounted route, each of whose reads waits at most gap for bytes.
-func BodyStream(c fiber.Ctx, gap time.Duration) io.Reader {
-	stream := c.RequestCtx().RequestBodyStream()
-	if stream == nil {
-		return http.NoBody
-	}
-	return &bodyStream{stream: stream, ctx: c.RequestCtx(), gap: gap}
-}
-
-// bodyStream moves the connection's read deadline before each read.
-type bodyStream struct {
-	stream io.Reader
-	ctx    *fasthttp.RequestCtx
-	gap    time.Duration
-}
-
-// Read reads the next bytes of the body.
-func (b *bodyStream) Read(data []byte) (int, error) {
-	if err := b.ctx.Conn().SetReadDeadline(time.Now().Add(b.gap)); err != nil {
-		return 0, err
-	}
-	return b.stream.Read(data)
-}
--- a/internal/berylgate/gate_test.go
+++ b/internal/berylgate/gate_test.go
@@ -314,27 +314,31 @@
 		Metrics: set,
 		Mount: func(r fiber.Router) {
 			r.Post("/v1/batches", func(c fiber.Ctx) error {
-				body, refusal := berylgate.ReadBody(c, 8)
-				if refusal != nil {
-					return berylgate.Refuse(c, refusal)
-				}
-				return c.SendString(berylgate.CallerOf(c).Name + " " + string(body))
+				return c.SendString(berylgate.CallerOf(c).Name + " " + string(c.Body()))
 			})
 		},
 	})
-	for body, want := range map[string]string{"job": "counter job", "too long a job": "too-large"} {
-		r, err := http.NewRequest(http.MethodPost, base+"/v1/batches", strings.NewReader(body))
-		is.NoErr(err)
-		r.Header.Set("Authorization", "Bearer "+testKey)
-		response, err := http.DefaultClient.Do(r)
-		is.NoErr(err)
-		got, err := io.ReadAll(response.Body)
-		is.NoErr(err)
-		is.True(strings.Contains(string(got), want))
+	for _, tc := range []struct{ encoding, body, want string }{
+		{body: "job", want: "counter job"},
+		{body: strings.Repeat("x", 64<<10+1), want: "too-large"},
+		{body: "job", encoding: "gzip", want: "bad-request"},
+	} {
+		for _, length := range []int64{int64(len(tc.body)), -1} {
+			r, err := http.NewRequest(http.MethodPost, base+"/v1/batches", strings.NewReader(tc.body))
+			is.NoErr(err)
+			r.ContentLength = length
+			r.Header.Set("Authorization", "Bearer "+testKey)
+			r.Header.Set("Content-Encoding", tc.encoding)
+			response, err := http.DefaultClient.Do(r)
+			is.NoErr(err)
+			got, err := io.ReadAll(response.Body)
+			is.NoErr(err)
+			is.True(strings.Contains(string(got), tc.want))
+		}
 	}
 	var text bytes.Buffer
 	set.WritePrometheus(&text)
-	is.True(strings.Contains(text.String(), `berylroad_gate_requests_total{route="/v1/batches",class="online",code="ok"} 1`))
+	is.True(strings.Contains(text.String(), `berylroad_gate_requests_total{route="/v1/batches",class="online",code="ok"} 2`))
 	is.True(strings.Contains(text.String(), "berylroad_gate_in_flight 0"))
 }
 
--- a/internal/berylgate/model.go
+++ b/internal/berylgate/model.go
@@ -78,6 +78,11 @@
 	if !bytes.EqualFold(bytes.TrimSpace(kind), []byte(contentTypeJSON)) {
 		return unsupported(fasthttp.HeaderContentType, "Content-Type must be application/json.")
 	}
+	return checkEncoding(h)
+}
+
+// checkEncoding refuses a compressed body, whose true size its limit would not bound.
+func checkEncoding(h *fasthttp.RequestHeader) *beryloutcome.Refusal {
 	encoding := h.Peek(fasthttp.HeaderContentEncoding)
 	if len(encoding) > 0 && !bytes.EqualFold(encoding, []byte("identity")) {
 		return unsupported(fasthttp.HeaderContentEncoding, "Content-Encoding must be left out; send the body uncompressed.")
--- a/internal/beryllimit/limiter.go
+++ b/internal/beryllimit/limiter.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"fmt"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"berylroad.example/berylroad/internal/berylconf"
@@ -105,63 +102,6 @@
 
 func doNothing() {}
 
-// request is one request that a purse is to admit.
-type request struct {
-	limiter *Limiter
-	purse   *heldPurse
-	caller  *berylconf.Caller
-	limits  *limits
-	tokens  float64
-}
-
-func (r *request) try() verdict {
-	r.purse.mu.Lock()
-	defer r.purse.mu.Unlock()
-	return r.take()
-}
-
-// take is called under the purse's lock.
-func (r *request) take() verdict {
-	now := time.Now()
-	live := 1
-	if now.Before(r.purse.fallbackUntil) {
-		live = len(r.limiter.config.Live())
-	}
-	return r.purse.take(now, r.limits, live, r.tokens)
-}
-
-// tryAsking asks the owner, unless another request has just done so, and tries again.
-func (r *request) tryAsking(ctx context.Context) verdict {
-	select {
-	case r.purse.asking <- struct{}{}:
-	case <-ctx.Done():
-		return verdict{}
-	}
-	defer func() { <-r.purse.asking }()
-	v := r.try()
-	if !v.ask {
-		return v
-	}
-	v = r.ask(ctx)
-	if !v.slots {
-		return v
-	}
-	pause(ctx, slotPause)
-	return r.ask(ctx)
-}
-
-// ask asks the owner and tries again before any other request can use the loan.
-func (r *request) ask(ctx context.Context) verdict {
-	r.purse.mu.Lock()
-	ask := r.purse.need(r.limits, r.tokens)
-	r.purse.mu.Unlock()
-	grant, err := r.limiter.send(ctx, r.caller.Name, ask)
-	r.purse.mu.Lock()
-	defer r.purse.mu.Unlock()
-	r.limiter.settle(&r.purse.purse, ask, grant, err)
-	return r.take()
-}
-
 // settle puts the owner's answer, or its silence, into the purse.
 func (l *Limiter) settle(p *purse, ask Ask, grant Grant, err error) {
 	if err != nil {
@@ -188,53 +128,6 @@
 	return l.config.Ask(bounded, owner, ask)
 }
 
-// HandleAsk answers another host's ask; peer is the name in that host's certificate.
-func (l *Limiter) HandleAsk(_ context.Context, peer string, ask Ask) (Grant, error) {
-	caller := l.find(ask.Caller)
-	if caller == nil {
-		return Grant{}, errors.Newf("caller %q is not in the inventory", ask.Caller)
-	}
-	ask.Host = peer
-	bounds := limitsOf(caller)
-	l.ownerMu.Lock()
-	defer l.ownerMu.Unlock()
-	a := l.accounts[caller.Name]
-	if a == nil {
-		a = &account{}
-		l.accounts[caller.Name] = a
-	}
-	return a.grant(time.Now(), &bounds, ask), nil
-}
-
-// callerIndex finds the callers of one document by name.
-type callerIndex struct {
-	document *berylconf.Document
-	byName   map[string]*berylconf.Caller
-}
-
-// find returns the caller of that name in the configuration in force, or nil.
-func (l *Limiter) find(name string) *berylconf.Caller {
-	document := l.config.Document()
-	if document == nil {
-		return nil
-	}
-	index := l.callers.Load()
-	if index == nil || index.document != document {
-		index = newCallerIndex(document)
-		l.callers.Store(index)
-	}
-	return index.byName[name]
-}
-
-func newCallerIndex(document *berylconf.Document) *callerIndex {
-	index := &callerIndex{document: document, byName: make(map[string]*berylconf.Caller)}
-	for i := range document.Inventory.Callers {
-		caller := &document.Inventory.Callers[i]
-		index.byName[caller.Name] = caller
-	}
-	return index
-}
-
 func (l *Limiter) purse(name string) *heldPurse {
 	l.mu.RLock()
 	p := l.purses[name]
@@ -263,51 +156,11 @@
 	}
 }
 
-// Owner returns the host that owns the caller's limits, or "" when there is no host.
-func Owner(caller string, hosts []string) string {
-	var owner string
-	var highest uint64
-	for _, host := range hosts {
-		var d xxhash.Digest
-		d.Reset()
-		_, _ = d.WriteString(host)
-		_, _ = d.WriteString("\x00")
-		_, _ = d.WriteString(caller)
-		if weight := d.Sum64(); owner == "" || weight > highest {
-			owner = host
-			highest = weight
-		}
-	}
-	return owner
-}
-
 func (l *Limiter) refuse(r *beryloutcome.Refusal) *beryloutcome.Refusal {
 	l.refused.Inc()
 	return r
 }
 
-func overLimit(caller *berylconf.Caller, v verdict) *beryloutcome.Refusal {
-	what := "its requests or tokens in time"
-	if v.slots {
-		what = fmt.Sprintf("its %d requests in flight", caller.Concurrent)
-	}
-	return &beryloutcome.Refusal{
-		Status:     http.StatusTooManyRequests,
-		Code:       beryloutcome.CodeOverLimit,
-		Message:    fmt.Sprintf("The account %q has used up %s and the request was not run; come back after Retry-After.", caller.Name, what),
-		RetryAfter: max(v.wait, minRetryAfter),
-	}
-}
-
-func tooManyTokens(caller *berylconf.Caller) *beryloutcome.Refusal {
-	return &beryloutcome.Refusal{
-		Status:  http.StatusTooManyRequests,
-		Code:    beryloutcome.CodeOverLimit,
-		Message: fmt.Sprintf("One request may have at most %d tokens, the account's limit for a minute; send a lower max_tokens.", caller.TokensPerMinute),
-		Param:   "max_tokens",
-	}
-}
-
 func pause(ctx context.Context, wait time.Duration) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
--- /dev/null
+++ b/internal/beryllimit/owner.go
@@ -0,0 +1,76 @@
+package beryllimit
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"berylroad.example/berylroad/internal/berylconf"
+)
+
+// HandleAsk answers another host's ask; peer is the name in that host's certificate.
+func (l *Limiter) HandleAsk(_ context.Context, peer string, ask Ask) (Grant, error) {
+	caller := l.find(ask.Caller)
+	if caller == nil {
+		return Grant{}, errors.Newf("caller %q is not in the inventory", ask.Caller)
+	}
+	ask.Host = peer
+	bounds := limitsOf(caller)
+	l.ownerMu.Lock()
+	defer l.ownerMu.Unlock()
+	a := l.accounts[caller.Name]
+	if a == nil {
+		a = &account{}
+		l.accounts[caller.Name] = a
+	}
+	return a.grant(time.Now(), &bounds, ask), nil
+}
+
+// callerIndex finds the callers of one document by name.
+type callerIndex struct {
+	document *berylconf.Document
+	byName   map[string]*berylconf.Caller
+}
+
+// find returns the caller of that name in the configuration in force, or nil.
+func (l *Limiter) find(name string) *berylconf.Caller {
+	document := l.config.Document()
+	if document == nil {
+		return nil
+	}
+	index := l.callers.Load()
+	if index == nil || index.document != document {
+		index = newCallerIndex(document)
+		l.callers.Store(index)
+	}
+	return index.byName[name]
+}
+
+func newCallerIndex(document *berylconf.Document) *callerIndex {
+	index := &callerIndex{document: document, byName: make(map[string]*berylconf.Caller)}
+	for i := range document.Inventory.Callers {
+		caller := &document.Inventory.Callers[i]
+		index.byName[caller.Name] = caller
+	}
+	return index
+}
+
+// Owner returns the host that owns the caller's limits, or "" when there is no host.
+func Owner(caller string, hosts []string) string {
+	var owner string
+	var highest uint64
+	for _, host := range hosts {
+		var d xxhash.Digest
+		d.Reset()
+		_, _ = d.WriteString(host)
+		_, _ = d.WriteString("\x00")
+		_, _ = d.WriteString(caller)
+		if weight := d.Sum64(); owner == "" || weight > highest {
+			owner = host
+			highest = weight
+		}
+	}
+	return owner
+}
--- /dev/null
+++ b/internal/beryllimit/refusal.go
@@ -0,0 +1,31 @@
+package beryllimit
+
+import (
+	"fmt"
+	"net/http"
+
+	"berylroad.example/berylroad/internal/berylconf"
+	"berylroad.example/berylroad/internal/beryloutcome"
+)
+
+func overLimit(caller *berylconf.Caller, v verdict) *beryloutcome.Refusal {
+	what := "its requests or tokens in time"
+	if v.slots {
+		what = fmt.Sprintf("its %d requests in flight", caller.Concurrent)
+	}
+	return &beryloutcome.Refusal{
+		Status:     http.StatusTooManyRequests,
+		Code:       beryloutcome.CodeOverLimit,
+		Message:    fmt.Sprintf("The account %q has used up %s and the request was not run; come back after Retry-After.", caller.Name, what),
+		RetryAfter: max(v.wait, minRetryAfter),
+	}
+}
+
+func tooManyTokens(caller *berylconf.Caller) *beryloutcome.Refusal {
+	return &beryloutcome.Refusal{
+		Status:  http.StatusTooManyRequests,
+		Code:    beryloutcome.CodeOverLimit,
+		Message: fmt.Sprintf("One request may have at most %d tokens, the account's limit for a minute; send a lower max_tokens.", caller.TokensPerMinute),
+		Param:   "max_tokens",
+	}
+}
