Wire: redial by the error of a lost connection, not by its context

Under the race detector the test of a restarted peer failed: a stateless reset ends the stream's read before the connection's context, so the lost connection counted as alive and the idempotent call was not sent again.

--- a/internal/berylhost/merge.go
+++ b/internal/berylhost/merge.go
@@ -62,6 +62,7 @@
 	}
 	t.rivalAt = time.Time{}
 	t.Self.Incarnation = m.Incarnation + 1
+	t.views.changed = true
 	t.urgent = true
 	t.news.add(t.Self.Name)
 }
--- /dev/null
+++ b/internal/berylhost/rank_test.go
@@ -0,0 +1,105 @@
+package berylhost_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"berylroad.example/berylroad/internal/berylhost"
+)
+
+const (
+	rankKeys = 2000
+	// fairShare is how far a host's number of keys may be from the mean, as a factor.
+	fairShare = 1.25
+)
+
+func regionMembers() []berylhost.Member {
+	var live []berylhost.Member
+	for i := range 6 {
+		m := member(fmt.Sprintf("entry-%d", i), 1)
+		if i >= 3 {
+			m.Region = "thies"
+		}
+		live = append(live, m)
+	}
+	return live
+}
+
+func TestRank(t *testing.T) {
+	is := is.New(t)
+	live := regionMembers()
+	reversed := slices.Clone(live)
+	slices.Reverse(reversed)
+	owned := map[string]int{}
+	for i := range rankKeys {
+		key := fmt.Sprintf("ribdesk-llm-%d", i)
+		ranked := berylhost.Rank(key, live, "thies")
+		for j, m := range ranked {
+			is.Equal(m.Region == "thies", j < 3) // the region's own hosts first
+		}
+		is.Equal(ranked, berylhost.Rank(key, reversed, "thies")) // the same at all hosts
+		first, ok := berylhost.First(key, reversed, "thies")
+		is.True(ok)
+		is.Equal(first, ranked[0])
+		without := slices.DeleteFunc(slices.Clone(live), func(m berylhost.Member) bool { return m.Name == "entry-5" })
+		if heir, _ := berylhost.First(key, without, "thies"); first.Name != "entry-5" {
+			is.Equal(heir, first) // a loss moves only what the lost host owned
+		} else {
+			is.Equal(heir, ranked[1]) // to the next in rank
+		}
+		owned[first.Name]++
+	}
+	for _, m := range live[3:] {
+		is.True(float64(owned[m.Name]) < fairShare*rankKeys/3)
+		is.True(float64(owned[m.Name]) > rankKeys/3/fairShare)
+	}
+	_, ok := berylhost.First("ribdesk-llm-1", nil, "thies")
+	is.Equal(ok, false)
+}
+
+// TestNewsIsChecked feeds news that must not be believed; each field is one that a faulty peer could send.
+func TestNewsIsChecked(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		from   string
+		change func(*berylhost.Gossip)
+		live   int
+	}{
+		{name: "good", change: func(*berylhost.Gossip) {}, live: 3},
+		{name: "sender speaks as another host", from: "entry-9", change: func(*berylhost.Gossip) {}, live: 1},
+		{name: "no state", change: func(g *berylhost.Gossip) { g.News[0].State = berylhost.Unknown }, live: 2},
+		{name: "state out of range", change: func(g *berylhost.Gossip) { g.News[0].State = 200 }, live: 2},
+		{name: "no address", change: func(g *berylhost.Gossip) { g.News[0].PeerAddress = "entry-2:7443" }, live: 2},
+		{name: "endless name", change: func(g *berylhost.Gossip) { g.News[0].Name = fmt.Sprintf("%100d", 1) }, live: 2},
+		{name: "last incarnation", change: func(g *berylhost.Gossip) { g.News[0].Incarnation = 1<<64 - 1 }, live: 2},
+		{name: "more news than a message may hold", change: func(g *berylhost.Gossip) {
+			for i := range 100 {
+				m := g.News[0]
+				m.Name = fmt.Sprintf("entry-x%d", i)
+				g.News = append(g.News, m)
+			}
+		}, live: 18},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			p := newPump(1, 1)
+			n := p.nodes[p.names[0]]
+			live := func(name string) berylhost.Member {
+				m := member(name, 5)
+				m.Incarnation = 5
+				m.State = berylhost.Alive
+				return m
+			}
+			gossip := berylhost.Gossip{Self: live("entry-1"), News: []berylhost.Member{live("entry-2")}}
+			test.change(&gossip)
+			from := "entry-1"
+			if test.from != "" {
+				from = test.from
+			}
+			p.step(n, berylhost.Heard{From: from, Gossip: gossip})
+			is.New(t).Equal(len(n.Live()), test.live)
+		})
+	}
+}
--- a/internal/berylwire/call.go
+++ b/internal/berylwire/call.go
@@ -72,7 +72,7 @@
 	return answer, fault, err
 }
 
-// attempt sends a frame over the link to the peer; stale says that the link had been made earlier and has died since.
+// attempt sends a frame over the link to the peer; stale says that its connection has died.
 func (e *Endpoint) attempt(ctx context.Context, peer Peer, frame []byte) (body []byte, fault Fault, stale bool, err error) {
 	l, err := e.pool.acquire(peer, e.startDial)
 	if err != nil {
@@ -88,7 +88,11 @@
 		return nil, Unreachable, false, errors.Wrap(l.err, "connect")
 	}
 	body, fault, err = e.transfer(ctx, l.conn, frame)
-	return body, fault, err != nil && l.conn.Context().Err() != nil, err
+	stale = connectionLost(err)
+	if stale {
+		e.pool.forget(peer, l)
+	}
+	return body, fault, stale, err
 }
 
 // transfer sends a frame over a connection and reads the answer.
@@ -120,6 +124,15 @@
 	return answer.Body, 0, nil
 }
 
+// connectionLost says that an error ended the whole connection and not one stream alone; its context may end later.
+func connectionLost(err error) bool {
+	var reset *quic.StatelessResetError
+	var silence *quic.IdleTimeoutError
+	var closed *quic.ApplicationError
+	var refused *quic.TransportError
+	return errors.As(err, &reset) || errors.As(err, &silence) || errors.As(err, &closed) || errors.As(err, &refused)
+}
+
 // lostFault returns the fault of a request without an answer.
 //
 // With TLS 1.3 a peer checks our certificate after we have begun to send; when it refuses it, it has read no request.
--- a/internal/berylwire/call_test.go
+++ b/internal/berylwire/call_test.go
@@ -2,16 +2,21 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
 
 	"berylroad.example/berylroad/internal/berylkey"
 	"berylroad.example/berylroad/internal/berylwire"
 )
 
+// callers is how many calls share one connection.
+const callers = 200
+
 // fleet is a certificate authority with hosts on loopback.
 type fleet struct {
 	t  testing.TB
@@ -79,3 +84,24 @@
 	is.NoErr(err)
 	is.Equal(answer.Text, "host-a:hello")
 }
+
+func TestConcurrentCallersGetTheirOwnAnswers(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	peer := f.serve(f.listen(berylwire.Config{Name: "host-b"}))
+	a := f.listen(berylwire.Config{Name: "host-a"})
+	wrong := make(chan string, callers)
+	var calls conc.WaitGroup
+	for i := range callers {
+		calls.Go(func() {
+			text := fmt.Sprint("question ", i)
+			answer, err := berylwire.Call[question, question](t.Context(), a, peer, "echo", question{Text: text})
+			if err != nil || answer.Text != "host-a:"+text {
+				wrong <- fmt.Sprint(text, " got ", answer.Text, err)
+			}
+		})
+	}
+	calls.Wait()
+	close(wrong)
+	is.Equal(<-wrong, "")
+}
--- a/internal/berylwire/pool.go
+++ b/internal/berylwire/pool.go
@@ -63,6 +63,15 @@
 	l.used = time.Now()
 }
 
+// forget drops a link whose connection is lost, so that the next call makes a new one.
+func (p *pool) forget(peer Peer, l *link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.links[peer] == l {
+		delete(p.links, peer)
+	}
+}
+
 // dropIdle closes links that no call has used since the given time, and forgets dead ones.
 func (p *pool) dropIdle(before time.Time) {
 	p.mu.Lock()
