--- a/internal/berylsched/health.go
+++ b/internal/berylsched/health.go
@@ -90,6 +90,8 @@
 	probing   bool
 	// asides is how often in a row it was set aside.
 	asides int
+	// since is when it was last set aside.
+	since time.Time
 	// until is when the next probe is due.
 	until time.Time
 	// back is when it last came back into use.
@@ -109,12 +111,21 @@
 	if !h.aside {
 		return true
 	}
-	if h.probing || now.Before(h.until) || k == longOnline {
+	if h.probing || now.Before(h.due(alone)) || k == longOnline {
 		return false
 	}
 	return k == batchWork || alone || !now.Before(h.until.Add(onlineProbeAfter))
 }
 
+// due returns when the next probe may go; a target with no upstream in use is alone and probed at a steady pace.
+func (h *health) due(alone bool) time.Time {
+	steady := h.since.Add(faultBackoff)
+	if alone && steady.Before(h.until) {
+		return steady
+	}
+	return h.until
+}
+
 // granted marks a permit as the probe of an upstream that is set aside.
 func (h *health) granted(p *permit) {
 	if h.aside {
@@ -179,6 +190,7 @@
 		h.asides = 0
 	}
 	h.aside = true
+	h.since = now
 	h.until = now.Add(min(first<<h.asides, most))
 	h.asides = min(h.asides+1, 8)
 	h.fresh = 0
--- a/internal/berylsched/pace.go
+++ b/internal/berylsched/pace.go
@@ -81,22 +81,22 @@
 
 // wait predicts how long that many slots take to free.
 func (p *pace) wait(now time.Time, k kind, slots int) time.Duration {
-	var closed time.Duration
 	if p.slots == 0 {
-		closed = max(p.opens.Sub(now), 0)
-	}
-	if p.perSecond[k] <= 0 {
-		return closed + p.busy[k]*time.Duration(slots)
+		return max(p.opens.Sub(now), 0) + faultBackoff*time.Duration(max(slots-1, 0))
 	}
 	seconds := float64(slots) / p.perSecond[k]
-	return min(closed+time.Duration(seconds*float64(time.Second)), longestWait)
+	return min(time.Duration(seconds*float64(time.Second)), longestWait)
 }
 
-// inTime says whether an ask that waits so long can still be answered within its deadline.
+// inTime says whether an ask that waits so long can still be answered within its deadline. While no upstream is in use
+// only the next probe is worth waiting for.
 func (p *pace) inTime(k kind, remaining, wait time.Duration) bool {
 	if k == batchWork {
 		return remaining > 0
 	}
+	if p.slots == 0 && wait > faultBackoff {
+		return false
+	}
 	return remaining > wait+p.busy[k]/2
 }
 
@@ -108,8 +108,8 @@
 			continue
 		}
 		if u.health.aside {
-			if p.opens.IsZero() || u.health.until.Before(p.opens) {
-				p.opens = u.health.until
+			if due := u.health.due(true); p.opens.IsZero() || due.Before(p.opens) {
+				p.opens = due
 			}
 			continue
 		}
