An idle host no longer spins: candidates are passed on only when they change

Cause: follow set the membership's candidates at every change of the members, and setting them counts as a change, so each host looped; the job duty scanned the platform at every turn of that loop and used up the whole budget of 200 calls a second.

The job scan also waits 1 s after a change and 10 to 20 s without one.

--- /dev/null
+++ b/internal/berylfleet/idle_calls_test.go
@@ -0,0 +1,29 @@
+package berylfleet_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"berylroad.example/berylroad/internal/berylfleet"
+)
+
+// TestIdleHostsLeaveThePlatformAlone holds idle hosts to 10 calls a minute each.
+func TestIdleHostsLeaveThePlatformAlone(t *testing.T) {
+	is := is.New(t)
+	const (
+		hosts         = 3
+		span          = 18 * time.Second
+		callsAMinute  = 10
+		allowed       = callsAMinute * hosts * int(span/time.Second) / 60
+		settlingSpell = 2 * time.Second
+	)
+	fleet := startFleet(t, berylfleet.Plan{Hosts: hosts, Engines: 1, Slots: 1})
+	time.Sleep(settlingSpell)
+	before := fleet.Platform.Calls()
+	time.Sleep(span)
+	after := fleet.Platform.Calls()
+	t.Logf("%+v, then %+v", before, after)
+	is.True(after.Total()-before.Total() <= allowed)
+}
--- a/internal/berylfleet/latency_test.go
+++ b/internal/berylfleet/latency_test.go
@@ -24,7 +24,7 @@
 )
 
 // startFleet starts a fleet that ends with the benchmark.
-func startFleet(b *testing.B, plan berylfleet.Plan) *berylfleet.Fleet {
+func startFleet(b testing.TB, plan berylfleet.Plan) *berylfleet.Fleet {
 	b.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
--- a/internal/beryljob/duty.go
+++ b/internal/beryljob/duty.go
@@ -16,8 +16,12 @@
 )
 
 const (
+	// scanInterval is the shortest time between two looks for jobs to take over when no member changes; the longest is
+	// twice that.
 	scanInterval = 10 * time.Second
-	scanLimit    = 1000
+	// scanPause is the shortest time between two looks after changes of the members.
+	scanPause = time.Second
+	scanLimit = 1000
 )
 
 // Calls carries the items to upstreams.
@@ -130,11 +134,12 @@
 		if d.Changed != nil {
 			changed = d.Changed()
 		}
+		pause(ctx, scanPause)
 		select {
 		case <-ctx.Done():
 			return
 		case <-changed:
-		case <-time.After(scanInterval/2 + rand.N(scanInterval)):
+		case <-time.After(scanInterval + rand.N(scanInterval)):
 		}
 	}
 }
--- a/internal/berylserve/follow.go
+++ b/internal/berylserve/follow.go
@@ -49,11 +49,16 @@
 // follow passes each new configuration and member list on to the duties that work by them.
 func (h *Host) follow(ctx context.Context) {
 	h.members.SetCandidates(ctx, h.candidates())
+	known := h.store.Revision()
 	for {
 		configured := h.store.Changed()
 		moved := h.members.Changed()
 		leaving, listed := h.listed.names()
-		h.passOn(ctx, leaving)
+		if revision := h.store.Revision(); revision != known {
+			known = revision
+			h.members.SetCandidates(ctx, h.candidates())
+		}
+		h.passOn(leaving)
 		select {
 		case <-ctx.Done():
 			return
@@ -64,13 +69,12 @@
 	}
 }
 
-func (h *Host) passOn(ctx context.Context, leaving []string) {
+func (h *Host) passOn(leaving []string) {
 	live := h.members.Live()
 	if document := h.store.Current(); document != nil {
 		h.upstreams.install(document.Inventory.Upstreams)
 		document = withLeaving(document, leaving)
 		h.scheduler.SetConfig(*document)
-		h.members.SetCandidates(ctx, h.candidates())
 		h.platform.SetShare(document.Rules.PlatformCallsPerSecond / float64(max(len(live), 1)))
 	}
 	h.scheduler.SetMembers(h.schedulerMembers(live, leaving))
