--- a/internal/berylgate/answer.go
+++ b/internal/berylgate/answer.go
@@ -73,14 +73,9 @@
 	return strconv.FormatInt(int64(seconds), 10)
 }
 
-// mayRetry reports whether a client may send the same request again by itself.
+// mayRetry reports whether a client may send the same request again by itself: whoever refuses says so by a time.
 func mayRetry(r *beryloutcome.Refusal) bool {
-	switch r.Code {
-	case beryloutcome.CodeNotRun, beryloutcome.CodeOverLimit, beryloutcome.CodeInProgress:
-		return r.RetryAfter > 0
-	default:
-		return false
-	}
+	return r.RetryAfter > 0
 }
 
 // refusalOf returns what to tell the caller of a call that was not answered.
--- a/internal/berylgate/openai_test.go
+++ b/internal/berylgate/openai_test.go
@@ -136,6 +136,13 @@
 			}},
 			status: http.StatusTooManyRequests, code: "over-limit", attempts: 2,
 		},
+		{
+			name: "unknown outcome of what may run twice is sent again",
+			result: beryloutcome.Result{Kind: beryloutcome.Unknown, Refusal: &beryloutcome.Refusal{
+				Status: http.StatusGatewayTimeout, Code: beryloutcome.CodeUnknown, RetryAfter: time.Millisecond,
+			}},
+			status: http.StatusGatewayTimeout, code: "outcome-unknown", attempts: 2,
+		},
 		{
 			name:   "unknown outcome is not sent again",
 			result: beryloutcome.Result{Kind: beryloutcome.Unknown},
