Calls: raw answers, TLS and a caller gone between calls tested

An idle TLS connection is checked for bytes and closure too; it was taken for quiet before, without looking.

--- a/internal/berylcall/conn.go
+++ b/internal/berylcall/conn.go
@@ -62,9 +62,13 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	raw, ok := c.Conn.(syscall.Conn)
+	below := c.Conn
+	if secure, ok := below.(*tls.Conn); ok {
+		below = secure.NetConn()
+	}
+	raw, ok := below.(syscall.Conn)
 	if !ok {
-		return true
+		return false
 	}
 	control, err := raw.SyscallConn()
 	if err != nil {
--- /dev/null
+++ b/internal/berylcall/raw_test.go
@@ -0,0 +1,121 @@
+package berylcall_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"berylroad.example/berylroad/internal/berylconf"
+	"berylroad.example/berylroad/internal/berylfake"
+	"berylroad.example/berylroad/internal/beryloutcome"
+	"berylroad.example/berylroad/internal/berylpermit"
+)
+
+// rawUpstream answers the first bytes of each connection with raw ones and then closes it or leaves it open.
+func rawUpstream(t *testing.T, raw string, open bool) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			c.Read(make([]byte, 4096))
+			c.Write([]byte(raw))
+			if open {
+				t.Cleanup(func() { c.Close() })
+				continue
+			}
+			c.Close()
+		}
+	}()
+	return "http://" + l.Addr().String()
+}
+
+func TestRawAnswers(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		raw  string
+		open bool
+		want beryloutcome.Kind
+		body string
+	}{
+		{name: "length", raw: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", open: true, want: beryloutcome.Answered, body: "{}"},
+		{name: "chunks", raw: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n{\r\n1\r\n}\r\n0\r\n\r\n", open: true, want: beryloutcome.Answered, body: "{}"},
+		{name: "interim answer", raw: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", want: beryloutcome.Answered, body: "{}"},
+		{name: "last chunk missing", raw: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n", want: beryloutcome.Failed},
+		{name: "neither length nor chunks", raw: "HTTP/1.1 200 OK\r\n\r\n{}", want: beryloutcome.Failed},
+		{name: "length over the limit", raw: "HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\n", open: true, want: beryloutcome.Failed},
+		{name: "bad chunk size", raw: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n{}", want: beryloutcome.Failed},
+		{name: "two lengths", raw: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\n{} ", want: beryloutcome.Failed},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t)
+			f.rules = berylconf.Rules{MaxAnswerBytes: 1000, MaxAttempts: 1}
+			f.add("a", rawUpstream(t, tt.raw, tt.open), false)
+			req := chat("raw", false, 1)
+			req.Deadline = time.Now().Add(2 * time.Second)
+			s := &sink{}
+			result := f.Do(context.Background(), req, s)
+			is.Equal(result.Kind, tt.want)
+			is.Equal(s.body.String(), tt.body)
+		})
+	}
+}
+
+func TestTLS(t *testing.T) {
+	is := is.New(t)
+	upstream := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Write([]byte("{}"))
+	}))
+	defer upstream.Close()
+	f := newFleet(t)
+	f.add("a", upstream.URL, false)
+	is.Equal(f.Do(context.Background(), chat("foreign", false, 1), &sink{}).Kind, beryloutcome.NotRun) // unknown authority
+	f.TLS = upstream.Client().Transport.(*http.Transport).TLSClientConfig
+	for range 3 {
+		s := &sink{}
+		is.Equal(f.Do(context.Background(), chat("known", false, 1), s).Kind, beryloutcome.Answered)
+		is.Equal(s.body.String(), "{}")
+	}
+}
+
+// cancelling is a broker whose second ask finds that the caller has gone.
+type cancelling struct {
+	berylpermit.Broker
+	cancel context.CancelFunc
+	asks   int
+}
+
+func (c *cancelling) Acquire(ctx context.Context, ask berylpermit.Ask) (*berylpermit.Permit, *beryloutcome.Refusal) {
+	c.asks++
+	if c.asks == 1 {
+		return c.Broker.Acquire(ctx, ask)
+	}
+	c.cancel()
+	return nil, &beryloutcome.Refusal{Status: 503, Code: beryloutcome.CodeNotRun, Message: "the caller has gone"}
+}
+
+func TestCancelledBetweenCalls(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	e := f.engine(t, "a", berylfake.EngineOptions{})
+	is.NoErr(e.SetFault(berylfake.UpstreamFault{Mode: berylfake.FaultStatus, Status: 500}))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	f.Permits = &cancelling{Broker: &f.broker, cancel: cancel}
+	result := f.Do(ctx, chat("gone", true, 1), &sink{})
+	is.Equal(result.Kind, beryloutcome.Cancelled)
+	is.Equal(result.Attempts, 1)
+}
