--- /dev/null
+++ b/internal/berylsched/loss_test.go
@@ -0,0 +1,174 @@
+package berylsched_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"berylroad.example/berylroad/internal/beryloutcome"
+	"berylroad.example/berylroad/internal/berylpermit"
+	"berylroad.example/berylroad/internal/berylsched"
+)
+
+// TestNoPermitIsLostForEver loses and doubles messages, moves ownership and freezes owners, and then counts the slots that are left.
+func TestNoPermitIsLostForEver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		f := newFleet(document(6, 2), names...)
+		defer f.stop()
+		f.disturb(0.05, 0.05)
+		var wg sync.WaitGroup
+		for i := range 30 {
+			s := f.hosts[names[i%3]]
+			class := berylpermit.Class(i / 15)
+			wg.Go(func() {
+				for range 60 {
+					p, refusal := s.Acquire(context.Background(), berylpermit.Ask{
+						Target: "m", Class: class, Remaining: 2 * time.Second,
+					})
+					is.True((p == nil) != (refusal == nil)) // one answer
+					if p == nil {
+						time.Sleep(refusal.RetryAfter)
+						continue
+					}
+					select {
+					case <-p.Yield:
+					case <-time.After(200 * time.Millisecond):
+					}
+					p.Release(berylpermit.Report{Kind: beryloutcome.Answered, Busy: 200 * time.Millisecond})
+				}
+			})
+		}
+		for i := range 12 {
+			name := names[i%3]
+			f.setMembers(others(name)...)
+			time.Sleep(700 * time.Millisecond)
+			f.setMembers(names...)
+			f.freeze(name, true)
+			time.Sleep(700 * time.Millisecond)
+			f.freeze(name, false)
+		}
+		wg.Wait()
+		f.disturb(0, 0)
+		time.Sleep(20 * time.Second)
+		ask := berylpermit.Ask{Target: "m", Remaining: 200 * time.Millisecond}
+		for range 12 {
+			_, refusal := f.hosts["h1"].Acquire(context.Background(), ask)
+			is.Equal(refusal, nil) // every slot is free again
+		}
+		_, refusal := f.hosts["h1"].Acquire(context.Background(), ask)
+		is.True(refusal != nil) // and none is given twice
+	})
+}
+
+// TestSlotsHoldUnderLossAndDoubling keeps ownership as it is: then no message that is lost or doubled gives a slot twice.
+func TestSlotsHoldUnderLossAndDoubling(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(document(6, 2), names...)
+		defer f.stop()
+		f.disturb(0.1, 0.1)
+		var mu sync.Mutex
+		inFlight := make(map[string]int)
+		most, granted := 0, 0
+		count := func(upstream string, n int) {
+			mu.Lock()
+			defer mu.Unlock()
+			inFlight[upstream] += n
+			most = max(most, inFlight[upstream])
+			granted += max(n, 0)
+		}
+		var wg sync.WaitGroup
+		for i := range 30 {
+			wg.Go(func() {
+				for range 50 {
+					p, refusal := f.hosts[names[i%3]].Acquire(context.Background(), berylpermit.Ask{
+						Target: "m", Long: i%2 == 0, Remaining: 5 * time.Second,
+					})
+					if refusal != nil {
+						time.Sleep(refusal.RetryAfter)
+						continue
+					}
+					count(p.Upstream, 1)
+					time.Sleep(100 * time.Millisecond)
+					count(p.Upstream, -1)
+					p.Release(berylpermit.Report{Kind: beryloutcome.Answered, Busy: 100 * time.Millisecond})
+				}
+			})
+		}
+		wg.Wait()
+		t.Logf("%d permits granted", granted)
+		is.True(granted > 500)
+		is.Equal(most, 2) // the slots of each upstream
+	})
+}
+
+func TestLongHeldPermitIsNotGivenTwice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(document(1, 1), names...)
+		defer f.stop()
+		_, refusal := f.hosts["h1"].Acquire(context.Background(), berylpermit.Ask{Target: "m", Remaining: time.Minute})
+		is.Equal(refusal, nil)
+		time.Sleep(time.Minute)
+		for _, members := range [][]string{names, others(berylsched.RendezvousOwner("u1", names)), names} {
+			_, refusal = f.hosts[members[0]].Acquire(context.Background(), berylpermit.Ask{Target: "m", Remaining: time.Second})
+			is.True(refusal != nil)
+			f.setMembers(members...)
+			time.Sleep(time.Second)
+		}
+	})
+}
+
+func TestTwoOwnersAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(document(1, 1), names...)
+		defer f.stop()
+		old := berylsched.RendezvousOwner("u1", names)
+		rest := others(old)
+		for _, name := range rest {
+			f.hosts[name].SetMembers([]berylsched.Member{{Name: rest[0], Boot: 1}, {Name: rest[1], Boot: 1}})
+		}
+		time.Sleep(2 * time.Second)
+		ask := berylpermit.Ask{Target: "m", Remaining: time.Second}
+		first, refusal := f.hosts[old].Acquire(context.Background(), ask)
+		is.Equal(refusal, nil)
+		second, refusal := f.hosts[rest[0]].Acquire(context.Background(), ask)
+		is.Equal(refusal, nil) // for a moment both owners give the slot
+
+		f.setMembers(rest...)
+		time.Sleep(100 * time.Millisecond)
+		second.Release(berylpermit.Report{})
+		_, refusal = f.hosts[rest[1]].Acquire(context.Background(), ask)
+		is.True(refusal != nil) // the new owner has learnt of the old one's permit
+		first.Release(berylpermit.Report{})
+		time.Sleep(10 * time.Millisecond)
+		_, refusal = f.hosts[rest[1]].Acquire(context.Background(), ask)
+		is.Equal(refusal, nil)
+	})
+}
+
+func TestFullRingRefusesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := berylsched.New(berylsched.Settings{Host: "h1", Boot: 1}) // its duty does not run
+		ctx, cancel := context.WithCancel(context.Background())
+		for seq := range uint64(4096) {
+			go func() {
+				_, _ = s.HandleAsk(ctx, "h1", berylpermit.Ask{ID: berylpermit.ID{Host: "h1", Seq: seq}})
+			}()
+		}
+		synctest.Wait()
+		reply, err := s.HandleAsk(ctx, "h1", berylpermit.Ask{ID: berylpermit.ID{Host: "h1", Seq: 9999}})
+		is.NoErr(err)
+		is.Equal(reply.Verdict, berylpermit.Refused)
+		_, err = s.HandleAsk(ctx, "h2", berylpermit.Ask{ID: berylpermit.ID{Host: "h1", Seq: 9999}})
+		is.True(err != nil) // no host may ask in another's name
+		cancel()
+	})
+}
