--- /dev/null
+++ b/internal/berylprocess/limit_test.go
@@ -0,0 +1,54 @@
+package berylprocess
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestLimitSharedByHosts holds one caller to its rate over all hosts together.
+func TestLimitSharedByHosts(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, plan{hosts: 3, engines: 1, slots: 32, engineFlags: []string{"--token-time", "1ms", "--prefill-time", "1ms"}})
+	const rate = 10
+	f.document.Inventory.Callers[0].RequestsPerSecond = rate
+	f.document.Revision = 0
+	f.apply()
+	f.eventually("the limit is in force at every host", func() bool {
+		for _, h := range f.hosts {
+			if !f.refusedOverLimit(h) {
+				return false
+			}
+		}
+		return true
+	})
+	answered := 0
+	begin := time.Now()
+	for n := 0; time.Since(begin) < 4*time.Second; n++ {
+		r := f.chat(f.hosts[n%3], fmt.Sprint("limited ", n), 2, false)
+		if r.status == http.StatusOK {
+			answered++
+			continue
+		}
+		is.Equal(r.status, http.StatusTooManyRequests)
+		is.Equal(r.code(), "over-limit")
+		is.True(r.header.Get("Retry-After") != "")
+	}
+	t.Logf("%d answered in %s", answered, time.Since(begin))
+	// The limit over the span, and a burst of one second for the owner and each lender.
+	is.True(answered <= rate*4+rate*4)
+	is.True(answered >= rate*4/2)
+}
+
+// refusedOverLimit reports whether a burst of requests at the host meets the limit.
+func (f *fleet) refusedOverLimit(h *host) bool {
+	for n := range 40 {
+		if f.chat(h, fmt.Sprint("burst ", n), 1, false).status == http.StatusTooManyRequests {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/berylserve/follow.go
+++ b/internal/berylserve/follow.go
@@ -102,6 +102,16 @@
 	return members
 }
 
+// liveNames returns the names of the live hosts, sorted.
+func (h *Host) liveNames() []string {
+	live := h.members.Live()
+	names := make([]string, len(live))
+	for i := range live {
+		names[i] = live[i].Name
+	}
+	return names
+}
+
 func (h *Host) schedulerMembers(live []berylhost.Member, leaving []string) []berylsched.Member {
 	rules := h.store.Rules()
 	members := make([]berylsched.Member, len(live))
--- a/internal/berylserve/host.go
+++ b/internal/berylserve/host.go
@@ -16,6 +16,7 @@
 	"berylroad.example/berylroad/internal/berylgate"
 	"berylroad.example/berylroad/internal/berylhost"
 	"berylroad.example/berylroad/internal/beryljob"
+	"berylroad.example/berylroad/internal/beryllimit"
 	"berylroad.example/berylroad/internal/berylonce"
 	"berylroad.example/berylroad/internal/berylplatform"
 	"berylroad.example/berylroad/internal/berylsched"
@@ -50,6 +51,7 @@
 	scheduler *berylsched.Scheduler
 	calls     *berylcall.Runner
 	once      *berylonce.Manager
+	limits    *beryllimit.Limiter
 	jobs      *beryljob.Duty
 	gate      *berylgate.Gate
 	callers   net.Listener
@@ -157,12 +159,20 @@
 		Changed:  h.members.Changed,
 		Log:      h.Log,
 	})
+	h.limits = beryllimit.New(beryllimit.Config{
+		Self:     h.Settings.Host,
+		Live:     h.liveNames,
+		Document: h.store.Current,
+		Ask:      (&links{host: h}).AskLimit,
+		Metrics:  h.metrics,
+	})
 	h.gate = berylgate.New(berylgate.Config{
 		Host:     h.Settings.Host,
 		Boot:     h.boot,
 		Document: h.store.Current,
 		Calls:    h.calls,
 		Once:     h.once,
+		Limits:   h.limits,
 		Ready:    h.ready,
 		Metrics:  h.metrics,
 		Log:      h.Log,
@@ -195,7 +205,7 @@
 	var duties conc.WaitGroup
 	failed := make(chan error, 1)
 	for _, duty := range []func(context.Context){
-		h.wire.Serve, h.members.Run, h.spread.Run, h.scheduler.Run, h.once.Run, h.follow, h.readHostList, h.serveOperators,
+		h.wire.Serve, h.members.Run, h.spread.Run, h.scheduler.Run, h.once.Run, h.limits.Run, h.follow, h.readHostList, h.serveOperators,
 	} {
 		duties.Go(func() { duty(work) })
 	}
--- a/internal/berylserve/links.go
+++ b/internal/berylserve/links.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"berylroad.example/berylroad/internal/berylconf"
+	"berylroad.example/berylroad/internal/beryllimit"
 	"berylroad.example/berylroad/internal/berylpermit"
 	"berylroad.example/berylroad/internal/berylspread"
 	"berylroad.example/berylroad/internal/berylwire"
@@ -20,6 +21,7 @@
 	kindYield    = "permit-yield"
 	kindHeld     = "permits-held"
 	kindConfig   = "config-pull"
+	kindLimit    = "limit-ask"
 )
 
 // errNotMember says that a message was meant for a host of which no address is known.
@@ -89,6 +91,15 @@
 	return tell(ctx, l, host, kindHeld, held)
 }
 
+// AskLimit asks the owner of a caller's limits for a loan; an ask that is repeated only lends more.
+func (l *links) AskLimit(ctx context.Context, host string, ask beryllimit.Ask) (beryllimit.Grant, error) {
+	peer, err := l.peer(host)
+	if err != nil {
+		return beryllimit.Grant{}, err
+	}
+	return berylwire.CallIdempotent[beryllimit.Ask, beryllimit.Grant](ctx, l.host.wire, peer, kindLimit, ask)
+}
+
 // Pull returns a peer's configuration if its revision is above the given one.
 func (l *links) Pull(ctx context.Context, host string, above int64) ([]byte, error) {
 	peer, err := l.peer(host)
@@ -123,6 +134,7 @@
 	take(h, kindRelease, s.HandleRelease)
 	take(h, kindYield, s.HandleYield)
 	take(h, kindHeld, s.HandleHeld)
+	berylwire.Handle(h.wire, kindLimit, h.limits.HandleAsk)
 	berylwire.Handle(h.wire, kindConfig, h.handleConfigPull)
 }
 
