--- a/internal/berylhost/event.go
+++ b/internal/berylhost/event.go
@@ -139,7 +139,7 @@
 // Replaced says that a later run of this host is up elsewhere.
 type Replaced struct{}
 
-// Joined says that the first peer has been heard, or that none answers.
+// Joined says that the first peer has been heard, or that there is none to wait for.
 type Joined struct {
 	// Alone says that no candidate has answered.
 	Alone bool
--- a/internal/berylhost/host.go
+++ b/internal/berylhost/host.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -71,6 +72,9 @@
 	if config.Metrics == nil {
 		config.Metrics = metrics.NewSet()
 	}
+	if config.Log == nil {
+		config.Log = quietLog()
+	}
 	h := &Host{
 		config:  config,
 		table:   Table{Self: config.Self, Seed: config.Self.Boot},
@@ -109,7 +113,8 @@
 	return h.changed
 }
 
-// Joined returns a channel that is closed once a peer has been heard or none has answered for 3 seconds.
+// Joined returns a channel that is closed once a peer has been heard, or no candidate has answered for 3 seconds, or the
+// candidates hold no other host; before SetCandidates only the first can happen.
 func (h *Host) Joined() <-chan struct{} {
 	return h.joined
 }
@@ -212,11 +217,11 @@
 			h.turned(a)
 		case Woke:
 			h.pauses.Add(1)
-			h.log().WithField("pause", a.Pause).Warn("this host was paused")
+			h.config.Log.WithField("pause", a.Pause).Warn("this host was paused")
 			h.notify()
 		case Replaced:
 			h.replaced.Store(true)
-			h.log().Error("a later run of this host is up")
+			h.config.Log.Error("a later run of this host is up")
 		case Joined:
 			close(h.joined)
 		}
@@ -241,18 +246,15 @@
 func (h *Host) turned(t Turned) {
 	name := fmt.Sprintf(`berylroad_host_turns_total{state=%q}`, t.Member.State.String())
 	h.config.Metrics.GetOrCreateCounter(name).Inc()
-	h.log().WithFields(logrus.Fields{
+	h.config.Log.WithFields(logrus.Fields{
 		"host": t.Member.Name,
 		"from": t.From.String(),
 		"to":   t.Member.State.String(),
 	}).Info("host changed state")
 }
 
-func (h *Host) log() logrus.FieldLogger {
-	if h.config.Log != nil {
-		return h.config.Log
-	}
+func quietLog() logrus.FieldLogger {
 	quiet := logrus.New()
-	quiet.SetLevel(logrus.PanicLevel)
+	quiet.SetOutput(io.Discard)
 	return quiet
 }
--- a/internal/berylhost/table.go
+++ b/internal/berylhost/table.go
@@ -61,22 +61,22 @@
 	pending  map[uint64]*pending
 	seq      uint64
 
-	started    time.Time
-	lastTick   time.Time
-	nextRing   time.Time
-	nextProbe  time.Time
-	nextWindow time.Time
-	nextHasty  time.Time
-	nextSeek   time.Time
-	nextDead   time.Time
-	seekUntil  time.Time
-	nextPush   time.Time
-	rivalAt    time.Time // when a later run of this host was first heard of, or zero
-	replaced   bool
-	urgent     bool // the live hosts have changed and nobody has been told
-	joined     bool
-	needSync   bool
-	syncing    bool
+	candidatesAt time.Time // when the first candidates came, or zero
+	lastTick     time.Time
+	nextRing     time.Time
+	nextProbe    time.Time
+	nextWindow   time.Time
+	nextHasty    time.Time
+	nextSeek     time.Time
+	nextDead     time.Time
+	seekUntil    time.Time
+	nextPush     time.Time
+	rivalAt      time.Time // when a later run of this host was first heard of, or zero
+	replaced     bool
+	urgent       bool // the live hosts have changed and nobody has been told
+	joined       bool
+	needSync     bool
+	syncing      bool
 
 	actions []Action
 }
@@ -147,7 +147,6 @@
 	t.pending = map[uint64]*pending{}
 	t.Self.State = Alive
 	t.Self.Incarnation = t.Self.Boot
-	t.started = now
 	t.lastTick = now
 	t.nextRing = now.Add(t.jitter(ringInterval))
 	t.nextProbe = now.Add(t.jitter(probeInterval))
@@ -219,8 +218,12 @@
 	t.do(Replaced{})
 }
 
+// checkJoined ends the wait for a first peer when there is none to wait for, or none has answered for a while.
 func (t *Table) checkJoined(now time.Time) {
-	if t.joined || now.Sub(t.started) < joinTimeout {
+	if t.joined || t.candidatesAt.IsZero() {
+		return
+	}
+	if now.Sub(t.candidatesAt) < joinTimeout && len(t.views.gone) > 0 {
 		return
 	}
 	t.joined = true
@@ -228,6 +231,9 @@
 }
 
 func (t *Table) setCandidates(now time.Time, members []Member) {
+	if t.candidatesAt.IsZero() {
+		t.candidatesAt = now
+	}
 	named := map[string]bool{}
 	for _, m := range members {
 		if m.Name == t.Self.Name || m.Name == "" {
