berylgate: mounted routes have a deadline and their headers checked

Cause: handlers of mounted routes ran on fiber's default context, which never ends, so a job request to a silent platform had no deadline.

Result: TestMountedRouteHasADeadline failed before (no deadline) and passes; the whole-path process test and the one-process fleet's tests pass with it.

--- a/internal/berylgate/admit.go
+++ b/internal/berylgate/admit.go
@@ -1,6 +1,7 @@
 package berylgate
 
 import (
+	"context"
 	"strings"
 
 	"github.com/gofiber/fiber/v3"
@@ -56,9 +57,14 @@
 	g.inFlight.Add(-1)
 }
 
-// admitMounted admits a request before the handlers of a mounted route, and reads its body within the rules' limit.
+// admitMounted admits a request before the handlers of a mounted route, reads its body within the rules' limit and
+// gives its context the request's deadline.
 func (g *Gate) admitMounted(c fiber.Ctx) error {
 	x := exchangeOf(c)
+	t, refusal := x.terms(c)
+	if refusal != nil {
+		return refusal
+	}
 	if refusal := x.admit(0); refusal != nil {
 		return refusal
 	}
@@ -71,6 +77,9 @@
 		return refusal
 	}
 	ctx.Request.SetBodyRaw(body)
+	bounded, cancel := context.WithDeadline(g.base, t.deadline)
+	defer cancel()
+	c.SetContext(bounded)
 	err := c.Next()
 	x.route = strings.Clone(c.Route().Path)
 	return err
--- a/internal/berylgate/gate.go
+++ b/internal/berylgate/gate.go
@@ -68,7 +68,7 @@
 	// Log takes changes of state; nil drops them.
 	Log logrus.FieldLogger
 	// Mount registers further routes, which run after authentication; their handlers use CallerOf, RequestIDOf and Refuse.
-	// The body is whole by then and within the rules' max-body-bytes.
+	// The body is whole by then and within the rules' max-body-bytes, and their Context ends with the request's deadline.
 	Mount func(fiber.Router)
 	// ReadTimeout bounds the arrival of one whole request; zero is 20 s.
 	ReadTimeout time.Duration
--- a/internal/berylgate/gate_test.go
+++ b/internal/berylgate/gate_test.go
@@ -342,6 +342,30 @@
 	is.True(strings.Contains(text.String(), "berylroad_gate_in_flight 0"))
 }
 
+func TestMountedRouteHasADeadline(t *testing.T) {
+	is := is.New(t)
+	_, base := startGate(t, berylgate.Config{
+		Calls: answering(http.StatusOK, ""),
+		Mount: func(r fiber.Router) {
+			r.Get("/v1/batches", func(c fiber.Ctx) error {
+				end, _ := c.Context().Deadline()
+				return c.SendString(time.Until(end).Round(time.Second).String())
+			})
+		},
+	})
+	for timeout, want := range map[string]string{"": "1m0s", "5": "5s", "soon": "bad-request"} {
+		r, err := http.NewRequest(http.MethodGet, base+"/v1/batches", nil)
+		is.NoErr(err)
+		r.Header.Set("Authorization", "Bearer "+testKey)
+		r.Header.Set("Berylroad-Timeout", timeout)
+		response, err := http.DefaultClient.Do(r)
+		is.NoErr(err)
+		got, err := io.ReadAll(response.Body)
+		is.NoErr(err)
+		is.True(strings.Contains(string(got), want))
+	}
+}
+
 func TestRequestIDs(t *testing.T) {
 	is := is.New(t)
 	calls := answering(http.StatusOK, "application/json", "{}")
