Processes: bad input, refusals before a call, hosts lost under full load

Cause: no test led wrong requests through real hosts, and none lost a host while batch work held every slot. TestBadInput: 21 wrong requests and a caller that stops half way get an OpenAI error that names the field; nothing reaches an upstream, and all slots can be used afterwards. TestRefusedBeforeCall: deadline of 1 ms, platform down for keyed calls, host stopping. TestNoUpstreamLeft: every upstream leaving. TestHostLostWithWork: an owner killed or frozen, also with an engine or the platform, online answered without refusal and each item of 6 jobs once. TestEntryHostLost: the slots of a killed host's calls come free.

Headers far over the limit (64 KiB) made the client see a broken pipe instead of the answer; the case uses 9 KiB.

--- /dev/null
+++ b/internal/berylprocess/badinput_test.go
@@ -0,0 +1,195 @@
+package berylprocess
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"berylroad.example/berylroad/internal/berylconf"
+	"berylroad.example/berylroad/internal/berylfake"
+	"berylroad.example/berylroad/pkg/berylapi"
+)
+
+// bodyLimit is the largest request body, in bytes, of the fleets here.
+const bodyLimit = 64 << 10
+
+// TestBadInput sends what callers may get wrong and checks that the answer names the field and that nothing ran.
+func TestBadInput(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, plan{
+		hosts: 2, engines: 2, services: 1, slots: 2, engineFlags: quickEngine,
+		rules: berylconf.Rules{MaxBodyBytes: bodyLimit},
+	})
+	chat := func(body string) request { return request{path: "/v1/chat/completions", body: []byte(body)} }
+	with := func(name, value string) request {
+		return request{path: "/v1/chat/completions", body: chatBody("x", 3, false), header: http.Header{name: {value}}}
+	}
+	big := strings.Repeat("x", bodyLimit)
+	for _, test := range []struct {
+		name    string
+		request request
+		status  int
+		code    string
+		param   string
+	}{
+		{"empty body", chat(""), 400, "bad-request", "body"},
+		{"half a body", chat(`{"model":"test-llm","mess`), 400, "bad-request", "body"},
+		{"no object", chat(`[]`), 400, "bad-request", "body"},
+		{"no model", chat(`{"messages":[{"role":"user","content":"x"}]}`), 400, "bad-request", "model"},
+		{"unknown model", chat(`{"model":"other","messages":[{"role":"user","content":"x"}]}`), 404, "not-found", "model"},
+		{"no messages", chat(`{"model":"test-llm"}`), 400, "bad-request", "messages"},
+		{"stream is a string", chat(`{"model":"test-llm","stream":"yes","messages":[{}]}`), 400, "bad-request", "stream"},
+		{"negative tokens", chat(`{"model":"test-llm","max_tokens":-1,"messages":[{}]}`), 400, "bad-request", "max_tokens"},
+		{"body over the limit", chat(string(chatBody(big, 3, false))), 413, "too-large", "body"},
+		{"headers over the limit", with("X-Long", big[:9<<10]), 431, "too-large", "headers"},
+		{"deadline is no number", with("Berylroad-Timeout", "soon"), 400, "bad-request", "Berylroad-Timeout"},
+		{"deadline is negative", with("Berylroad-Timeout", "-1"), 400, "bad-request", "Berylroad-Timeout"},
+		{"deadline is no time", with("Berylroad-Timeout", "NaN"), 400, "bad-request", "Berylroad-Timeout"},
+		{"deadline too far", with("Berylroad-Timeout", "1e9"), 400, "bad-request", "Berylroad-Timeout"},
+		{"repeat is unknown", with("Berylroad-Repeat", "always"), 400, "bad-request", "Berylroad-Repeat"},
+		{"never without a key", with("Berylroad-Repeat", "never"), 400, "bad-request", "Idempotency-Key"},
+		{"class is unknown", with("Berylroad-Class", "first"), 400, "bad-request", "Berylroad-Class"},
+		{"unknown service", request{path: "/services/none/x"}, 404, "not-found", "path"},
+		{"unknown path", request{path: "/v2/chat"}, 404, "not-found", ""},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			r := f.send(t.Context(), f.hosts[0], test.request)
+			is.NoErr(r.err)
+			checkError(is, r, test.status, test.code, test.param)
+		})
+	}
+	t.Run("unknown key", func(t *testing.T) {
+		is := is.New(t)
+		key := f.key
+		f.key += "x"
+		defer func() { f.key = key }()
+		checkError(is, f.chat(f.hosts[0], "x", 3, true), 401, "unauthorized", "Authorization")
+	})
+	t.Run("slow caller", func(t *testing.T) { f.slowCaller(is.New(t)) })
+	is := is.New(t)
+	for _, u := range f.upstreams() {
+		is.Equal(f.counts(u).Started, 0) // none of this reached an upstream
+	}
+	f.allSlotsFree(f.hosts...)
+}
+
+// checkError checks an answer in the OpenAI error shape.
+func checkError(is *is.I, r reply, status int, code, param string) {
+	is.Helper()
+	is.Equal(r.status, status)
+	is.True(strings.HasPrefix(r.header.Get("Content-Type"), "application/json"))
+	var envelope berylapi.ErrorBody
+	is.NoErr(json.Unmarshal(r.body, &envelope))
+	is.Equal(envelope.Error.Code, code)
+	is.True(envelope.Error.Message != "" && envelope.Error.Type != "")
+	got := ""
+	if envelope.Error.Param != nil {
+		got = *envelope.Error.Param
+	}
+	is.Equal(got, param)
+}
+
+// slowCaller declares a body and stops half way; the host must not wait for the rest for ever.
+func (f *fleet) slowCaller(is *is.I) {
+	f.t.Helper()
+	conn, err := net.Dial("tcp", f.hosts[0].serving.CallerAddress)
+	is.NoErr(err)
+	defer conn.Close()
+	body := chatBody("never sent whole", 3, false)
+	_, err = fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s",
+		f.key, len(body), body[:len(body)/2])
+	is.NoErr(err)
+	is.NoErr(conn.SetReadDeadline(time.Now().Add(2 * callTimeout)))
+	answer, err := io.ReadAll(conn) // The host closes the connection.
+	is.NoErr(err)
+	is.True(bytes.Contains(answer, []byte(" 408 ")) && bytes.Contains(answer, []byte(`"code":"not-run"`)))
+}
+
+// TestRefusedBeforeCall checks refusals that need no upstream: they are truthful and say when to come back.
+func TestRefusedBeforeCall(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, plan{hosts: 2, engines: 2, services: 2, slots: 4, resume: true, engineFlags: quickEngine})
+	t.Run("deadline too short", func(t *testing.T) {
+		is := is.New(t)
+		for _, c := range f.meet("too short", time.Millisecond) {
+			f.checkTold(is, c)
+			is.True(c.ended() == "not-run" || c.ended() == "outcome-unknown")
+		}
+	})
+	t.Run("platform down", func(t *testing.T) {
+		is := is.New(t)
+		f.fault(f.platform, berylfake.Fault{Mode: berylfake.ModeDown})
+		for _, c := range f.meet("platform down", faultDeadline) {
+			f.checkTold(is, c)
+			want := ""
+			if c.keyed {
+				want = "not-run"
+			}
+			is.Equal(c.ended(), want) // only keyed requests need the platform
+		}
+		f.recover("platform down")
+	})
+	t.Run("host is stopping", func(t *testing.T) {
+		is := is.New(t)
+		h := f.hosts[0]
+		h.signal(t, syscall.SIGTERM)
+		for n := 0; !h.hasEnded(); n++ {
+			body := chatBody(fmt.Sprint("stopping ", n), 3, n%2 == 0)
+			r := f.send(t.Context(), h, request{path: "/v1/chat/completions", body: body})
+			if r.err != nil {
+				is.Equal(f.started(body), 0) // a connection that is not taken runs nothing
+				continue
+			}
+			is.True(r.whole(body, n%2 == 0) || r.code() == "not-run")
+		}
+		is.NoErr(h.err)
+	})
+}
+
+// TestNoUpstreamLeft checks that calls are refused at once when every upstream is leaving, and taken again later.
+func TestNoUpstreamLeft(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, plan{hosts: 2, engines: 2, services: 2, slots: 4, resume: true, engineFlags: quickEngine})
+	for _, u := range f.upstreams() {
+		f.document.Rules.Leaving = append(f.document.Rules.Leaving, u.name)
+	}
+	f.apply()
+	n := 0
+	f.eventually("both hosts know", func() bool {
+		n++
+		for _, c := range f.meet(fmt.Sprint("leaving ", n), faultDeadline) {
+			if c.ended() != "not-run" {
+				return false
+			}
+		}
+		return true
+	})
+	replies := f.meet("left", faultDeadline)
+	f.document.Rules.Leaving = nil
+	f.apply()
+	f.recover("leaving")
+	for _, c := range replies {
+		f.checkTold(is, c)
+		is.Equal(c.ended(), "not-run")
+		is.True(c.took < faultDeadline/2) // nothing is waited for
+	}
+}
+
+func (p *process) hasEnded() bool {
+	select {
+	case <-p.ended:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/berylprocess/lost_test.go
@@ -0,0 +1,139 @@
+package berylprocess
+
+import (
+	"fmt"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+
+	"berylroad.example/berylroad/internal/berylfake"
+)
+
+// jobs submits so many jobs of so many items at the host.
+func (f *fleet) jobs(h *host, jobs, items, tokens int) []string {
+	f.t.Helper()
+	ids := make([]string, jobs)
+	for i := range ids {
+		ids[i] = f.submit(h, items, tokens)
+	}
+	return ids
+}
+
+// finished waits until the jobs are completed and checks that each result holds each item once.
+func (f *fleet) finished(is *is.I, h *host, items int, ids ...string) {
+	f.t.Helper()
+	client := f.client(h)
+	for _, id := range ids {
+		var file string
+		f.eventually("job "+id+" is completed", func() bool {
+			batch, err := client.Batch(f.t.Context(), id)
+			if err != nil {
+				return false
+			}
+			file = batch.OutputFileID
+			return batch.Status == "completed" && batch.RequestCounts.Completed == items
+		})
+		results, err := client.Content(f.t.Context(), file)
+		is.NoErr(err)
+		is.Equal(strings.Count(string(results), `"custom_id"`), items)
+		for i := range items {
+			is.Equal(strings.Count(string(results), fmt.Sprintf(`"custom_id":"item-%d"`, i)), 1)
+		}
+	}
+}
+
+// allSlotsFree waits until calls at the hosts have held every slot of every engine at once.
+func (f *fleet) allSlotsFree(hosts ...*host) {
+	f.t.Helper()
+	slots := len(f.engines) * f.plan.slots
+	most := func(done <-chan struct{}) (running int) {
+		for {
+			select {
+			case <-done:
+				return running
+			case <-time.After(pollInterval):
+				running = max(running, f.running())
+			}
+		}
+	}
+	round := 0
+	f.eventually(fmt.Sprintf("all %d slots are in use", slots), func() bool {
+		round++
+		var calls conc.WaitGroup
+		for n := range slots {
+			calls.Go(func() { f.chat(hosts[n%len(hosts)], fmt.Sprint("slot ", n, " round ", round), 100, true) })
+		}
+		done := make(chan struct{})
+		go func() { calls.Wait(); close(done) }()
+		return most(done) >= slots
+	})
+}
+
+// TestHostLostWithWork loses a host, the owner of some engines and jobs, while every slot is held by batch work and
+// online requests wait.
+func TestHostLostWithWork(t *testing.T) {
+	fleets := make(chan struct{}, fleetsAtOnce)
+	for _, test := range []struct {
+		name   string
+		signal syscall.Signal
+		// engine loses an engine as well.
+		engine bool
+		// platform takes the platform down as well, until the online requests have been answered.
+		platform bool
+	}{
+		{name: "killed", signal: syscall.SIGKILL},
+		{name: "frozen", signal: syscall.SIGSTOP},
+		{name: "killed with an engine", signal: syscall.SIGKILL, engine: true},
+		{name: "killed with the platform", signal: syscall.SIGKILL, platform: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			fleets <- struct{}{}
+			defer func() { <-fleets }()
+			is := is.New(t)
+			f := startFleet(t, plan{hosts: 3, engines: 6, slots: 1, resume: true, engineFlags: quickEngine})
+			const jobs, items = 6, 4
+			ids := f.jobs(f.hosts[1], jobs, items, 100)
+			f.eventually("batch work holds every slot", func() bool { return f.running() == len(f.engines) })
+			result, stop := f.load(8, 30, f.hosts[1:]...)
+			time.Sleep(300 * time.Millisecond)
+			f.hosts[0].signal(t, test.signal)
+			if test.platform {
+				f.fault(f.platform, berylfake.Fault{Mode: berylfake.ModeDown})
+			}
+			if test.engine {
+				f.engines[0].signal(t, syscall.SIGKILL)
+				f.engines = f.engines[1:]
+			}
+			time.Sleep(6 * time.Second)
+			stop()
+			f.fault(f.platform, berylfake.Fault{})
+			t.Logf("whole %d, refused %d, lost %d, wrong %d: %q", result.whole.Load(), result.refused.Load(), result.lost.Load(), result.wrong.Load(), result.notes)
+			is.True(result.whole.Load() > 0)
+			is.Equal(result.wrong.Load(), int64(0))
+			is.Equal(result.lost.Load(), int64(0))
+			is.Equal(result.refused.Load(), int64(0)) // online goes before batch, so there is room
+			f.finished(is, f.hosts[1], items, ids...)
+			f.allSlotsFree(f.hosts[1:]...)
+		})
+	}
+}
+
+// TestEntryHostLost checks that the slots held by a killed host's calls come free for the other hosts.
+func TestEntryHostLost(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, plan{hosts: 3, engines: 6, slots: 1, engineFlags: quickEngine})
+	var calls conc.WaitGroup
+	defer calls.Wait()
+	for n := range 6 {
+		calls.Go(func() { f.chat(f.hosts[0], fmt.Sprint("takes long ", n), 1000, true) })
+	}
+	f.eventually("the host's calls hold every slot", func() bool { return f.running() == 6 })
+	f.hosts[0].signal(t, syscall.SIGKILL)
+	f.eventually("the engines have stopped", func() bool { return f.running() == 0 })
+	f.allSlotsFree(f.hosts[1:]...)
+}
