Membership: an empty list of candidates tells a new host nothing

berylserve hands over an empty list until it has read a configuration; a host counted as joined and alone by that. The test fails without the change. Frames may have 2 MiB, since a configuration of a megabyte has to fit into one.

--- a/internal/berylhost/host.go
+++ b/internal/berylhost/host.go
@@ -135,7 +135,7 @@
 	return h.replaced.Load()
 }
 
-// SetCandidates replaces the hosts that the inventory and the platform's host list name.
+// SetCandidates replaces the hosts that the inventory and the platform's host list name; empty means not known yet.
 func (h *Host) SetCandidates(ctx context.Context, members []Member) {
 	h.post(ctx, Candidates{Members: members})
 }
--- a/internal/berylhost/join_test.go
+++ b/internal/berylhost/join_test.go
@@ -32,7 +32,10 @@
 				}
 				return false
 			}
-			for range 100 {
+			for i := range 100 {
+				if i == 50 {
+					table.Step(now, berylhost.Candidates{}) // nothing has been read yet
+				}
 				is.Equal(joined(), false) // whom there is to wait for is not known yet
 			}
 			var members []berylhost.Member
--- a/internal/berylhost/table.go
+++ b/internal/berylhost/table.go
@@ -61,7 +61,7 @@
 	pending  map[uint64]*pending
 	seq      uint64
 
-	candidatesAt time.Time // when the first candidates came, or zero
+	candidatesAt time.Time // when the first list that is not empty came, or zero
 	lastTick     time.Time
 	nextRing     time.Time
 	nextProbe    time.Time
@@ -231,7 +231,7 @@
 }
 
 func (t *Table) setCandidates(now time.Time, members []Member) {
-	if t.candidatesAt.IsZero() {
+	if t.candidatesAt.IsZero() && len(members) > 0 {
 		t.candidatesAt = now
 	}
 	named := map[string]bool{}
--- a/internal/berylwire/endpoint.go
+++ b/internal/berylwire/endpoint.go
@@ -16,7 +16,7 @@
 
 const (
 	protocol            = "berylroad/1"
-	defaultMaxFrame     = 1 << 20
+	defaultMaxFrame     = 2 << 20
 	defaultMaxPerKind   = 4096
 	maxStreamsPerConn   = 4096
 	maxIncomingConns    = 2048
