berylgate: a closed TLS caller is noticed too

Cause: the look for a TLS alert never matched.

Ruled out: reading the record through crypto/tls, which would take bytes of a request sent ahead from the server.

--- a/internal/berylgate/fake_test.go
+++ b/internal/berylgate/fake_test.go
@@ -81,6 +81,14 @@
 
 // startGate serves a gate on a free port until the test ends and returns its base URL.
 func startGate(t testing.TB, config berylgate.Config) (*berylgate.Gate, string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	return serveGate(t, config, listener), "http://" + listener.Addr().String()
+}
+
+// serveGate serves a gate on the listener until the test ends.
+func serveGate(t testing.TB, config berylgate.Config, listener net.Listener) *berylgate.Gate {
 	t.Helper()
 	is := is.New(t)
 	if config.Document == nil {
@@ -89,8 +97,6 @@
 	}
 	config.Host = "entry-1"
 	gate := berylgate.New(config)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
 	served := make(chan error, 1)
 	go func() { served <- gate.Serve(listener) }()
 	t.Cleanup(func() {
@@ -99,5 +105,5 @@
 		is.NoErr(gate.Shutdown(ctx))
 		is.NoErr(<-served)
 	})
-	return gate, "http://" + listener.Addr().String()
+	return gate
 }
--- a/internal/berylgate/gate_test.go
+++ b/internal/berylgate/gate_test.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"runtime"
 	"strings"
 	"sync"
@@ -117,6 +119,30 @@
 	}
 }
 
+func TestClosedTLSCallerCancelsTheCall(t *testing.T) {
+	is := is.New(t)
+	running := make(chan struct{})
+	ended := make(chan struct{})
+	calls := &fakeCalls{do: func(ctx context.Context, _ berylcall.Request, _ berylcall.Sink) beryloutcome.Result {
+		close(running)
+		<-ctx.Done()
+		close(ended)
+		return beryloutcome.Result{Kind: beryloutcome.Cancelled}
+	}}
+	lender := httptest.NewTLSServer(nil) // Lends its certificate.
+	defer lender.Close()
+	listener, err := tls.Listen("tcp", "127.0.0.1:0", lender.TLS)
+	is.NoErr(err)
+	serveGate(t, berylgate.Config{Calls: calls}, listener)
+	conn, err := tls.Dial("tcp", listener.Addr().String(), &tls.Config{InsecureSkipVerify: true})
+	is.NoErr(err)
+	_, err = io.WriteString(conn, rawRequest(""))
+	is.NoErr(err)
+	<-running
+	is.NoErr(conn.Close())
+	awaitClosed(t, ended)
+}
+
 func awaitClosed(t *testing.T, done <-chan struct{}) {
 	t.Helper()
 	select {
--- a/internal/berylgate/peer.go
+++ b/internal/berylgate/peer.go
@@ -12,8 +12,10 @@
 const (
 	// peerCheckInterval is how often the connections of waiting callers are looked at.
 	peerCheckInterval = 250 * time.Millisecond
-	// tlsAlert is the record type that a TLS peer sends before it closes.
-	tlsAlert = 21
+	// tcpCloseWait is the kernel's state of a connection that the peer has closed.
+	tcpCloseWait = 8
+	// tcpStateMask takes the state, which is the first byte, out of the kernel's TCP_INFO.
+	tcpStateMask = 0xff
 )
 
 // peers looks for callers that have closed their connections while a call runs for them.
@@ -26,7 +28,6 @@
 // peer is one watched connection.
 type peer struct {
 	raw  syscall.RawConn
-	tls  bool
 	gone func()
 }
 
@@ -34,7 +35,6 @@
 func (p *peers) watch(conn net.Conn, gone func()) (stop func()) {
 	w := &peer{gone: gone}
 	if secure, ok := conn.(*tls.Conn); ok {
-		w.tls = true
 		conn = secure.NetConn()
 	}
 	socket, ok := conn.(syscall.Conn)
@@ -94,7 +94,7 @@
 		n, _, err := syscall.Recvfrom(int(descriptor), next[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		switch err {
 		case nil:
-			gone = n == 0 || w.tls && next[0] == tlsAlert
+			gone = n == 0 || hasPeerClosed(int(descriptor))
 		case syscall.EAGAIN, syscall.EINTR:
 		default:
 			gone = true
@@ -102,3 +102,10 @@
 	})
 	return gone || err != nil
 }
+
+// hasPeerClosed reports whether the end of the connection stands behind bytes that are still unread, such as TLS's own
+// farewell or a request sent ahead.
+func hasPeerClosed(descriptor int) bool {
+	info, err := syscall.GetsockoptInt(descriptor, syscall.IPPROTO_TCP, syscall.TCP_INFO)
+	return err == nil && info&tcpStateMask == tcpCloseWait
+}
