Calls: the retry budget test counted one call too many

Seen: TestRetriesStayWithinBudget failed in 4 of 8 runs since it makes 300 calls. Cause: the first call finds the budget full, so only 299 of them earn a tenth, 29.9 retries over the 100 saved; the test asked for 130. Ruled out: hedges, which are off there.

--- a/internal/berylcall/hedge_test.go
+++ b/internal/berylcall/hedge_test.go
@@ -170,7 +170,7 @@
 	}
 	allowed := savedAtFirst + calls/10 + int(time.Since(began).Seconds()) + 1
 	is.True(good.Counts().Started <= allowed)
-	is.True(good.Counts().Started >= savedAtFirst+calls/10)
+	is.True(good.Counts().Started >= savedAtFirst+(calls-1)/10) // the first call finds the budget full
 }
 
 // eventually waits for what other goroutines bring about.
--- a/internal/berylcall/raw_test.go
+++ b/internal/berylcall/raw_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"log"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -76,9 +78,11 @@
 
 func TestTLS(t *testing.T) {
 	is := is.New(t)
-	upstream := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	upstream := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Write([]byte("{}"))
 	}))
+	upstream.Config.ErrorLog = log.New(io.Discard, "", 0) // the refused handshakes are meant
+	upstream.StartTLS()
 	defer upstream.Close()
 	f := newFleet(t)
 	f.add("a", upstream.URL, false)
