load: batch share against batch work alone, measured in the same run

Ruled out: a correction factor. The scenario now ends with batch work alone, and the share compares with that, less the slots that online work keeps busy in the reference run.

--- a/internal/berylload/compare.go
+++ b/internal/berylload/compare.go
@@ -42,7 +42,7 @@
 	Ratio float64 `json:"p99-ratio"`
 	// BatchRate is the committed batch items a second.
 	BatchRate float64 `json:"batch-items-per-second"`
-	// BatchShare is BatchRate over what the slots that online work leaves could do.
+	// BatchShare is BatchRate over what batch work alone does with as many slots as online work leaves, or zero.
 	BatchShare float64 `json:"batch-share"`
 	// ExtraCalls is the share of upstream calls beyond one for each request.
 	ExtraCalls float64 `json:"extra-calls"`
@@ -62,6 +62,7 @@
 	for i := range c.Runs {
 		c.Runs[i].Ratio = ratio(c.Runs[i].p99(s.Measured), reference)
 	}
+	c.shareBatch(s)
 	return c, nil
 }
 
@@ -120,13 +121,13 @@
 	}
 	begin := time.Now()
 	outcome := &Outcome{Variant: v.Name, Streams: Run(ctx, target, v.Streams, seed, s.Duration)}
+	sleepUntil(ctx, begin.Add(s.Duration))
 	span := time.Since(begin)
 	after, err := work.completed(ctx)
 	if err != nil {
 		return nil, err
 	}
 	outcome.BatchRate = float64(after-before) / span.Seconds()
-	outcome.BatchShare = batchShare(s, v, outcome.BatchRate)
 	if v.Batch.Jobs == 0 {
 		outcome.ExtraCalls = extraCalls(outcome.Streams, startedCalls(fleet)-started)
 	}
@@ -171,16 +172,20 @@
 	return float64(started)/float64(sent) - 1
 }
 
-// batchShare compares a batch rate with what the slots that online work leaves could do if each were always busy.
-func batchShare(s *Scenario, v Variant, rate float64) float64 {
-	if v.Batch.Jobs == 0 {
-		return 0
+// shareBatch compares the batch rates with what batch work did alone, less the slots that online work keeps busy in the
+// reference run.
+func (c *Comparison) shareBatch(s Scenario) {
+	last := c.Runs[len(c.Runs)-1]
+	if last.Variant != batchAlone || last.BatchRate == 0 {
+		return
 	}
 	slots := float64(s.Plan.Engines * s.Plan.Slots)
-	step := float64(tokenTime) * (1 + batchGrowth*float64(s.Plan.Slots-1))
-	busy := func(tokens int) float64 { return (float64(prefillTime) + float64(tokens)*step) / float64(time.Second) }
-	for _, stream := range v.Streams {
-		slots -= stream.Rate * busy(stream.Tokens)
+	left := slots
+	for _, f := range c.Runs[0].Streams {
+		left -= float64(f.Whole) / s.Duration.Seconds() * f.TotalMean / 1000
+	}
+	for i := range c.Runs {
+		c.Runs[i].BatchShare = c.Runs[i].BatchRate / (last.BatchRate * left / slots)
 	}
-	return rate * busy(v.Batch.Tokens) / slots
+	c.Runs[len(c.Runs)-1].BatchShare = 0
 }
--- a/internal/berylload/report.go
+++ b/internal/berylload/report.go
@@ -12,6 +12,9 @@
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(table, "variant\tstream\tsent\twhole\trefused\tbroken\tp50 ms\tp95 ms\tp99 ms\tratio\tbatch items/s\tbatch share\textra calls")
 	for _, run := range c.Runs {
+		if len(run.Streams) == 0 {
+			fmt.Fprintf(table, "%s\t\t\t\t\t\t\t\t\t\t%.1f\t\t\n", run.Variant, run.BatchRate)
+		}
 		for _, f := range run.Streams {
 			fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.2f\t%.1f\t%.2f\t%.3f\n",
 				run.Variant, f.Name, f.Sent, f.Whole, f.Refused, f.Broken, f.FirstTokenP50, f.FirstTokenP95, f.FirstTokenP99,
--- a/internal/berylload/run.go
+++ b/internal/berylload/run.go
@@ -37,6 +37,8 @@
 	FirstTokenP95 float64 `json:"first-token-p95-ms"`
 	// FirstTokenP99 is the 99th percentile in milliseconds.
 	FirstTokenP99 float64 `json:"first-token-p99-ms"`
+	// TotalMean is the mean time of the whole answer in milliseconds.
+	TotalMean float64 `json:"total-mean-ms"`
 	// TotalP99 is the 99th percentile of the whole answer in milliseconds.
 	TotalP99 float64 `json:"total-p99-ms"`
 }
@@ -112,6 +114,7 @@
 	f.FirstTokenP50 = percentile(first, 50)
 	f.FirstTokenP95 = percentile(first, 95)
 	f.FirstTokenP99 = percentile(first, 99)
+	f.TotalMean = total.Mean() / 1000
 	f.TotalP99 = percentile(total, 99)
 	return f
 }
