load: warm-up lasts its time also without streams

Cause: batch work alone was counted from its submission on, with the owners' 1.5 s of settling and the first commit inside the count (161.8 items a second). The warm-up returned at once when nothing was to send.

--- a/internal/berylload/compare.go
+++ b/internal/berylload/compare.go
@@ -17,7 +17,7 @@
 const (
 	readyTimeout = time.Minute
 	// warmUp is how long the load runs before it counts.
-	warmUp = 1500 * time.Millisecond
+	warmUp = 2500 * time.Millisecond
 )
 
 // Comparison is what a scenario has shown.
@@ -113,7 +113,9 @@
 	if err != nil {
 		return nil, err
 	}
+	warm := time.Now().Add(warmUp)
 	Run(ctx, target, v.Streams, seed+1, warmUp)
+	sleepUntil(ctx, warm)
 	started := startedCalls(fleet)
 	before, err := work.completed(ctx)
 	if err != nil {
