Batch items go on from where they yielded

Change: an item whose body has only known keys is asked for as a stream and put together to the plain answer; after a yield it goes on from the events it has where the upstream resumes. Any other body, and a stream with an unknown form, is asked for plainly as before.

--- a/internal/beryljob/item.go
+++ b/internal/beryljob/item.go
@@ -48,26 +48,42 @@
 // runItem calls an upstream until the item has an end; ended is false when ctx ended first.
 func (d *Duty) runItem(ctx context.Context, job string, number int, item *Item) (result Result, ended bool) {
 	failures := 0
+	stream := streamBody(item)
+	taken := &assembly{}
 	for try := 0; ctx.Err() == nil; try++ {
-		taken := &answer{}
-		end := d.Calls.Do(ctx, itemRequest(job, number, try, item), taken)
+		request := itemRequest(job, number, try, item)
+		if stream != nil {
+			request.Body = stream
+			request.Stream = true
+			request.ContinueFrom = taken.events
+		}
+		end := d.Calls.Do(ctx, request, taken)
+		if taken.unfit && stream != nil {
+			stream = nil
+			taken = &assembly{}
+			continue
+		}
 		switch end.Kind {
 		case beryloutcome.Answered:
 			return answered(number, taken), true
-		case beryloutcome.NotRun, beryloutcome.Yielded:
+		case beryloutcome.Yielded:
+			pause(ctx, backoff(nil, 0))
+			continue
+		case beryloutcome.NotRun:
 			pause(ctx, backoff(end.Refusal, 0))
+			continue
 		case beryloutcome.Cancelled:
 			if ctx.Err() != nil {
 				return Result{}, false
 			}
 			return Result{Item: number, Code: string(beryloutcome.CodeTooLarge), Message: fmt.Sprintf("the answer is over %d bytes", maxAnswerBytes)}, true
-		default:
-			failures++
-			if failures == maxItemAttempts {
-				return failed(number, end), true
-			}
-			pause(ctx, backoff(end.Refusal, failures))
 		}
+		failures++
+		if failures == maxItemAttempts {
+			return failed(number, end), true
+		}
+		taken = &assembly{}
+		pause(ctx, backoff(end.Refusal, failures))
 	}
 	return Result{}, false
 }
@@ -107,9 +123,9 @@
 	return h
 }
 
-func answered(number int, taken *answer) Result {
-	body := taken.body.Bytes()
-	if !json.Valid(body) {
+func answered(number int, taken *assembly) Result {
+	body, err := taken.bytes()
+	if err != nil || !json.Valid(body) {
 		return Result{Item: number, Code: string(beryloutcome.CodeUpstream), Message: "the upstream's answer is not JSON"}
 	}
 	return Result{Item: number, Status: taken.status, Body: body}
