--- a/internal/berylcmd/config/apply/apply.go
+++ b/internal/berylcmd/config/apply/apply.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"berylroad.example/berylroad/internal/berylcmd/config/configclient"
 	"berylroad.example/berylroad/internal/berylcmd/factory"
 	"berylroad.example/berylroad/internal/berylconf"
 	"berylroad.example/berylroad/internal/berylplatform"
@@ -21,17 +22,12 @@
 
 // Options are the command's flags and what it works with.
 type Options struct {
+	configclient.Base
+
 	// File is the configuration to apply.
 	File string `arg:"" help:"Configuration in JSON with comments; its revision must be one above the one in force, or 0 to take the next." type:"path"`
 	// IfRevision is the revision that must be in force.
 	IfRevision int64 `help:"Apply only if this revision is in force; 0 for the first. Without it, the revision read now." default:"-1"`
-	// Endpoints are base URLs of the platform's service.
-	Endpoints []string `name:"platform" help:"Base URLs of the platform's key-value service." env:"BERYLROAD_PLATFORM" required:""`
-
-	// IO are the streams.
-	IO factory.IOStreams `kong:"-"`
-	// Context ends when the process is told to stop.
-	Context context.Context `kong:"-"`
 	// Platform holds the configuration.
 	Platform Platform `kong:"-"`
 }
@@ -48,13 +44,11 @@
 
 // Run fills in what the command works with and runs it.
 func (o *Options) Run(f *factory.Factory) error {
-	client, err := f.Platform(o.Endpoints)
+	client, err := o.Prepare(f)
 	if err != nil {
 		return err
 	}
 	defer client.Close()
-	o.IO = f.IO
-	o.Context = f.Context
 	o.Platform = client
 	return runApply(o)
 }
--- a/internal/berylcmd/config/apply/apply_test.go
+++ b/internal/berylcmd/config/apply/apply_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"berylroad.example/berylroad/internal/berylcmd/config/configclient"
 	"berylroad.example/berylroad/internal/berylcmd/factory"
 	"berylroad.example/berylroad/internal/berylconf"
 	"berylroad.example/berylroad/internal/berylplatform"
@@ -66,7 +67,8 @@
 			path := filepath.Join(t.TempDir(), "fleet.json")
 			is.NoErr(os.WriteFile(path, []byte(test.file), 0o600))
 			var out bytes.Buffer
-			o := &Options{File: path, IfRevision: test.ifRevision, IO: factory.IOStreams{Out: &out}, Context: t.Context(), Platform: &test.platform}
+			base := configclient.Base{IO: factory.IOStreams{Out: &out}, Context: t.Context()}
+			o := &Options{Base: base, File: path, IfRevision: test.ifRevision, Platform: &test.platform}
 			err := runApply(o)
 			is.Equal(out.String(), test.out)
 			is.Equal(err != nil, test.err != "")
--- a/internal/berylcmd/config/view/view.go
+++ b/internal/berylcmd/config/view/view.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"berylroad.example/berylroad/internal/berylcmd/config/configclient"
 	"berylroad.example/berylroad/internal/berylcmd/factory"
 	"berylroad.example/berylroad/internal/berylplatform"
 	"berylroad.example/berylroad/internal/berylspread"
@@ -19,13 +20,8 @@
 
 // Options are the command's flags and what it works with.
 type Options struct {
-	// Endpoints are base URLs of the platform's service.
-	Endpoints []string `name:"platform" help:"Base URLs of the platform's key-value service." env:"BERYLROAD_PLATFORM" required:""`
+	configclient.Base
 
-	// IO are the streams.
-	IO factory.IOStreams `kong:"-"`
-	// Context ends when the process is told to stop.
-	Context context.Context `kong:"-"`
 	// Platform holds the configuration.
 	Platform Platform `kong:"-"`
 }
@@ -40,13 +36,11 @@
 
 // Run fills in what the command works with and runs it.
 func (o *Options) Run(f *factory.Factory) error {
-	client, err := f.Platform(o.Endpoints)
+	client, err := o.Prepare(f)
 	if err != nil {
 		return err
 	}
 	defer client.Close()
-	o.IO = f.IO
-	o.Context = f.Context
 	o.Platform = client
 	return runView(o)
 }
--- a/internal/berylcmd/job/cancel/cancel.go
+++ b/internal/berylcmd/job/cancel/cancel.go
@@ -17,15 +17,11 @@
 
 // Options are the command's flags and what it works with.
 type Options struct {
-	jobclient.Flags
+	jobclient.Base
 
 	// ID names the job.
 	ID string `arg:"" help:"The job's id."`
 
-	// IO are the streams.
-	IO factory.IOStreams `kong:"-"`
-	// Context ends when the process is told to stop.
-	Context context.Context `kong:"-"`
 	// API reaches a host.
 	API Client `kong:"-"`
 }
@@ -40,12 +36,10 @@
 
 // Run fills in what the command works with and runs it.
 func (o *Options) Run(f *factory.Factory) error {
-	client, err := o.Client()
+	client, err := o.Prepare(f)
 	if err != nil {
 		return err
 	}
-	o.IO = f.IO
-	o.Context = f.Context
 	o.API = client
 	return runCancel(o)
 }
--- a/internal/berylcmd/job/jobclient/jobclient.go
+++ b/internal/berylcmd/job/jobclient/jobclient.go
@@ -1,6 +1,7 @@
 package jobclient
 
 import (
+	"context"
 	"errors"
 	"net/http"
 
@@ -26,6 +27,23 @@
 	return &berylapi.Client{BaseURL: f.Address, Key: f.Key}, nil
 }
 
+// Base is what every command on jobs works with besides its own flags.
+type Base struct {
+	Flags
+
+	// IO are the streams.
+	IO factory.IOStreams `kong:"-"`
+	// Context ends when the process is told to stop.
+	Context context.Context `kong:"-"`
+}
+
+// Prepare fills in what commands share and returns a client for the flags.
+func (b *Base) Prepare(f *factory.Factory) (*berylapi.Client, error) {
+	b.IO = f.IO
+	b.Context = f.Context
+	return b.Client()
+}
+
 // Explain adds to an error what to do next.
 func Explain(err error) error {
 	var call *berylapi.CallError
--- a/internal/berylcmd/job/submit/submit.go
+++ b/internal/berylcmd/job/submit/submit.go
@@ -23,7 +23,7 @@
 
 // Options are the command's flags and what it works with.
 type Options struct {
-	jobclient.Flags
+	jobclient.Base
 
 	// File holds the items.
 	File string `arg:"" help:"Items in the batch line format, one JSON object on each line." type:"path"`
@@ -32,10 +32,6 @@
 	// IdempotencyKey makes sending the job again safe.
 	IdempotencyKey string `help:"Key under which the job is sent once however often the command runs; by default made from the file." placeholder:"KEY"`
 
-	// IO are the streams.
-	IO factory.IOStreams `kong:"-"`
-	// Context ends when the process is told to stop.
-	Context context.Context `kong:"-"`
 	// API reaches a host.
 	API Client `kong:"-"`
 }
@@ -52,12 +48,10 @@
 
 // Run fills in what the command works with and runs it.
 func (o *Options) Run(f *factory.Factory) error {
-	client, err := o.Client()
+	client, err := o.Prepare(f)
 	if err != nil {
 		return err
 	}
-	o.IO = f.IO
-	o.Context = f.Context
 	o.API = client
 	return runSubmit(o)
 }
--- a/internal/berylprocess/lost_test.go
+++ b/internal/berylprocess/lost_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 	"syscall"
 	"testing"
@@ -137,3 +138,27 @@
 	f.eventually("the engines have stopped", func() bool { return f.running() == 0 })
 	f.allSlotsFree(f.hosts[1:]...)
 }
+
+// TestAllEnginesRecover checks that callers are answered soon after every engine has failed again and again and is well.
+func TestAllEnginesRecover(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, plan{hosts: 2, engines: 2, slots: 4, engineFlags: quickEngine})
+	is.Equal(f.chat(f.hosts[0], "before", 3, false).status, http.StatusOK)
+	for _, e := range f.engines {
+		f.fault(e, map[string]any{"mode": "status", "status": 500})
+	}
+	for begin, n := time.Now(), 0; time.Since(begin) < 12*time.Second; n++ {
+		is.True(f.chat(f.hosts[n%2], fmt.Sprint("during ", n), 3, false).status != http.StatusOK)
+		time.Sleep(pollInterval)
+	}
+	for _, e := range f.engines {
+		f.fault(e, map[string]any{})
+	}
+	begin := time.Now()
+	f.eventually("a caller is answered", func() bool {
+		return f.chat(f.hosts[0], "after", 3, false).status == http.StatusOK
+	})
+	took := time.Since(begin)
+	t.Logf("answered %s after the engines were well", took)
+	is.True(took < 5*time.Second) // the probe is due each second
+}
