Names that need no explaining: a host's part of a caller's limits is a quota

Cause: the reading pass found a metaphor of our own (purse) where the field says quota, and a comment that named a source that is not asked. Result: renamed; the package's tests pass.

--- a/internal/beryllimit/limiter.go
+++ b/internal/beryllimit/limiter.go
@@ -49,17 +49,17 @@
 	callers  atomic.Pointer[callerIndex]
 
 	mu     sync.RWMutex
-	purses map[string]*heldPurse
+	quotas map[string]*guardedQuota
 
 	ownerMu  sync.Mutex
 	accounts map[string]*account
 }
 
-// heldPurse is a purse and what guards it; who asks its owner holds the one place in asking.
-type heldPurse struct {
+// guardedQuota is a quota and what guards it; who asks its owner holds the one place in asking.
+type guardedQuota struct {
 	asking chan struct{}
 	mu     sync.Mutex
-	purse
+	quota
 }
 
 // New returns a limiter; Run must run beside it.
@@ -73,7 +73,7 @@
 		returns:  make(chan *berylconf.Caller, maxReturns),
 		refused:  set.GetOrCreateCounter("berylroad_limit_refused_total"),
 		fallback: set.GetOrCreateCounter("berylroad_limit_fallback_total"),
-		purses:   make(map[string]*heldPurse),
+		quotas:   make(map[string]*guardedQuota),
 		accounts: make(map[string]*account),
 	}
 }
@@ -88,8 +88,8 @@
 	if bounds.tokens.rate > 0 && float64(tokens) > bounds.tokens.burst {
 		return nil, l.refuse(tooManyTokens(caller))
 	}
-	p := l.purse(caller.Name)
-	r := request{limiter: l, purse: p, caller: caller, limits: &bounds, tokens: float64(tokens)}
+	p := l.quota(caller.Name)
+	r := request{limiter: l, quota: p, caller: caller, limits: &bounds, tokens: float64(tokens)}
 	v := r.try()
 	if v.ask {
 		v = r.tryAsking(ctx)
@@ -102,8 +102,8 @@
 
 func doNothing() {}
 
-// settle puts the owner's answer, or its silence, into the purse.
-func (l *Limiter) settle(p *purse, ask Ask, grant Grant, err error) {
+// settle puts the owner's answer, or its silence, into the quota.
+func (l *Limiter) settle(p *quota, ask Ask, grant Grant, err error) {
 	if err != nil {
 		l.fallback.Inc()
 		p.unanswered(time.Now())
@@ -128,24 +128,24 @@
 	return l.config.Ask(bounded, owner, ask)
 }
 
-func (l *Limiter) purse(name string) *heldPurse {
+func (l *Limiter) quota(name string) *guardedQuota {
 	l.mu.RLock()
-	p := l.purses[name]
+	p := l.quotas[name]
 	l.mu.RUnlock()
 	if p != nil {
 		return p
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.purses[name] == nil {
-		l.purses[name] = &heldPurse{asking: make(chan struct{}, 1)}
+	if l.quotas[name] == nil {
+		l.quotas[name] = &guardedQuota{asking: make(chan struct{}, 1)}
 	}
-	return l.purses[name]
+	return l.quotas[name]
 }
 
-func (l *Limiter) release(p *heldPurse, caller *berylconf.Caller, bounds *limits) {
+func (l *Limiter) release(p *guardedQuota, caller *berylconf.Caller, bounds *limits) {
 	p.mu.Lock()
-	tell := p.purse.release(bounds)
+	tell := p.quota.release(bounds)
 	p.mu.Unlock()
 	if !tell {
 		return
--- a/internal/beryllimit/purse.go
+++ b/internal/beryllimit/quota.go
@@ -9,8 +9,8 @@
 	slotsRefusedTime = 20 * time.Millisecond
 )
 
-// purse is what one host holds of a caller's limits: a plain state machine without clock or I/O.
-type purse struct {
+// quota is what one host holds of a caller's limits: a plain state machine without clock or I/O.
+type quota struct {
 	requests float64
 	tokens   float64
 	expires  time.Time
@@ -29,7 +29,7 @@
 	keep time.Time
 }
 
-// verdict is a purse's answer to one request.
+// verdict is a quota's answer to one request.
 type verdict struct {
 	admitted bool
 	// ask means that the owner has to be asked before there is a verdict.
@@ -41,7 +41,7 @@
 }
 
 // take admits one request of that many tokens, refuses it, or wants the owner asked.
-func (p *purse) take(now time.Time, l *limits, live int, tokens float64) verdict {
+func (p *quota) take(now time.Time, l *limits, live int, tokens float64) verdict {
 	p.keep = keepUntil(now, l, &p.shareRequests, &p.shareTokens)
 	if now.Before(p.fallbackUntil) {
 		return p.takeShare(now, l, live, tokens)
@@ -60,7 +60,7 @@
 	return verdict{ask: true}
 }
 
-func (p *purse) covers(now time.Time, l *limits, tokens float64) bool {
+func (p *quota) covers(now time.Time, l *limits, tokens float64) bool {
 	if l.requests.rate > 0 && p.requests < 1 {
 		return false
 	}
@@ -70,11 +70,11 @@
 	return p.hasSlot(now, l)
 }
 
-func (p *purse) hasSlot(now time.Time, l *limits) bool {
+func (p *quota) hasSlot(now time.Time, l *limits) bool {
 	return l.slots == 0 || p.inUse < p.slots && now.Before(p.slotsExpire)
 }
 
-func (p *purse) spend(l *limits, tokens float64) {
+func (p *quota) spend(l *limits, tokens float64) {
 	if l.requests.rate > 0 {
 		p.requests--
 	}
@@ -85,7 +85,7 @@
 }
 
 // takeShare admits by the limits divided by the live hosts.
-func (p *purse) takeShare(now time.Time, l *limits, live int, tokens float64) verdict {
+func (p *quota) takeShare(now time.Time, l *limits, live int, tokens float64) verdict {
 	if l.slots > 0 && p.inUse >= max(1, l.slots/max(live, 1)) {
 		return verdict{slots: true}
 	}
@@ -104,7 +104,7 @@
 }
 
 // need returns what to ask the owner for, to admit one request of that many tokens.
-func (p *purse) need(l *limits, tokens float64) Ask {
+func (p *quota) need(l *limits, tokens float64) Ask {
 	var ask Ask
 	if l.requests.rate > 0 {
 		ask.Requests = 1
@@ -119,18 +119,18 @@
 }
 
 // surplus returns an ask that gives the slots back which are not in use, and ends their use here.
-func (p *purse) surplus() Ask {
+func (p *quota) surplus() Ask {
 	p.slots = min(p.slots, p.inUse)
 	return Ask{Slots: p.inUse}
 }
 
 // holdsSlots reports whether the owner counts slots for this host, or should.
-func (p *purse) holdsSlots() bool {
+func (p *quota) holdsSlots() bool {
 	return p.slots > 0 || p.inUse > 0
 }
 
 // lent takes the owner's answer to an ask.
-func (p *purse) lent(now time.Time, ask Ask, g Grant) {
+func (p *quota) lent(now time.Time, ask Ask, g Grant) {
 	p.requests += g.Requests
 	p.tokens += g.Tokens
 	p.expires = now.Add(leaseTime)
@@ -149,17 +149,17 @@
 }
 
 // unanswered falls back to the share for a while.
-func (p *purse) unanswered(now time.Time) {
+func (p *quota) unanswered(now time.Time) {
 	p.fallbackUntil = now.Add(fallbackTime)
 }
 
 // release ends one request and reports whether the owner should hear of it.
-func (p *purse) release(l *limits) bool {
+func (p *quota) release(l *limits) bool {
 	p.inUse--
 	return l.slots > 0
 }
 
-// idle reports whether the purse can be forgotten.
-func (p *purse) idle(now time.Time) bool {
+// idle reports whether the quota can be forgotten.
+func (p *quota) idle(now time.Time) bool {
 	return p.inUse == 0 && now.After(p.keep)
 }
--- a/internal/beryllimit/request.go
+++ b/internal/beryllimit/request.go
@@ -7,39 +7,39 @@
 	"berylroad.example/berylroad/internal/berylconf"
 )
 
-// request is one request that a purse is to admit.
+// request is one request that a quota is to admit.
 type request struct {
 	limiter *Limiter
-	purse   *heldPurse
+	quota   *guardedQuota
 	caller  *berylconf.Caller
 	limits  *limits
 	tokens  float64
 }
 
 func (r *request) try() verdict {
-	r.purse.mu.Lock()
-	defer r.purse.mu.Unlock()
+	r.quota.mu.Lock()
+	defer r.quota.mu.Unlock()
 	return r.take()
 }
 
-// take is called under the purse's lock.
+// take is called under the quota's lock.
 func (r *request) take() verdict {
 	now := time.Now()
 	live := 1
-	if now.Before(r.purse.fallbackUntil) {
+	if now.Before(r.quota.fallbackUntil) {
 		live = len(r.limiter.config.Live())
 	}
-	return r.purse.take(now, r.limits, live, r.tokens)
+	return r.quota.take(now, r.limits, live, r.tokens)
 }
 
 // tryAsking asks the owner, unless another request has just done so, and tries again.
 func (r *request) tryAsking(ctx context.Context) verdict {
 	select {
-	case r.purse.asking <- struct{}{}:
+	case r.quota.asking <- struct{}{}:
 	case <-ctx.Done():
 		return verdict{}
 	}
-	defer func() { <-r.purse.asking }()
+	defer func() { <-r.quota.asking }()
 	v := r.try()
 	if !v.ask {
 		return v
@@ -54,12 +54,12 @@
 
 // ask asks the owner and tries again before any other request can use the loan.
 func (r *request) ask(ctx context.Context) verdict {
-	r.purse.mu.Lock()
-	ask := r.purse.need(r.limits, r.tokens)
-	r.purse.mu.Unlock()
+	r.quota.mu.Lock()
+	ask := r.quota.need(r.limits, r.tokens)
+	r.quota.mu.Unlock()
 	grant, err := r.limiter.send(ctx, r.caller.Name, ask)
-	r.purse.mu.Lock()
-	defer r.purse.mu.Unlock()
-	r.limiter.settle(&r.purse.purse, ask, grant, err)
+	r.quota.mu.Lock()
+	defer r.quota.mu.Unlock()
+	r.limiter.settle(&r.quota.quota, ask, grant, err)
 	return r.take()
 }
--- a/internal/beryllimit/run.go
+++ b/internal/beryllimit/run.go
@@ -16,7 +16,7 @@
 		case <-ctx.Done():
 			return
 		case caller := <-l.returns:
-			_ = l.renew(ctx, caller) // The purse has noted the failure.
+			_ = l.renew(ctx, caller) // The quota has noted the failure.
 		case <-ticker.C:
 			l.renewAll(ctx)
 			l.forget(time.Now())
@@ -24,7 +24,7 @@
 	}
 }
 
-// renewAll renews the purses that hold slots; an owner that does not answer is asked once only.
+// renewAll renews the quotas that hold slots; an owner that does not answer is asked once only.
 func (l *Limiter) renewAll(ctx context.Context) {
 	document := l.config.Document()
 	if document == nil {
@@ -46,7 +46,7 @@
 // renew sets what this host holds at the owner to what is in use.
 func (l *Limiter) renew(ctx context.Context, caller *berylconf.Caller) error {
 	l.mu.RLock()
-	p := l.purses[caller.Name]
+	p := l.quotas[caller.Name]
 	l.mu.RUnlock()
 	if p == nil {
 		return nil
@@ -67,17 +67,17 @@
 	grant, err := l.send(ctx, caller.Name, ask)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l.settle(&p.purse, ask, grant, err)
+	l.settle(&p.quota, ask, grant, err)
 	return err
 }
 
 // forget drops the state of callers that have been silent for long.
 func (l *Limiter) forget(now time.Time) {
 	l.mu.Lock()
-	for name, p := range l.purses {
+	for name, p := range l.quotas {
 		p.mu.Lock()
 		if p.idle(now) {
-			delete(l.purses, name)
+			delete(l.quotas, name)
 		}
 		p.mu.Unlock()
 	}
--- a/internal/berylserve/links.go
+++ b/internal/berylserve/links.go
@@ -47,7 +47,7 @@
 	host *Host
 }
 
-// peer finds a host's address among the members, the inventory and the settings.
+// peer finds a host's address among the members, or before the first configuration among the settings' peers.
 func (l *links) peer(name string) (berylwire.Peer, error) {
 	for _, m := range l.host.members.Live() {
 		if m.Name == name && m.PeerAddress != "" {
