Results of streamed batch items keep their usage

Cause: since items are asked for as streams their results had no usage, which the plain answers had; the engine stand-in did not know stream_options.include_usage, so nothing showed it.

Ruled out: making the usage up from the events.

An event without a choice is no token, so it no longer counts among the events that a resumed item goes on from.

--- a/internal/berylfake/engine_answer.go
+++ b/internal/berylfake/engine_answer.go
@@ -25,7 +25,9 @@
 	tokens int
 	from   int
 	stream bool
-	chat   bool
+	// usage asks for an event with the usage at the end of a stream.
+	usage bool
+	chat  bool
 }
 
 // readPrompt reads a body of /v1/chat/completions or /v1/completions.
@@ -41,11 +43,14 @@
 		MaxCompletionTokens int             `json:"max_completion_tokens"`
 		Stream              bool            `json:"stream"`
 		ContinueFrom        int             `json:"continue_from"`
+		StreamOptions       struct {
+			IncludeUsage bool `json:"include_usage"`
+		} `json:"stream_options"`
 	}
 	if err := json.Unmarshal(body, &wire); err != nil {
 		return prompt{}, errors.New("body is not valid JSON: " + err.Error())
 	}
-	p := prompt{model: wire.Model, stream: wire.Stream, chat: chat, from: wire.ContinueFrom}
+	p := prompt{model: wire.Model, stream: wire.Stream, chat: chat, from: wire.ContinueFrom, usage: wire.StreamOptions.IncludeUsage}
 	last := plainText(wire.Prompt)
 	p.text = last
 	if chat {
@@ -154,11 +159,26 @@
 		choice.Text = &text
 	}
 	answer.Choices = []wireChoice{choice}
-	asked := len(strings.Fields(p.text))
-	answer.Usage = &wireUsage{PromptTokens: asked, CompletionTokens: p.tokens, TotalTokens: asked + p.tokens}
+	answer.Usage = p.used()
 	return mustJSON(answer)
 }
 
+// used returns what a whole answer has used.
+func (p *prompt) used() *wireUsage {
+	asked := len(strings.Fields(p.text))
+	return &wireUsage{PromptTokens: asked, CompletionTokens: p.tokens, TotalTokens: asked + p.tokens}
+}
+
+// usageEvent returns the event without a choice that ends a stream for which usage was asked.
+func (p *prompt) usageEvent(id string) []byte {
+	answer := wireCompletion{ID: "cmpl-" + id, Object: "text_completion", Model: p.model, Choices: []wireChoice{}, Usage: p.used()}
+	if p.chat {
+		answer.ID = "chatcmpl-" + id
+		answer.Object = "chat.completion.chunk"
+	}
+	return []byte("data: " + string(mustJSON(answer)) + "\n\n")
+}
+
 // event returns the server-sent event of the token with number i.
 func (p *prompt) event(id string, i int) []byte {
 	text := p.token(i)
--- a/internal/berylfake/engine_exchange.go
+++ b/internal/berylfake/engine_exchange.go
@@ -224,6 +224,9 @@
 		return
 	}
 	x.end(x.r.Context().Err() == nil)
+	if p.usage {
+		x.w.Write(p.usageEvent(x.id))
+	}
 	x.w.Write([]byte("data: [DONE]\n\n"))
 }
 
--- a/internal/beryljob/assemble.go
+++ b/internal/beryljob/assemble.go
@@ -23,7 +23,7 @@
 type assembly struct {
 	answer
 	streamed bool
-	// events counts the chunks taken, from which an upstream that resumes goes on.
+	// events counts the chunks with a choice, from which an upstream that resumes goes on.
 	events int
 	// unfit marks a stream from which no plain answer can be made.
 	unfit bool
@@ -100,7 +100,6 @@
 			a.unfit = true
 			return err
 		}
-		a.events++
 	}
 	return nil
 }
@@ -119,6 +118,7 @@
 		a.whole.Usage = bytes.Clone(c.Usage)
 	}
 	for i := range c.Choices {
+		a.events++
 		a.addPart(&c.Choices[i])
 	}
 	if a.text.Len() > maxAnswerBytes {
--- a/internal/berylprocess/path_test.go
+++ b/internal/berylprocess/path_test.go
@@ -32,6 +32,7 @@
 	is.Equal(batch.RequestCounts.Completed, 3)
 	results, err := read.Content(t.Context(), batch.OutputFileID)
 	is.NoErr(err)
+	is.Equal(strings.Count(string(results), `"usage":{"prompt_tokens":`), 3) // also where an item came as a stream
 	for i := range 3 {
 		is.Equal(strings.Count(string(results), fmt.Sprintf(`"custom_id":"item-%d"`, i)), 1) // each item once
 	}
