A commit whose answer was lost no longer counts its items twice

Cause, found in the reading pass: when a job's commit took effect, its answer was lost and the read after it failed too, the results stayed gathered and were committed again once the record was read. The items counted twice, so the job ended early and other items had no result.

Ruled out: comparing nonces at the next read (a later write may stand there already). What the record in force holds as ended is dropped from what is gathered, wherever the record comes from, so the special case after a successful write went too.

Also: items read the job's id from a record that the run replaces; they get it when they start.

--- a/internal/beryljob/run.go
+++ b/internal/beryljob/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -99,12 +100,13 @@
 }
 
 func (r *run) startItems(ctx context.Context, workers *conc.WaitGroup) {
+	job := r.record.ID // The record itself belongs to this goroutine and is replaced while items run.
 	for r.record.State == Running && r.running < maxRunning && len(r.pending) > 0 {
 		number := r.pending[0]
 		r.pending = r.pending[1:]
 		r.running++
 		workers.Go(func() {
-			result, ended := r.duty.runItem(ctx, r.record.ID, number, &r.items[number])
+			result, ended := r.duty.runItem(ctx, job, number, &r.items[number])
 			if !ended {
 				return
 			}
@@ -138,9 +140,7 @@
 	if next.Succeeded+next.Failed == next.Total {
 		next.State = Completed
 	}
-	if r.swap(ctx, next) {
-		r.gathered = r.gathered[len(batch):]
-	}
+	r.swap(ctx, next)
 }
 
 // nextBatch returns the gathered results that fit one segment, at least one.
@@ -200,12 +200,15 @@
 	r.install(current, revision)
 }
 
+// install takes a record that is in force; what it holds as ended is no longer gathered, also where the answer to the
+// write was lost and the record was read only later.
 func (r *run) install(record *Record, revision int64) {
 	if record.State != r.record.State {
 		r.duty.Log.WithFields(logrus.Fields{"job": record.ID, "state": record.State}).Info("job changed its state")
 	}
 	r.record = record
 	r.revision = revision
+	r.gathered = slices.DeleteFunc(r.gathered, func(result Result) bool { return record.Ended.Has(result.Item) })
 }
 
 // finishCancel stops the running items and records the job as cancelled, keeping the results that stand.
