--- /dev/null
+++ b/internal/berylcmd/config/apply/doc.go
@@ -0,0 +1,2 @@
+// Package apply is the command that puts a configuration in force.
+package apply
--- /dev/null
+++ b/internal/berylcmd/config/check/doc.go
@@ -0,0 +1,2 @@
+// Package check is the command that checks a configuration file.
+package check
--- /dev/null
+++ b/internal/berylcmd/config/view/view.go
@@ -0,0 +1,69 @@
+package view
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+
+	"berylroad.example/berylroad/internal/berylcmd/factory"
+	"berylroad.example/berylroad/internal/berylplatform"
+	"berylroad.example/berylroad/internal/berylspread"
+)
+
+// Platform is the part of the platform's client that the command uses.
+type Platform interface {
+	Get(ctx context.Context, key string) berylplatform.Read
+}
+
+// Options are the command's flags and what it works with.
+type Options struct {
+	// Endpoints are base URLs of the platform's service.
+	Endpoints []string `name:"platform" help:"Base URLs of the platform's key-value service." env:"BERYLROAD_PLATFORM" required:""`
+
+	// IO are the streams.
+	IO factory.IOStreams `kong:"-"`
+	// Context ends when the process is told to stop.
+	Context context.Context `kong:"-"`
+	// Platform holds the configuration.
+	Platform Platform `kong:"-"`
+}
+
+// Help is the command's longer help.
+func (o *Options) Help() string {
+	return `Prints the configuration that the platform's service holds, in JSON.
+
+Examples:
+  berylroad config view --platform http://10.0.0.5:2379 > fleet.json`
+}
+
+// Run fills in what the command works with and runs it.
+func (o *Options) Run(f *factory.Factory) error {
+	client, err := f.Platform(o.Endpoints)
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	o.IO = f.IO
+	o.Context = f.Context
+	o.Platform = client
+	return runView(o)
+}
+
+func runView(o *Options) error {
+	read := o.Platform.Get(o.Context, berylspread.Key)
+	if read.Status != berylplatform.Done {
+		return errors.WithHint(errors.Wrap(read.Err, "the platform's service does not answer"), "try again when it does")
+	}
+	if read.Record.Revision == 0 {
+		return errors.WithHint(errors.New("there is no configuration yet"), "make the first with `berylroad config apply FILE`")
+	}
+	var indented bytes.Buffer
+	if err := json.Indent(&indented, read.Record.Value, "", "  "); err != nil {
+		return errors.Wrap(err, "the configuration in force is damaged")
+	}
+	indented.WriteByte('\n')
+	_, err := indented.WriteTo(o.IO.Out)
+	return err
+}
--- /dev/null
+++ b/internal/berylcmd/job/cancel/doc.go
@@ -0,0 +1,2 @@
+// Package cancel is the command that stops a job.
+package cancel
--- /dev/null
+++ b/internal/berylcmd/job/jobclient/doc.go
@@ -0,0 +1,2 @@
+// Package jobclient holds the flags that every command on jobs shares.
+package jobclient
--- /dev/null
+++ b/internal/berylcmd/job/results/results.go
@@ -0,0 +1,80 @@
+package results
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"berylroad.example/berylroad/internal/berylcmd/factory"
+	"berylroad.example/berylroad/internal/berylcmd/job/jobclient"
+	"berylroad.example/berylroad/pkg/berylapi"
+)
+
+// Client is the part of the API client that the command uses.
+type Client interface {
+	// Batch returns how far a job is.
+	Batch(ctx context.Context, id string) (*berylapi.Batch, error)
+	// Content returns the content of a file.
+	Content(ctx context.Context, fileID string) ([]byte, error)
+}
+
+// Options are the command's flags and what it works with.
+type Options struct {
+	jobclient.Flags
+
+	// ID names the job.
+	ID string `arg:"" help:"The job's id."`
+	// Errors asks for the items that could not be done.
+	Errors bool `help:"Print the items that could not be done instead."`
+
+	// IO are the streams.
+	IO factory.IOStreams `kong:"-"`
+	// Context ends when the process is told to stop.
+	Context context.Context `kong:"-"`
+	// API reaches a host.
+	API Client `kong:"-"`
+}
+
+// Help is the command's longer help.
+func (o *Options) Help() string {
+	return `Prints the results of a job that has ended, one JSON object on each line.
+
+Examples:
+  berylroad job results batch-1f0c --address http://10.0.0.7:8080 > answers.jsonl
+  berylroad job results batch-1f0c --errors`
+}
+
+// Run fills in what the command works with and runs it.
+func (o *Options) Run(f *factory.Factory) error {
+	client, err := o.Client()
+	if err != nil {
+		return err
+	}
+	o.IO = f.IO
+	o.Context = f.Context
+	o.API = client
+	return runResults(o)
+}
+
+func runResults(o *Options) error {
+	batch, err := o.API.Batch(o.Context, o.ID)
+	if err != nil {
+		return jobclient.Explain(err)
+	}
+	if batch.Status != "completed" && batch.Status != "cancelled" {
+		return errors.WithHint(errors.Newf("the job is %s, with %d of %d items done", batch.Status, batch.RequestCounts.Completed, batch.RequestCounts.Total), "ask again later")
+	}
+	file := batch.OutputFileID
+	if o.Errors {
+		file = batch.ErrorFileID
+	}
+	if file == "" {
+		return nil
+	}
+	content, err := o.API.Content(o.Context, file)
+	if err != nil {
+		return jobclient.Explain(err)
+	}
+	_, err = o.IO.Out.Write(content)
+	return err
+}
--- /dev/null
+++ b/internal/berylcmd/job/submit/doc.go
@@ -0,0 +1,2 @@
+// Package submit is the command that sends a file of items as one job.
+package submit
--- /dev/null
+++ b/internal/berylcmd/key/createca/doc.go
@@ -0,0 +1,2 @@
+// Package createca is the command that makes the fleet's certificate authority.
+package createca
--- /dev/null
+++ b/internal/berylcmd/key/createhost/doc.go
@@ -0,0 +1,2 @@
+// Package createhost is the command that makes a host's certificate and key.
+package createhost
--- /dev/null
+++ b/internal/berylcmd/key/keyfile/doc.go
@@ -0,0 +1,2 @@
+// Package keyfile reads and writes certificates and keys as files.
+package keyfile
--- /dev/null
+++ b/internal/berylcmd/key/keyfile/keyfile.go
@@ -0,0 +1,55 @@
+package keyfile
+
+import (
+	"os"
+	"path/filepath"
+
+	"github.com/cockroachdb/errors"
+
+	"berylroad.example/berylroad/internal/berylkey"
+)
+
+const (
+	folderMode = 0o700
+	keyMode    = 0o600
+	certMode   = 0o644
+)
+
+// WritePair writes NAME.pem and NAME-key.pem, and fails where either stands already.
+func WritePair(folder, name string, pair berylkey.Pair) error {
+	if err := os.MkdirAll(folder, folderMode); err != nil {
+		return err
+	}
+	if err := writeNew(keyPath(folder, name), pair.Key, keyMode); err != nil {
+		return err
+	}
+	return writeNew(certPath(folder, name), pair.Cert, certMode)
+}
+
+// ReadPair reads NAME.pem and NAME-key.pem.
+func ReadPair(folder, name string) (berylkey.Pair, error) {
+	cert, err := os.ReadFile(certPath(folder, name))
+	if err != nil {
+		return berylkey.Pair{}, errors.WithHint(err, "make the authority first with `berylroad key create-ca`")
+	}
+	key, err := os.ReadFile(keyPath(folder, name))
+	return berylkey.Pair{Cert: cert, Key: key}, err
+}
+
+// writeNew never replaces a file, since a key that is overwritten is gone.
+func writeNew(path string, data []byte, mode os.FileMode) error {
+	file, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL, mode)
+	if err != nil {
+		return errors.WithHint(err, "remove the old file yourself if it is no longer needed")
+	}
+	_, err = file.Write(data)
+	return errors.CombineErrors(err, file.Close())
+}
+
+func certPath(folder, name string) string {
+	return filepath.Join(folder, name+".pem")
+}
+
+func keyPath(folder, name string) string {
+	return filepath.Join(folder, name+"-key.pem")
+}
--- /dev/null
+++ b/internal/berylcmd/root/root.go
@@ -0,0 +1,102 @@
+package root
+
+import (
+	"os"
+	"strings"
+
+	"github.com/alecthomas/kong"
+
+	"berylroad.example/berylroad/internal/berylcmd/config/apply"
+	"berylroad.example/berylroad/internal/berylcmd/config/check"
+	"berylroad.example/berylroad/internal/berylcmd/config/view"
+	"berylroad.example/berylroad/internal/berylcmd/demo"
+	"berylroad.example/berylroad/internal/berylcmd/factory"
+	jobcancel "berylroad.example/berylroad/internal/berylcmd/job/cancel"
+	jobresults "berylroad.example/berylroad/internal/berylcmd/job/results"
+	jobsubmit "berylroad.example/berylroad/internal/berylcmd/job/submit"
+	jobview "berylroad.example/berylroad/internal/berylcmd/job/view"
+	"berylroad.example/berylroad/internal/berylcmd/key/createca"
+	"berylroad.example/berylroad/internal/berylcmd/key/createcaller"
+	"berylroad.example/berylroad/internal/berylcmd/key/createhost"
+	"berylroad.example/berylroad/internal/berylcmd/serve"
+	"berylroad.example/berylroad/internal/berylsettings"
+)
+
+// Command is the whole command line.
+type Command struct {
+	// Settings names a settings file.
+	Settings string `help:"Settings file in JSON with comments; flags and the environment go before it." type:"path" env:"BERYLROAD_SETTINGS" placeholder:"FILE"`
+
+	// Serve runs a host.
+	Serve serve.Options `cmd:"" help:"Run one host."`
+	// Demo shows the whole path in one process.
+	Demo demo.Options `cmd:"" help:"Show one online answer and one finished job, with stand-ins, in one process."`
+	// Config groups the commands on the fleet's configuration.
+	Config struct {
+		Check check.Options `cmd:"" help:"Check a configuration file."`
+		Apply apply.Options `cmd:"" help:"Put a configuration in force on the whole fleet."`
+		View  view.Options  `cmd:"" help:"Print the configuration in force."`
+	} `cmd:"" help:"Work with the fleet's inventory and rules."`
+	// Job groups the commands on batch jobs.
+	Job struct {
+		Submit  jobsubmit.Options  `cmd:"" help:"Send a file of items as one job."`
+		View    jobview.Options    `cmd:"" help:"Show how far a job is."`
+		Results jobresults.Options `cmd:"" help:"Print a job's results."`
+		Cancel  jobcancel.Options  `cmd:"" help:"Stop a job."`
+	} `cmd:"" help:"Work with batch jobs."`
+	// Key groups the commands on keys.
+	Key struct {
+		CreateCA     createca.Options     `cmd:"" name:"create-ca" help:"Make the fleet's certificate authority."`
+		CreateHost   createhost.Options   `cmd:"" help:"Make a host's certificate and key."`
+		CreateCaller createcaller.Options `cmd:"" help:"Make a caller's API key."`
+	} `cmd:"" help:"Make keys and certificates."`
+}
+
+// Run parses the arguments and runs the command they name; the error is for factory.Exit.
+func Run(f *factory.Factory, arguments []string) error {
+	options := []kong.Option{
+		kong.Name("berylroad"),
+		kong.Description("Serve online and batch inference on one fleet."),
+		kong.Writers(f.IO.Out, f.IO.ErrOut),
+		kong.ShortUsageOnError(),
+		kong.Bind(f),
+	}
+	if path := settingsPath(arguments); path != "" {
+		resolver, err := berylsettings.Load(path)
+		if err != nil {
+			return err
+		}
+		options = append(options, kong.Resolvers(resolver))
+	}
+	helped := false
+	options = append(options, kong.Exit(func(int) { helped = true }))
+	parser, err := kong.New(&Command{}, options...)
+	if err != nil {
+		return err
+	}
+	if len(arguments) == 0 {
+		arguments = []string{"--help"}
+	}
+	parsed, err := parser.Parse(arguments)
+	if helped {
+		return nil
+	}
+	if err != nil {
+		return &factory.FlagError{Err: err}
+	}
+	return parsed.Run()
+}
+
+// settingsPath finds the settings file before kong parses, since kong takes resolvers only then.
+func settingsPath(arguments []string) string {
+	const flag = "--settings"
+	for i, argument := range arguments {
+		if value, ok := strings.CutPrefix(argument, flag+"="); ok {
+			return value
+		}
+		if argument == flag && i+1 < len(arguments) {
+			return arguments[i+1]
+		}
+	}
+	return os.Getenv("BERYLROAD_SETTINGS")
+}
--- /dev/null
+++ b/internal/berylcmd/serve/doc.go
@@ -0,0 +1,2 @@
+// Package serve is the command that runs one host.
+package serve
--- /dev/null
+++ b/internal/berylcmd/serve/serve.go
@@ -0,0 +1,76 @@
+package serve
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"berylroad.example/berylroad/internal/berylcmd/factory"
+	"berylroad.example/berylroad/internal/berylkey"
+	"berylroad.example/berylroad/internal/berylserve"
+	"berylroad.example/berylroad/internal/berylsettings"
+)
+
+// Options are the command's flags and what it works with.
+type Options struct {
+	berylsettings.Settings
+
+	// Context ends when the process is told to stop.
+	Context context.Context `kong:"-"`
+	// Logger takes changes of state.
+	Logger *logrus.Logger `kong:"-"`
+}
+
+// Help is the command's longer help.
+func (o *Options) Help() string {
+	return `Runs one host until SIGTERM, then stops as planned: it reports itself unready, serves on for
+the balancer's notice, finishes what runs and exits with 0.
+
+Examples:
+  berylroad serve --settings host-1.json
+  berylroad --settings host-1.json serve --log-level debug`
+}
+
+// Run fills in what the command works with and runs it.
+func (o *Options) Run(f *factory.Factory) error {
+	log, err := f.Log(o.LogLevel)
+	if err != nil {
+		return err
+	}
+	o.Context = f.Context
+	o.Logger = log
+	return runServe(o)
+}
+
+func runServe(o *Options) error {
+	if err := o.Settings.Check(); err != nil {
+		return err
+	}
+	credentials, err := berylkey.Load(o.CAFile, o.CertFile, o.KeyFile)
+	if err != nil {
+		return errors.WithHint(err, "make keys with `berylroad key create-ca` and `berylroad key create-host`")
+	}
+	host, err := berylserve.New(berylserve.Config{Settings: o.Settings, Credentials: credentials, Log: o.Logger})
+	if err != nil {
+		return err
+	}
+	watch, stop := context.WithCancel(o.Context)
+	defer stop()
+	go credentials.Run(watch, func(err error) { logReload(o.Logger, err) })
+	o.Logger.WithFields(logrus.Fields{
+		"host":             o.Host,
+		"caller-address":   host.CallerAddress(),
+		"peer-address":     host.PeerAddress(),
+		"operator-address": host.OperatorAddress(),
+	}).Info("serving")
+	return host.Run(o.Context)
+}
+
+func logReload(log *logrus.Logger, err error) {
+	if err != nil {
+		log.WithError(err).Warn("kept the old certificate: the new one cannot be used")
+		return
+	}
+	log.Info("took a new certificate")
+}
