--- /dev/null
+++ b/internal/berylcmd/load/compare/doc.go
@@ -0,0 +1,2 @@
+// Package compare is the command that measures the policy beside its baselines.
+package compare
--- a/internal/berylcmd/root/root.go
+++ b/internal/berylcmd/root/root.go
@@ -18,6 +18,7 @@
 	"berylroad.example/berylroad/internal/berylcmd/key/createca"
 	"berylroad.example/berylroad/internal/berylcmd/key/createcaller"
 	"berylroad.example/berylroad/internal/berylcmd/key/createhost"
+	"berylroad.example/berylroad/internal/berylcmd/load/compare"
 	"berylroad.example/berylroad/internal/berylcmd/serve"
 	"berylroad.example/berylroad/internal/berylsettings"
 )
@@ -44,6 +45,10 @@
 		Results jobresults.Options `cmd:"" help:"Print a job's results."`
 		Cancel  jobcancel.Options  `cmd:"" help:"Stop a job."`
 	} `cmd:"" help:"Work with batch jobs."`
+	// Load groups the commands that measure.
+	Load struct {
+		Compare compare.Options `cmd:"" help:"Measure the policy beside its baselines."`
+	} `cmd:"" help:"Measure a fleet under load."`
 	// Key groups the commands on keys.
 	Key struct {
 		CreateCA     createca.Options     `cmd:"" name:"create-ca" help:"Make the fleet's certificate authority."`
--- a/internal/berylfake/engine.go
+++ b/internal/berylfake/engine.go
@@ -25,6 +25,8 @@
 	CachedPrefillTime time.Duration
 	// CachedPrefixes is how many prefixes the cache holds; zero is 64.
 	CachedPrefixes int
+	// MaxRunning is how many requests run at once; the others wait in the order in which they came. Zero is no limit.
+	MaxRunning int
 	// LoadLag is how late GET /load is.
 	LoadLag time.Duration
 	// Resume honours the request field continue_from.
@@ -40,6 +42,8 @@
 	options EngineOptions
 	batch   batcher
 	cache   prefixCache
+	// places holds one value for each request that may run further; nil has no limit.
+	places chan struct{}
 }
 
 // StartEngine serves an engine stand-in on a TCP address such as "127.0.0.1:0", or returns the error of listening there.
@@ -48,6 +52,9 @@
 	if e.options.CachedPrefixes <= 0 {
 		e.options.CachedPrefixes = defaultCachedPrefixes
 	}
+	if options.MaxRunning > 0 {
+		e.places = make(chan struct{}, options.MaxRunning)
+	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/chat/completions", e.complete)
 	mux.HandleFunc("POST /v1/completions", e.complete)
@@ -106,6 +113,11 @@
 	if x == nil {
 		return
 	}
+	if !e.enter(r) {
+		x.end(false)
+		return
+	}
+	defer e.leave()
 	e.batch.change(1, time.Now(), e.options.LoadLag)
 	defer func() { e.batch.change(-1, time.Now(), e.options.LoadLag) }()
 	x.step = func() time.Duration { return e.batch.step(e.options.TokenTime, e.options.BatchGrowth) }
@@ -120,3 +132,22 @@
 	}
 	return e.options.PrefillTime
 }
+
+// enter waits for a place among the running requests, and reports false when the client has gone before.
+func (e *Engine) enter(r *http.Request) bool {
+	if e.places == nil {
+		return true
+	}
+	select {
+	case e.places <- struct{}{}:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+func (e *Engine) leave() {
+	if e.places != nil {
+		<-e.places
+	}
+}
--- /dev/null
+++ b/internal/berylload/batch.go
@@ -0,0 +1,100 @@
+package berylload
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"berylroad.example/berylroad/pkg/berylapi"
+)
+
+const (
+	itemsEach   = 900
+	callTimeout = 10 * time.Second
+	endpoint    = "/v1/chat/completions"
+)
+
+// Batch is the batch work that runs beside the streams.
+type Batch struct {
+	// Jobs is how many jobs run at once; zero is no batch work.
+	Jobs int `json:"jobs"`
+	// Tokens is the length of each item's answer.
+	Tokens int `json:"tokens"`
+}
+
+// jobs are the submitted jobs of one run.
+type jobs struct {
+	clients []*berylapi.Client
+	ids     []string
+}
+
+// submit sends the jobs, spread over the hosts.
+func (b Batch) submit(ctx context.Context, target *Target) (*jobs, error) {
+	j := &jobs{}
+	for _, address := range target.Addresses {
+		j.clients = append(j.clients, &berylapi.Client{BaseURL: address, Key: target.Key})
+	}
+	for n := range b.Jobs {
+		if err := j.add(ctx, n, b.input(target.Model, n)); err != nil {
+			return nil, errors.CombineErrors(err, j.cancel())
+		}
+	}
+	return j, nil
+}
+
+func (b Batch) input(model string, job int) []byte {
+	var lines bytes.Buffer
+	for i := range itemsEach {
+		text := fmt.Sprintf("item %d of job %d", i, job)
+		fmt.Fprintf(&lines, `{"custom_id":"%d","method":"POST","url":%q,"body":%s}`+"\n", i, endpoint, chatBody(model, text, b.Tokens, false))
+	}
+	return lines.Bytes()
+}
+
+func (j *jobs) add(ctx context.Context, n int, input []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	client := j.clients[n%len(j.clients)]
+	file, err := client.Upload(ctx, "", "load.jsonl", input)
+	if err != nil {
+		return err
+	}
+	batch, err := client.Submit(ctx, "", endpoint, file.ID)
+	if err != nil {
+		return err
+	}
+	j.ids = append(j.ids, batch.ID)
+	return nil
+}
+
+// completed counts the items with a committed answer, and returns an error when a job has run out of items.
+func (j *jobs) completed(ctx context.Context) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	total := 0
+	for n, id := range j.ids {
+		batch, err := j.clients[n%len(j.clients)].Batch(ctx, id)
+		if err != nil {
+			return 0, err
+		}
+		if batch.Status == "completed" {
+			return 0, errors.Newf("job %s ran out of items; give more jobs or a shorter run", id)
+		}
+		total += batch.RequestCounts.Completed
+	}
+	return total, nil
+}
+
+func (j *jobs) cancel() error {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	var all error
+	for n, id := range j.ids {
+		_, err := j.clients[n%len(j.clients)].Cancel(ctx, id)
+		all = errors.CombineErrors(all, err)
+	}
+	return all
+}
--- /dev/null
+++ b/internal/berylload/compare.go
@@ -0,0 +1,186 @@
+package berylload
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"berylroad.example/berylroad/internal/berylconf"
+	"berylroad.example/berylroad/internal/berylfake"
+	"berylroad.example/berylroad/internal/berylfleet"
+)
+
+const (
+	readyTimeout = time.Minute
+	// warmUp is how long the load runs before it counts.
+	warmUp = 1500 * time.Millisecond
+)
+
+// Comparison is what a scenario has shown.
+type Comparison struct {
+	// Scenario is its name.
+	Scenario string `json:"scenario"`
+	// Seed made the arrivals.
+	Seed uint64 `json:"seed"`
+	// Target is the largest ratio that counts as met.
+	Target float64 `json:"target-ratio"`
+	// Runs are the variants in the order in which they ran.
+	Runs []Outcome `json:"runs"`
+}
+
+// Outcome is what one variant has shown.
+type Outcome struct {
+	// Variant is its name.
+	Variant string `json:"variant"`
+	// Streams are the online figures.
+	Streams []Figures `json:"streams"`
+	// Ratio is the measured stream's p99 of the first token over the reference's, or negative when either is not known.
+	Ratio float64 `json:"p99-ratio"`
+	// BatchRate is the committed batch items a second.
+	BatchRate float64 `json:"batch-items-per-second"`
+	// BatchShare is BatchRate over what the slots that online work leaves could do.
+	BatchShare float64 `json:"batch-share"`
+	// ExtraCalls is the share of upstream calls beyond one for each request.
+	ExtraCalls float64 `json:"extra-calls"`
+}
+
+// Compare runs a scenario's variants one after the other, each on a fleet of its own.
+func Compare(ctx context.Context, s Scenario, seed uint64) (*Comparison, error) {
+	c := &Comparison{Scenario: s.Name, Seed: seed, Target: s.MaxRatio}
+	for _, v := range s.Variants {
+		outcome, err := runVariant(ctx, &s, v, seed)
+		if err != nil {
+			return nil, errors.Wrap(err, v.Name)
+		}
+		c.Runs = append(c.Runs, *outcome)
+	}
+	reference := c.Runs[0].p99(s.Measured)
+	for i := range c.Runs {
+		c.Runs[i].Ratio = ratio(c.Runs[i].p99(s.Measured), reference)
+	}
+	return c, nil
+}
+
+func (o *Outcome) p99(stream string) float64 {
+	for _, f := range o.Streams {
+		if f.Name == stream {
+			return f.FirstTokenP99
+		}
+	}
+	return -1
+}
+
+func ratio(value, reference float64) float64 {
+	if value <= 0 || reference <= 0 {
+		return -1
+	}
+	return value / reference
+}
+
+func runVariant(ctx context.Context, s *Scenario, v Variant, seed uint64) (*Outcome, error) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	plan := s.Plan
+	plan.Log = log
+	plan.Rules.Routing = v.Routing
+	fleet, err := berylfleet.Start(plan)
+	if err != nil {
+		return nil, err
+	}
+	ready, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	if err := fleet.WaitReady(ready); err != nil {
+		return nil, errors.CombineErrors(err, fleet.Stop())
+	}
+	outcome, err := measure(ctx, s, v, seed, fleet)
+	return outcome, errors.CombineErrors(err, fleet.Stop())
+}
+
+// measure warms the fleet up, starts what harms and then counts.
+func measure(ctx context.Context, s *Scenario, v Variant, seed uint64, fleet *berylfleet.Fleet) (*Outcome, error) {
+	target := &Target{Addresses: fleet.Addresses(), Key: fleet.Key, Model: s.Plan.Model}
+	harm, stopHarm := context.WithCancel(ctx)
+	var spells conc.WaitGroup
+	defer spells.Wait()
+	defer stopHarm()
+	spells.Go(func() { slowInSpells(harm, fleet.Engines[:v.Slowed]) })
+	work, err := v.Batch.submit(ctx, target)
+	if err != nil {
+		return nil, err
+	}
+	Run(ctx, target, v.Streams, seed+1, warmUp)
+	started := startedCalls(fleet)
+	before, err := work.completed(ctx)
+	if err != nil {
+		return nil, err
+	}
+	begin := time.Now()
+	outcome := &Outcome{Variant: v.Name, Streams: Run(ctx, target, v.Streams, seed, s.Duration)}
+	span := time.Since(begin)
+	after, err := work.completed(ctx)
+	if err != nil {
+		return nil, err
+	}
+	outcome.BatchRate = float64(after-before) / span.Seconds()
+	outcome.BatchShare = batchShare(s, v, outcome.BatchRate)
+	if v.Batch.Jobs == 0 {
+		outcome.ExtraCalls = extraCalls(outcome.Streams, startedCalls(fleet)-started)
+	}
+	return outcome, work.cancel()
+}
+
+// slowInSpells makes engines slow and well in turn until ctx ends.
+func slowInSpells(ctx context.Context, engines []*berylfake.Engine) {
+	if len(engines) == 0 {
+		return
+	}
+	slow := berylfake.UpstreamFault{Mode: berylfake.FaultSlow, Factor: slowFactor, For: berylconf.Duration(slowSpell)}
+	ticker := time.NewTicker(slowInterval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		for _, engine := range engines {
+			_ = engine.SetFault(slow) // Only a fault that refuses connections can fail to be set.
+		}
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+	}
+}
+
+func startedCalls(fleet *berylfleet.Fleet) int {
+	total := 0
+	for _, engine := range fleet.Engines {
+		total += engine.Counts().Started
+	}
+	return total
+}
+
+func extraCalls(streams []Figures, started int) float64 {
+	sent := 0
+	for _, f := range streams {
+		sent += f.Sent
+	}
+	if sent == 0 {
+		return 0
+	}
+	return float64(started)/float64(sent) - 1
+}
+
+// batchShare compares a batch rate with what the slots that online work leaves could do if each were always busy.
+func batchShare(s *Scenario, v Variant, rate float64) float64 {
+	if v.Batch.Jobs == 0 {
+		return 0
+	}
+	slots := float64(s.Plan.Engines * s.Plan.Slots)
+	step := float64(tokenTime) * (1 + batchGrowth*float64(s.Plan.Slots-1))
+	busy := func(tokens int) float64 { return (float64(prefillTime) + float64(tokens)*step) / float64(time.Second) }
+	for _, stream := range v.Streams {
+		slots -= stream.Rate * busy(stream.Tokens)
+	}
+	return rate * busy(v.Batch.Tokens) / slots
+}
--- /dev/null
+++ b/internal/berylload/report.go
@@ -0,0 +1,22 @@
+package berylload
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+)
+
+// WriteText writes a comparison as a table with its target.
+func (c *Comparison) WriteText(w io.Writer) error {
+	fmt.Fprintf(w, "scenario %s, seed %d; target: p99 of the first token at most %.2f of the reference\n", c.Scenario, c.Seed, c.Target)
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "variant\tstream\tsent\twhole\trefused\tbroken\tp50 ms\tp95 ms\tp99 ms\tratio\tbatch items/s\tbatch share\textra calls")
+	for _, run := range c.Runs {
+		for _, f := range run.Streams {
+			fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.2f\t%.1f\t%.2f\t%.3f\n",
+				run.Variant, f.Name, f.Sent, f.Whole, f.Refused, f.Broken, f.FirstTokenP50, f.FirstTokenP95, f.FirstTokenP99,
+				run.Ratio, run.BatchRate, run.BatchShare, run.ExtraCalls)
+		}
+	}
+	return table.Flush()
+}
--- /dev/null
+++ b/internal/berylload/scenario.go
@@ -0,0 +1,150 @@
+package berylload
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"berylroad.example/berylroad/internal/berylconf"
+	"berylroad.example/berylroad/internal/berylfake"
+	"berylroad.example/berylroad/internal/berylfleet"
+)
+
+// Scenario is one experiment: the same load under the policy and under the baselines, beside a run without what harms.
+type Scenario struct {
+	// Name names the scenario.
+	Name string
+	// Summary says what it shows.
+	Summary string
+	// Plan is the fleet.
+	Plan berylfleet.Plan
+	// Duration is how long each variant's load lasts.
+	Duration time.Duration
+	// Variants are run one after the other; the first is the reference without what harms.
+	Variants []Variant
+	// Measured names the stream whose tail is compared.
+	Measured string
+	// MaxRatio is the target: the policy's p99 of the first token over the reference's.
+	MaxRatio float64
+}
+
+// Variant is one run of a scenario.
+type Variant struct {
+	// Name names it in results.
+	Name string
+	// Routing is the way to choose an upstream.
+	Routing berylconf.Routing
+	// Streams are the online requests.
+	Streams []Stream
+	// Batch runs beside them.
+	Batch Batch
+	// Slowed is how many engines are slow in spells.
+	Slowed int
+}
+
+const (
+	tokenTime    = 4 * time.Millisecond
+	batchGrowth  = 0.03
+	prefillTime  = 20 * time.Millisecond
+	cachedTime   = 20 * time.Millisecond
+	loadModel    = "load-llm"
+	slowFactor   = 10
+	slowSpell    = 1500 * time.Millisecond
+	slowInterval = 3 * time.Second
+)
+
+// Scenarios returns every scenario.
+func Scenarios() []Scenario {
+	return []Scenario{batchHarm(), headOfLine(), stragglers()}
+}
+
+// Find returns the scenario of that name, or an error that names those there are.
+func Find(name string) (Scenario, error) {
+	all := Scenarios()
+	i := slices.IndexFunc(all, func(s Scenario) bool { return s.Name == name })
+	if i >= 0 {
+		return all[i], nil
+	}
+	var names []string
+	for _, s := range all {
+		names = append(names, s.Name)
+	}
+	return Scenario{}, fmt.Errorf("no scenario %q; there are %s", name, strings.Join(names, ", "))
+}
+
+func plan(engines, slots int) berylfleet.Plan {
+	return berylfleet.Plan{
+		Hosts:   3,
+		Engines: engines,
+		Slots:   slots,
+		Model:   loadModel,
+		Engine: berylfake.EngineOptions{
+			TokenTime:         tokenTime,
+			BatchGrowth:       batchGrowth,
+			PrefillTime:       prefillTime,
+			CachedPrefillTime: cachedTime,
+			MaxRunning:        slots,
+			Resume:            true,
+		},
+	}
+}
+
+// variants gives the reference, then the load that harms under the policy and both baselines.
+func variants(reference, harmed Variant) []Variant {
+	reference.Name = "reference"
+	reference.Routing = berylconf.RoutingOwner
+	list := []Variant{reference}
+	for _, routing := range []berylconf.Routing{berylconf.RoutingOwner, berylconf.RoutingRoundRobin, berylconf.RoutingLocalLeast} {
+		harmed.Name = string(routing)
+		harmed.Routing = routing
+		list = append(list, harmed)
+	}
+	return list
+}
+
+func batchHarm() Scenario {
+	online := []Stream{{Name: "short", Rate: 100, Tokens: 20}}
+	return Scenario{
+		Name:     "batch-harm",
+		Summary:  "online tail while batch work takes every slot that is left",
+		Plan:     plan(6, 8),
+		Duration: 12 * time.Second,
+		Variants: variants(Variant{Streams: online}, Variant{Streams: online, Batch: Batch{Jobs: 5, Tokens: 40}}),
+		Measured: "short",
+		MaxRatio: 1.10,
+	}
+}
+
+func headOfLine() Scenario {
+	short := Stream{Name: "short", Rate: 100, Tokens: 10}
+	long := Stream{Name: "long", Rate: 9, Tokens: 600}
+	return Scenario{
+		Name:     "head-of-line",
+		Summary:  "tail of short requests beside requests that run 60 times as long",
+		Plan:     longPlan(),
+		Duration: 12 * time.Second,
+		Variants: variants(Variant{Streams: []Stream{short}}, Variant{Streams: []Stream{short, long}}),
+		Measured: "short",
+		MaxRatio: 1.2,
+	}
+}
+
+func longPlan() berylfleet.Plan {
+	p := plan(6, 8)
+	p.Rules.LongTokens = 200
+	return p
+}
+
+func stragglers() Scenario {
+	online := []Stream{{Name: "short", Rate: 150, Tokens: 20}}
+	return Scenario{
+		Name:     "stragglers",
+		Summary:  "online tail while 2 of 20 engines are 10 times as slow in spells",
+		Plan:     plan(20, 4),
+		Duration: 12 * time.Second,
+		Variants: variants(Variant{Streams: online}, Variant{Streams: online, Slowed: 2}),
+		Measured: "short",
+		MaxRatio: 1.5,
+	}
+}
