A planned stop finishes what it has read and gives jobs back early

Once no request was in flight for a moment, 5 s after SIGTERM, the host stopped its duties while its kept connections were still open, and cut the request that came next on one of them. Ruled out: late balancer (the client's connection was old), slow upstreams (run ended by us).

Jobs without running items are given back at SIGTERM, the others after the balancer's notice.

--- a/internal/berylbatch/adopt.go
+++ b/internal/berylbatch/adopt.go
@@ -15,7 +15,7 @@
 	// rankDelay is how much later the next host in line tries to adopt a job, in case the one before it can't.
 	rankDelay = 1500 * time.Millisecond
 	// handOverTimeout bounds the giving back of jobs at a planned stop.
-	handOverTimeout = 2 * time.Second
+	handOverTimeout = 1500 * time.Millisecond
 	// keepAfterRetention is how much longer than promised a job is kept, since hosts' clocks differ.
 	keepAfterRetention = time.Minute
 	// jobsPerHandOver bounds the jobs in one change; each takes two of the store's 32 entries.
@@ -60,7 +60,8 @@
 			first = now
 			since[id] = now
 		}
-		if now.Sub(first) >= time.Duration(d.Members.Rank(id))*rankDelay {
+		// A host that has come back takes its own jobs up again, without waiting in line.
+		if j.record.Owner == d.Host || now.Sub(first) >= time.Duration(d.Members.Rank(id))*rankDelay {
 			ids = append(ids, id)
 		}
 	}
@@ -137,13 +138,14 @@
 	}
 }
 
-// handOver lists what is finished and gives this host's jobs back, so that others need not wait for its death to be noticed.
-func (d *Duty) handOver() {
+// handOver lists what is finished and gives this host's jobs back, so that others need not wait for its death to be
+// noticed. Unless all is set, it keeps those of which items are running.
+func (d *Duty) handOver(all bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
 	defer cancel()
 	d.listFinished(ctx)
 	for {
-		txn, ids := d.nextHandOver()
+		txn, ids := d.nextHandOver(all)
 		if len(ids) == 0 {
 			return
 		}
@@ -156,7 +158,7 @@
 }
 
 // nextHandOver takes some of this host's open jobs out of its hands.
-func (d *Duty) nextHandOver() (berylstore.Txn, []string) {
+func (d *Duty) nextHandOver(all bool) (berylstore.Txn, []string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var txn berylstore.Txn
@@ -165,6 +167,9 @@
 		if !d.owns(j) || !j.record.Open() || len(ids) == jobsPerHandOver {
 			continue
 		}
+		if !all && j.busy() {
+			continue
+		}
 		record := j.record
 		record.Owner, record.Boot = "", 0
 		txn.Checks = append(txn.Checks, berylstore.Check{Key: recordKey(id), Revision: j.revision})
--- a/internal/berylbatch/duty.go
+++ b/internal/berylbatch/duty.go
@@ -113,7 +113,16 @@
 	d.items.Wait()
 	stopFollowing()
 	duties.Wait()
-	d.handOver()
+	d.handOver(true)
+}
+
+// Drain makes this host start no more items: it gives back the jobs of which none is running, and takes new ones only for
+// others to adopt.
+func (d *Duty) Drain() {
+	d.mu.Lock()
+	d.stopping = true
+	d.mu.Unlock()
+	d.items.Go(func() { d.handOver(false) })
 }
 
 // Synced says that this host has seen the records once.
--- a/internal/berylbatch/job.go
+++ b/internal/berylbatch/job.go
@@ -1,6 +1,9 @@
 package berylbatch
 
-import "context"
+import (
+	"context"
+	"slices"
+)
 
 // job is what this host knows of one job. Its fields are guarded by the duty's mu.
 type job struct {
@@ -42,6 +45,11 @@
 	return j.items != nil
 }
 
+// busy says whether calls are in flight or results are not listed yet.
+func (j *job) busy() bool {
+	return len(j.finished) > 0 || slices.ContainsFunc(j.items, func(it *item) bool { return it.running })
+}
+
 // load makes the items runnable, but for those that are listed.
 func (j *job) load(spec *Spec, listed []Result) {
 	j.spec = spec
--- a/internal/berylbatch/submit.go
+++ b/internal/berylbatch/submit.go
@@ -50,6 +50,9 @@
 		record.Tokens += s.Items[i].Tokens
 	}
 	log := d.Log.WithFields(logrus.Fields{"job": s.ID, "items": record.Total, "tokens": record.Tokens})
+	if d.isStopping() {
+		record.Owner, record.Boot = "", 0 // another host adopts it at once
+	}
 	if d.known(s.ID) {
 		log.Info("job: sent again, accepted before")
 		return nil
@@ -131,6 +134,12 @@
 	d.nudge(d.wake)
 }
 
+func (d *Duty) isStopping() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.stopping
+}
+
 func (d *Duty) known(id string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/berylentry/follow.go
+++ b/internal/berylentry/follow.go
@@ -156,13 +156,18 @@
 // memberView answers the jobs' questions about members.
 type memberView Host
 
-// Alive says whether that run of a host may be up; while this host is new, everyone may.
+// Alive says whether that run of a host may be up. A run is over once a later one has been seen; otherwise, while this
+// host is new, everyone may be up.
 func (v *memberView) Alive(host string, boot uint64) bool {
+	live := v.members.Live()
+	if slices.ContainsFunc(live, func(m berylhost.Member) bool { return m.Name == host && m.Boot > boot }) {
+		return false
+	}
 	joined := v.joined.Load()
 	if joined == 0 || time.Since(time.Unix(0, joined)) < settleTime {
 		return true
 	}
-	return slices.ContainsFunc(v.members.Live(), func(m berylhost.Member) bool { return m.Name == host && m.Boot == boot })
+	return slices.ContainsFunc(live, func(m berylhost.Member) bool { return m.Name == host && m.Boot == boot })
 }
 
 // Rank returns how many live hosts come before this one for a key.
--- a/internal/berylentry/host.go
+++ b/internal/berylentry/host.go
@@ -23,6 +23,8 @@
 const (
 	// expireEvery is how often upstreams that have not come back are looked for.
 	expireEvery = 100 * time.Millisecond
+	// leaveTimeout bounds the farewell to the other hosts, which find out by themselves if it is lost.
+	leaveTimeout = 300 * time.Millisecond
 	// kindReadJob is the message by which jobs are read from the hosts that run them.
 	kindReadJob = "job-read"
 )
@@ -88,11 +90,14 @@
 	stopping  atomic.Bool
 	joined    atomic.Int64
 	revision  int64
+	work      context.Context // ends when the jobs are to stop
+	stopJobs  context.CancelFunc
 }
 
 // New returns a host that does nothing until Run.
 func New(config Config) *Host {
 	h := &Host{Config: config, boot: uint64(time.Now().UnixNano())}
+	h.work, h.stopJobs = context.WithCancel(context.Background())
 	h.fleet.Log = config.Log
 	h.operators = berylstore.Follower{
 		Store: config.Store, Prefix: config.OperatorPrefix, Log: config.Log,
@@ -154,11 +159,12 @@
 	} {
 		duties.Go(func() { duty(work) })
 	}
-	jobs.Go(func() { h.Jobs.Run(ctx) })
+	jobs.Go(func() { h.Jobs.Run(h.work) })
 	duties.Go(func() { h.becomeReady(work) })
 	<-ctx.Done()
+	h.stopJobs()
 	jobs.Wait()
-	leaving, cancel := context.WithTimeout(work, time.Second)
+	leaving, cancel := context.WithTimeout(work, leaveTimeout)
 	h.registry.remove(leaving)
 	h.members.Leave(leaving)
 	cancel()
@@ -227,12 +233,20 @@
 	}
 }
 
-// Stop announces that this host is about to stop: it owns nothing new and reports itself unready, but serves on.
-func (h *Host) Stop(ctx context.Context) {
+// Stop announces that this host is about to stop: it says that it is not ready, owns nothing new and starts no items of
+// jobs, but serves on.
+func (h *Host) Stop() {
 	h.stopping.Store(true)
-	if h.registry != nil {
-		h.registry.leave(ctx)
+	if !h.ready.Load() {
+		return
 	}
+	h.Jobs.Drain()
+	go h.registry.leave(context.Background())
+}
+
+// StopJobs breaks the items of jobs off and gives the jobs back.
+func (h *Host) StopJobs() {
+	h.stopJobs()
 }
 
 // expire drops upstreams that have not come back and closes connections to those that are gone.
