Upstreams that leave are not called on a permit from an owner that has not heard of it

Two of three owners in thies-nord were cut from the store for 9 s and went on granting permits for an upstream that had announced that it leaves; the host that held the permit knew better and called it all the same. Ruled out: a late watch (the caller's host had the announcement 8 ms after the store).

Change: the holder checks what it knows itself before it calls, and tells owners which upstreams not to grant. Test: TestLeavingUpstreamIsNotCalled, failing before.

--- a/internal/berylbatch/run.go
+++ b/internal/berylbatch/run.go
@@ -107,6 +107,7 @@
 func (d *Duty) serve(ctx context.Context, service string) {
 	permit, refusal := d.Permits.Acquire(ctx, berylpermit.Ask{
 		Target:    service,
+		Avoid:     d.Fleet.Leaving(service),
 		Class:     berylpermit.Batch,
 		Remaining: askTime,
 		Queue:     true,
@@ -206,8 +207,8 @@
 // callItem makes one call and adds what arrives to the item's text.
 func (d *Duty) callItem(ctx context.Context, cancel context.CancelCauseFunc, it *item, permit *berylpermit.Permit, report *berylpermit.Report) (int, error) {
 	upstream, known := d.Fleet.Get(permit.Upstream)
-	if !known {
-		return 0, errors.Mark(errors.New("the granted upstream is no longer announced"), berylrelay.ErrUnsent)
+	if !known || upstream.Leaving {
+		return 0, errUnrun
 	}
 	began := time.Now()
 	stall := time.AfterFunc(itemStall, func() { cancel(errSilent) })
--- a/internal/berylrelay/relay.go
+++ b/internal/berylrelay/relay.go
@@ -148,7 +148,7 @@
 	defer func() { x.waited += time.Since(began) }()
 	return x.Permits.Acquire(ctx, berylpermit.Ask{
 		Target:     x.service,
-		Avoid:      slices.Clone(x.avoid),
+		Avoid:      x.avoided(),
 		Class:      berylpermit.Online,
 		Remaining:  time.Until(x.request.Deadline),
 		Tokens:     x.request.Tokens,
@@ -157,6 +157,12 @@
 	})
 }
 
+// avoided names the upstreams that must not be granted: those that have failed the request, and those that are known here
+// to be leaving, since an owner that is cut off from the store may not know it.
+func (x *exchange) avoided() []string {
+	return slices.Concat(x.avoid, x.Fleet.Leaving(x.service))
+}
+
 // call makes one call under a permit.
 func (x *exchange) call(ctx context.Context, permit *berylpermit.Permit) step {
 	report := berylpermit.Report{Kind: beryloutcome.NotRun}
@@ -168,8 +174,8 @@
 	x.upstream = permit.Upstream
 	x.avoid = append(x.avoid, permit.Upstream)
 	upstream, known := x.Fleet.Get(permit.Upstream)
-	if !known || upstream.Service != x.service {
-		x.cause = errors.New("the granted upstream is no longer announced")
+	if !known || upstream.Leaving || upstream.Service != x.service {
+		x.cause = errors.New("the granted upstream is leaving or gone")
 		return stepAgain
 	}
 	calling, cancel := context.WithCancelCause(ctx)
--- /dev/null
+++ b/internal/berylrelay/relay_test.go
@@ -0,0 +1,258 @@
+package berylrelay
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"berylroad.example/berylroad/internal/beryloutcome"
+	"berylroad.example/berylroad/internal/berylpermit"
+	"berylroad.example/berylroad/internal/berylroute"
+)
+
+// fakeBroker grants upstreams in turn, passing over those that the ask avoids.
+type fakeBroker struct {
+	grants   []string
+	asks     []berylpermit.Ask
+	reports  []berylpermit.Report
+	released []string
+}
+
+func (b *fakeBroker) Acquire(_ context.Context, ask berylpermit.Ask) (*berylpermit.Permit, *beryloutcome.Refusal) {
+	b.asks = append(b.asks, ask)
+	for _, name := range b.grants {
+		avoided := false
+		for _, a := range ask.Avoid {
+			avoided = avoided || a == name
+		}
+		if avoided {
+			continue
+		}
+		return &berylpermit.Permit{Upstream: name, Release: func(r berylpermit.Report) {
+			b.released = append(b.released, name)
+			b.reports = append(b.reports, r)
+		}}, nil
+	}
+	return nil, &beryloutcome.Refusal{Status: http.StatusServiceUnavailable, RetryAfter: 400 * time.Millisecond}
+}
+
+// script is what one upstream answers.
+type script struct {
+	// err fails the call before the head.
+	err error
+	// status is the answer's, 200 where it is zero.
+	status int
+	notRun bool
+	// unsigned leaves the signature out.
+	unsigned bool
+	// body is sent, then the stream ends with end, or stays silent when hang is set.
+	body string
+	end  error
+	hang bool
+}
+
+type fakeCaller struct {
+	scripts map[string]script
+	calls   []Call
+}
+
+func (c *fakeCaller) Call(ctx context.Context, call *Call) (*Reply, error) {
+	c.calls = append(c.calls, *call)
+	s := c.scripts[call.Upstream.ID]
+	if s.err != nil {
+		return nil, s.err
+	}
+	if s.status == 0 {
+		s.status = http.StatusOK
+	}
+	return &Reply{
+		Status: s.status, NotRun: s.notRun, Signed: !s.unsigned, Events: s.status == http.StatusOK,
+		Header: []Field{{Name: "X-Stamp", Value: call.Upstream.ID}},
+		Body:   &fakeBody{ctx: ctx, script: s, reader: strings.NewReader(s.body)},
+	}, nil
+}
+
+type fakeBody struct {
+	ctx    context.Context
+	script script
+	reader *strings.Reader
+}
+
+func (b *fakeBody) Read(p []byte) (int, error) {
+	if b.reader.Len() > 0 {
+		return b.reader.Read(p)
+	}
+	if b.script.hang {
+		<-b.ctx.Done()
+		return 0, context.Cause(b.ctx)
+	}
+	if b.script.end != nil {
+		return 0, b.script.end
+	}
+	return 0, io.EOF
+}
+
+func (b *fakeBody) Close() error { return nil }
+
+type fakeSink struct {
+	status int
+	header []Field
+	body   bytes.Buffer
+}
+
+func (s *fakeSink) Start(status int, header []Field, _ int) error {
+	s.status, s.header = status, header
+	return nil
+}
+
+func (s *fakeSink) Write(part []byte) error {
+	s.body.Write(part)
+	return nil
+}
+
+func events(from, to int) string {
+	var b strings.Builder
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: word %d\n\n", i, i)
+	}
+	return b.String()
+}
+
+func quiet() *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
+func newFleet(ids ...string) *berylroute.Fleet {
+	f := &berylroute.Fleet{Log: quiet()}
+	for _, id := range ids {
+		f.Announce(berylroute.Upstream{ID: id, Service: "svc", Address: "10.0.0.1:1", Slots: 2})
+	}
+	return f
+}
+
+func TestRelay(t *testing.T) {
+	broken := errors.New("connection reset")
+	unsent := fmt.Errorf("%w: refused", ErrUnsent)
+	resumable := berylroute.Route{Kind: berylroute.Streaming, Resumable: true, MaxAttempts: 2, Gap: 500 * time.Millisecond}
+	once := berylroute.Route{Kind: berylroute.Streaming, MaxAttempts: 2}
+	safe := berylroute.Route{Kind: berylroute.Safe, MaxAttempts: 2}
+	tests := []struct {
+		name    string
+		route   berylroute.Route
+		scripts map[string]script
+		kind    beryloutcome.Kind
+		body    string
+		status  int // of the refusal, or of the answer
+		calls   int
+	}{
+		{"whole stream", once, map[string]script{"a": {body: events(1, 3)}}, beryloutcome.Answered, events(1, 3), 200, 1},
+		{"refused unrun, then answered", once, map[string]script{"a": {status: 503, notRun: true}, "b": {body: events(1, 2)}}, beryloutcome.Answered, events(1, 2), 200, 2},
+		{"misdirected, then answered", once, map[string]script{"a": {status: 421, notRun: true}, "b": {body: events(1, 2)}}, beryloutcome.Answered, events(1, 2), 200, 2},
+		{"not connected, then answered", once, map[string]script{"a": {err: unsent}, "b": {body: events(1, 2)}}, beryloutcome.Answered, events(1, 2), 200, 2},
+		{"refused unrun everywhere", once, map[string]script{"a": {status: 503, notRun: true}, "b": {status: 503, notRun: true}, "c": {err: unsent}}, beryloutcome.NotRun, "", 503, 3},
+		{"lost before its head runs once", once, map[string]script{"a": {err: broken}, "b": {body: events(1, 2)}}, beryloutcome.Unknown, "", 502, 1},
+		{"cut stream that may not be resumed", once, map[string]script{"a": {body: events(1, 2), end: broken}}, beryloutcome.Unknown, events(1, 2), 502, 1},
+		{"cut stream goes on elsewhere", resumable, map[string]script{"a": {body: events(1, 2) + "id: 3\ndata: wo", end: broken}, "b": {body: events(3, 4)}}, beryloutcome.Answered, events(1, 4), 200, 2},
+		{"silent stream goes on elsewhere", resumable, map[string]script{"a": {body: events(1, 2), hang: true}, "b": {body: events(3, 4)}}, beryloutcome.Answered, events(1, 4), 200, 2},
+		{"resumed stream repeats events", resumable, map[string]script{"a": {body: events(1, 2), end: broken}, "b": {body: events(1, 4)}}, beryloutcome.Answered, events(1, 4), 200, 2},
+		{"resumed stream leaves a gap", resumable, map[string]script{"a": {body: events(1, 2), end: broken}, "b": {body: events(4, 5)}}, beryloutcome.Unknown, events(1, 2), 502, 2},
+		{"attempts are used up", resumable, map[string]script{"a": {body: events(1, 1), end: broken}, "b": {body: events(2, 2), end: broken}, "c": {body: events(3, 3)}}, beryloutcome.Unknown, events(1, 2), 502, 2},
+		{"success without a signature is no answer", once, map[string]script{"a": {body: events(1, 2), unsigned: true}}, beryloutcome.Unknown, "", 502, 1},
+		{"failure is passed on", once, map[string]script{"a": {status: 500, body: "no"}}, beryloutcome.Answered, "no", 500, 1},
+		{"safe request runs again", safe, map[string]script{"a": {err: broken}, "b": {status: 201, body: "made"}}, beryloutcome.Answered, "made", 201, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				tt.route.Name, tt.route.Shares = "r", []berylroute.Share{{Service: "svc", Weight: 1}}
+				broker, caller, sink := &fakeBroker{grants: []string{"a", "b", "c"}}, &fakeCaller{scripts: tt.scripts}, &fakeSink{}
+				r := Relay{Permits: broker, Fleet: newFleet("a", "b", "c"), Caller: caller, Log: quiet()}
+				result := r.Do(t.Context(), &Request{ID: "q", Route: &tt.route, Deadline: time.Now().Add(5 * time.Second)}, sink)
+				is.Equal(result.Kind, tt.kind)
+				is.Equal(sink.body.String(), tt.body)
+				is.Equal(len(caller.calls), tt.calls)
+				if result.Refusal != nil {
+					is.Equal(result.Refusal.Status, tt.status)
+				} else {
+					is.Equal(sink.status, tt.status)
+				}
+				is.Equal(len(broker.released), tt.calls) // each permit goes back
+			})
+		})
+	}
+}
+
+func TestResumeAsksForTheRest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		route := berylroute.Route{Kind: berylroute.Streaming, Resumable: true, MaxAttempts: 2, Shares: []berylroute.Share{{Service: "svc", Weight: 1}}}
+		caller := &fakeCaller{scripts: map[string]script{"a": {body: events(1, 7), end: io.ErrUnexpectedEOF}, "b": {body: events(8, 9)}}}
+		sink := &fakeSink{}
+		r := Relay{Permits: &fakeBroker{grants: []string{"a", "b"}}, Fleet: newFleet("a", "b"), Caller: caller, Log: quiet()}
+		r.Do(t.Context(), &Request{ID: "q", Route: &route, Deadline: time.Now().Add(time.Second)}, sink)
+		is.Equal(caller.calls[0].Resume, false)
+		is.Equal(caller.calls[1].Resume, true)
+		is.Equal(caller.calls[1].ResumeAfter, int64(7))
+		is.Equal(sink.header[0].Value, "a") // the answer keeps the head of its first upstream
+	})
+}
+
+// A host that is cut from the store still grants permits for an upstream that has begun to leave. The host that holds the
+// permit knows better and does not use it.
+func TestLeavingUpstreamIsNotCalled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		route := berylroute.Route{Kind: berylroute.Streaming, Shares: []berylroute.Share{{Service: "svc", Weight: 1}}}
+		fleet := newFleet("a", "b")
+		fleet.Announce(berylroute.Upstream{ID: "a", Service: "svc", Address: "10.0.0.1:1", Slots: 2, Leaving: true})
+		caller := &fakeCaller{scripts: map[string]script{"a": {body: events(1, 1)}, "b": {body: events(1, 2)}}}
+		r := Relay{Permits: &fakeBroker{grants: []string{"a", "b"}}, Fleet: fleet, Caller: caller, Log: quiet()}
+		result := r.Do(t.Context(), &Request{ID: "q", Route: &route, Deadline: time.Now().Add(time.Second)}, &fakeSink{})
+		is.Equal(result.Kind, beryloutcome.Answered)
+		is.Equal(len(caller.calls), 1)
+		is.Equal(caller.calls[0].Upstream.ID, "b")
+	})
+}
+
+func TestCallerThatLeavesEndsTheCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		route := berylroute.Route{Kind: berylroute.Streaming, Shares: []berylroute.Share{{Service: "svc", Weight: 1}}}
+		broker := &fakeBroker{grants: []string{"a"}}
+		r := Relay{Permits: broker, Fleet: newFleet("a"), Caller: &fakeCaller{scripts: map[string]script{"a": {body: events(1, 1), hang: true}}}, Log: quiet()}
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(100*time.Millisecond, cancel)
+		began := time.Now()
+		result := r.Do(ctx, &Request{ID: "q", Route: &route, Deadline: time.Now().Add(5 * time.Second)}, &fakeSink{})
+		is.Equal(result.Kind, beryloutcome.Cancelled)
+		is.Equal(time.Since(began), 100*time.Millisecond)
+		is.Equal(broker.reports[0].Fault, false) // nothing speaks against the upstream
+	})
+}
+
+// A request has its final answer when its time is over, not when its caller gives up.
+func TestAnswerAtTheTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		route := berylroute.Route{Kind: berylroute.Streaming, Shares: []berylroute.Share{{Service: "svc", Weight: 1}}}
+		r := Relay{Permits: &fakeBroker{grants: []string{"a"}}, Fleet: newFleet("a"), Caller: &fakeCaller{scripts: map[string]script{"a": {hang: true}}}, Log: quiet()}
+		began := time.Now()
+		result := r.Do(t.Context(), &Request{ID: "q", Route: &route, Deadline: time.Now().Add(800 * time.Millisecond)}, &fakeSink{})
+		is.Equal(result.Kind, beryloutcome.Unknown)
+		is.Equal(result.Refusal.Status, http.StatusGatewayTimeout)
+		is.Equal(time.Since(began), 800*time.Millisecond)
+	})
+}
--- a/internal/berylroute/fleet.go
+++ b/internal/berylroute/fleet.go
@@ -43,14 +43,28 @@
 	mu        sync.Mutex
 	upstreams map[string]Upstream
 	lapsed    map[string]time.Time // until when a vanished upstream is kept
-	published atomic.Pointer[map[string]Upstream]
+	published atomic.Pointer[snapshot]
 	changed   chan struct{}
 }
 
+// snapshot is the fleet at one moment; it is never changed.
+type snapshot struct {
+	upstreams map[string]Upstream
+	leaving   map[string][]string // IDs by service
+}
+
 // All returns the upstreams by ID; the map must not be changed.
 func (f *Fleet) All() map[string]Upstream {
 	if p := f.published.Load(); p != nil {
-		return *p
+		return p.upstreams
+	}
+	return nil
+}
+
+// Leaving returns the IDs of a service's upstreams that get no new work; the slice must not be changed.
+func (f *Fleet) Leaving(service string) []string {
+	if p := f.published.Load(); p != nil {
+		return p.leaving[service]
 	}
 	return nil
 }
@@ -164,8 +178,13 @@
 }
 
 func (f *Fleet) publish() {
-	all := maps.Clone(f.upstreams)
-	f.published.Store(&all)
+	next := &snapshot{upstreams: maps.Clone(f.upstreams), leaving: make(map[string][]string)}
+	for _, u := range f.upstreams {
+		if u.Leaving {
+			next.leaving[u.Service] = append(next.leaving[u.Service], u.ID)
+		}
+	}
+	f.published.Store(next)
 	if f.changed != nil {
 		close(f.changed)
 		f.changed = nil
