Overload: online requests queue only while they can be on time; late items go last

Scale-in left 6 of 18 upstreams; every online request then waited 1 to 4 s in the owners' queues, all of them late, and jobs were served in the order of due times that none could meet any more. Ruled out: hosts (0.04 cores), idle slots (upstreams full), slow upstreams.

Change: an ask carries its patience, 0.7 of the route's time to the first event; an owner that predicts a longer wait refuses at once, so that the caller hears in milliseconds when to come back. Items that can still be done in time go before those that can't. Steps of the clock no longer move backoffs, lapses or a run's number. Store watches wait 2 s, records gather for 0.7 s.

--- a/internal/berylbatch/duty.go
+++ b/internal/berylbatch/duty.go
@@ -16,7 +16,7 @@
 
 // gatherRecords is how long changes of records gather before the next watch, so that they cost one call together. It is
 // short beside the seconds within which an ended job must stop.
-const gatherRecords = 250 * time.Millisecond
+const gatherRecords = 700 * time.Millisecond
 
 // Members says which hosts are up.
 type Members interface {
@@ -65,6 +65,7 @@
 	mu       sync.Mutex
 	jobs     map[string]*job
 	asking   map[string]int // permits asked for, by service
+	pace     pace
 	wake     chan struct{}
 	commit   chan struct{}
 	stopping bool
--- a/internal/berylbatch/job.go
+++ b/internal/berylbatch/job.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 )
 
 // job is what this host knows of one job. Its fields are guarded by the duty's mu.
@@ -35,8 +36,8 @@
 	cancel  context.CancelCauseFunc
 	// failures counts answers of 500, odd other failures.
 	failures, odd int
-	// notBefore is when it may be tried again, in nanoseconds of Unix time.
-	notBefore int64
+	// notBefore is when it may be tried again.
+	notBefore time.Time
 	ended     bool
 }
 
--- a/internal/berylbatch/run.go
+++ b/internal/berylbatch/run.go
@@ -100,7 +100,7 @@
 }
 
 func (it *item) runnable(now time.Time) bool {
-	return !it.ended && !it.running && it.notBefore <= now.UnixNano()
+	return !it.ended && !it.running && !now.Before(it.notBefore)
 }
 
 // serve waits for one permit and runs the most urgent item under it.
@@ -130,7 +130,7 @@
 	d.nudge(d.wake)
 }
 
-// pick takes the most urgent item of a service: that of the job that is due first, and of those one that has begun.
+// pick takes the most urgent item of a service and marks it as running.
 func (d *Duty) pick(ctx context.Context, service string) (*item, context.Context, context.CancelCauseFunc) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -139,8 +139,7 @@
 	if d.stopping || config == nil {
 		return nil, nil, nil
 	}
-	var best *item
-	var bestDue time.Time
+	var best candidate
 	now := time.Now()
 	for _, j := range d.jobs {
 		if !j.running() || !j.record.Open() {
@@ -155,17 +154,38 @@
 			if !it.runnable(now) || route.Service(it.ID) != service {
 				continue
 			}
-			if best == nil || due.Before(bestDue) || due.Equal(bestDue) && it.events > best.events {
-				best, bestDue = it, due
+			c := candidate{item: it, due: due, late: now.Add(d.pace.rest(it)).After(due)}
+			if best.item == nil || c.before(&best) {
+				best = c
 			}
 		}
 	}
-	if best == nil {
+	if best.item == nil {
 		return nil, nil, nil
 	}
 	calling, cancel := context.WithCancelCause(ctx)
-	best.running, best.cancel = true, cancel
-	return best, calling, cancel
+	best.item.running, best.item.cancel = true, cancel
+	return best.item, calling, cancel
+}
+
+// candidate is an item that could run now.
+type candidate struct {
+	item *item
+	due  time.Time
+	// late marks an item that can't be done by its due time any more.
+	late bool
+}
+
+// before orders items: those that can still be done in time go first, so that one job that can't is not followed by all
+// others; then what is due first, and of that what has got furthest.
+func (c *candidate) before(other *candidate) bool {
+	if c.late != other.late {
+		return !c.late
+	}
+	if !c.due.Equal(other.due) {
+		return c.due.Before(other.due)
+	}
+	return c.item.events > other.item.events
 }
 
 // runItem makes one call for an item and notes what it has come to.
@@ -189,6 +209,12 @@
 	cancel(nil)
 	<-yielding
 	report.Busy = time.Since(began)
+	if report.Tokens > 1 {
+		report.TokenGap = (report.Busy - report.FirstToken) / time.Duration(report.Tokens)
+		d.mu.Lock()
+		d.pace.called(report.TokenGap)
+		d.mu.Unlock()
+	}
 	d.settle(it, status, err, &report)
 	permit.Release(report)
 	fields := logrus.Fields{
@@ -288,6 +314,7 @@
 	switch {
 	case err == nil:
 		report.Kind = beryloutcome.Answered
+		d.pace.completed(it.events)
 		d.list(it, Completed)
 		return
 	case errors.Is(err, errYielded), errors.Is(err, errJobEnded), errors.Is(err, context.Canceled):
@@ -312,7 +339,7 @@
 		report.Fault = true
 	}
 	it.odd++
-	it.notBefore = time.Now().Add(min(itemBackoff*time.Duration(it.odd), maxItemBackoff)).UnixNano()
+	it.notBefore = time.Now().Add(min(itemBackoff*time.Duration(it.odd), maxItemBackoff))
 }
 
 // list puts an item's result in line; the caller holds mu.
--- a/internal/berylcmd/disk/run/run.go
+++ b/internal/berylcmd/disk/run/run.go
@@ -36,6 +36,7 @@
 		return err
 	}
 	entry := log.WithField("host", settings.Host)
+	berylplatform.WatchReload(f.Context, o.NodeFile, entry)
 	entry.Info("disk host: started")
 	<-f.Context.Done()
 	entry.Info("disk host: stopped")
--- a/internal/berylcmd/entry/run/run.go
+++ b/internal/berylcmd/entry/run/run.go
@@ -43,6 +43,7 @@
 		return &factory.FlagError{Err: err}
 	}
 	entry := log.WithField("host", settings.Host)
+	berylplatform.WatchReload(f.Context, o.NodeFile, entry)
 	host := berylentry.New(berylentry.Config{
 		Settings:       settings,
 		Store:          berylplatform.NewStore(settings.StoreAddress),
--- a/internal/berylentry/follow.go
+++ b/internal/berylentry/follow.go
@@ -164,7 +164,7 @@
 		return false
 	}
 	joined := v.joined.Load()
-	if joined == 0 || time.Since(time.Unix(0, joined)) < settleTime {
+	if joined == nil || time.Since(*joined) < settleTime {
 		return true
 	}
 	return slices.ContainsFunc(live, func(m berylhost.Member) bool { return m.Name == host && m.Boot == boot })
--- a/internal/berylentry/host.go
+++ b/internal/berylentry/host.go
@@ -88,7 +88,7 @@
 	scheduler *berylsched.Scheduler
 	ready     atomic.Bool
 	stopping  atomic.Bool
-	joined    atomic.Int64
+	joined    atomic.Pointer[time.Time]
 	revision  int64
 	work      context.Context // ends when the jobs are to stop
 	stopJobs  context.CancelFunc
@@ -96,7 +96,7 @@
 
 // New returns a host that does nothing until Run.
 func New(config Config) *Host {
-	h := &Host{Config: config, boot: uint64(time.Now().UnixNano())}
+	h := &Host{Config: config}
 	h.work, h.stopJobs = context.WithCancel(context.Background())
 	h.fleet.Log = config.Log
 	h.operators = berylstore.Follower{
@@ -144,6 +144,9 @@
 	if err != nil {
 		return err
 	}
+	if h.boot, err = nextBoot(ctx, h.Store, h.Settings.Host, h.Log); err != nil {
+		return err
+	}
 	h.wire, err = berylwire.Listen(berylwire.Config{
 		Name: h.Settings.Host, Address: h.Settings.PeerAddress, Credentials: credentials, Metrics: h.Metrics,
 	})
@@ -211,7 +214,8 @@
 	defer ticker.Stop()
 	for {
 		if h.routes.Get() != nil && len(h.fleet.All()) > 0 && h.Jobs.Synced() && isClosed(h.members.Joined()) {
-			h.joined.Store(time.Now().UnixNano())
+			now := time.Now()
+			h.joined.Store(&now)
 			h.ready.Store(true)
 			h.Log.WithFields(logrus.Fields{"version": h.routes.Get().Version, "upstreams": len(h.fleet.All()), "hosts": len(h.members.Live())}).Info("host: ready")
 			return
--- a/internal/berylentry/registry.go
+++ b/internal/berylentry/registry.go
@@ -26,7 +26,7 @@
 	hostRenewal = 20 * time.Second
 	// registryWait is how long one watch of the list waits. Newcomers show at once, whatever it is, and a connection that
 	// has gone silent delays only their discovery.
-	registryWait = 5 * time.Second
+	registryWait = 10 * time.Second
 	// registryTimeout bounds one call.
 	registryTimeout = time.Second
 	// registryPause is the time between two tries while the store is away.
@@ -234,26 +234,56 @@
 	if err != nil {
 		return nil, errors.WithHint(errors.Wrap(err, "peer address"), "check the settings file")
 	}
+	authority, err := insist(ctx, log, "credentials: the fleet's key can't be read from the store, trying again", func() (berylkey.Pair, error) {
+		return fleetAuthority(ctx, store)
+	})
+	if err != nil {
+		return nil, err
+	}
+	pair, err := authority.CreateHost(time.Now(), settings.Host, net.ParseIP(host))
+	if err != nil {
+		return nil, err
+	}
+	return berylkey.New(time.Now(), authority.Cert, pair)
+}
+
+// insist tries until it succeeds or ctx ends.
+func insist[T any](ctx context.Context, log logrus.FieldLogger, complaint string, try func() (T, error)) (T, error) {
 	for {
-		authority, err := fleetAuthority(ctx, store)
+		value, err := try()
 		if err == nil {
-			pair, err := authority.CreateHost(time.Now(), settings.Host, net.ParseIP(host))
-			if err != nil {
-				return nil, err
-			}
-			return berylkey.New(time.Now(), authority.Cert, pair)
+			return value, nil
 		}
-		log.WithError(err).Warn("credentials: the fleet's key can't be read from the store, trying again")
+		log.WithError(err).Warn(complaint)
 		timer := time.NewTimer(registryPause)
 		select {
 		case <-ctx.Done():
 			timer.Stop()
-			return nil, ctx.Err()
+			return value, ctx.Err()
 		case <-timer.C:
 		}
 	}
 }
 
+// nextBoot returns the number of this run of a host. It grows from run to run, also when the clock was set back between
+// two of them.
+func nextBoot(ctx context.Context, store berylstore.Store, host string, log logrus.FieldLogger) (uint64, error) {
+	return insist(ctx, log, "host list: the last run of this host can't be read from the store, trying again", func() (uint64, error) {
+		bounded, cancel := context.WithTimeout(ctx, registryTimeout)
+		defer cancel()
+		item, found, err := store.Get(bounded, hostPrefix+host)
+		if err != nil {
+			return 0, err
+		}
+		boot := uint64(time.Now().UnixNano())
+		var last hostRecord
+		if found && cbor.Unmarshal(item.Value, &last) == nil {
+			boot = max(boot, last.Member.Boot+1)
+		}
+		return boot, nil
+	})
+}
+
 // fleetAuthority reads the fleet's certificate authority, and makes it where there is none.
 func fleetAuthority(ctx context.Context, store berylstore.Store) (berylkey.Pair, error) {
 	bounded, cancel := context.WithTimeout(ctx, registryTimeout)
--- a/internal/berylpermit/permit.go
+++ b/internal/berylpermit/permit.go
@@ -67,6 +67,9 @@
 	Hedge bool `cbor:"10,keyasint,omitempty"`
 	// PrefixHash is the hash of the prompt's first blocks, or zero for no affinity.
 	PrefixHash uint64 `cbor:"11,keyasint,omitempty"`
+	// Patience is the longest wait for which it is worth queueing; an owner that predicts more refuses at once. Zero
+	// queues for as long as the deadline can be met.
+	Patience time.Duration `cbor:"12,keyasint,omitempty"`
 }
 
 // Verdict is the owner's answer to an ask.
--- a/internal/berylrelay/relay.go
+++ b/internal/berylrelay/relay.go
@@ -30,6 +30,9 @@
 	leastStall = 700 * time.Millisecond
 	// noTargetStall stands in where a route names no longest pause.
 	noTargetStall = 2 * time.Second
+	// patienceShare is the part of the time to the first event that a request may spend in a queue; the rest is the
+	// engine's, which needs some 30 ms when idle and thrice that when full.
+	patienceShare = 0.7
 	// shortWait is the least time after which a refused caller is told to come back.
 	shortWait = 100 * time.Millisecond
 )
@@ -154,9 +157,19 @@
 		Tokens:     x.request.Tokens,
 		Queue:      true,
 		PrefixHash: x.request.PrefixHash,
+		Patience:   x.patience(),
 	})
 }
 
+// patience returns how long the request may queue so that its answer is still on time. Once it has run it waits for as long
+// as its deadline allows: what has arrived is worth more than a fresh start.
+func (x *exchange) patience() time.Duration {
+	if x.ran > 0 {
+		return 0
+	}
+	return time.Duration(patienceShare * float64(x.request.Route.FirstEvent))
+}
+
 // avoided names the upstreams that must not be granted: those that have failed the request, and those that are known here
 // to be leaving, since an owner that is cut off from the store may not know it.
 func (x *exchange) avoided() []string {
--- a/internal/berylsched/owner.go
+++ b/internal/berylsched/owner.go
@@ -119,7 +119,8 @@
 	*w = waiter{target: t, renewed: now, deadline: now.Add(ask.Remaining), order: o.order}
 	q := &t.queues[k]
 	wait := t.pace.wait(now, k, q.rank(w)+1)
-	if !ask.Queue || ask.Hedge || q.len() >= maxWaiting || !t.mayServe(ask) || !t.pace.inTime(k, ask.Remaining, wait) {
+	impatient := ask.Patience > 0 && wait > ask.Patience
+	if !ask.Queue || ask.Hedge || impatient || q.len() >= maxWaiting || !t.mayServe(ask) || !t.pace.inTime(k, ask.Remaining, wait) {
 		o.refuse(t, ask.ID, wait)
 		o.recycle(w)
 		return
--- a/internal/berylstore/follower.go
+++ b/internal/berylstore/follower.go
@@ -19,7 +19,7 @@
 	// change has to be known again.
 	retryPause = 250 * time.Millisecond
 	// defaultWait is how long a watch waits for a change. A connection that has gone silent is found after it.
-	defaultWait = 1500 * time.Millisecond
+	defaultWait = 2 * time.Second
 )
 
 // Follower keeps its host's copy of the items under one prefix up to date.
@@ -28,7 +28,7 @@
 	Store Store
 	// Prefix selects the items.
 	Prefix string
-	// Wait is how long one watch waits; zero is 1.5 s.
+	// Wait is how long one watch waits; zero is 2 s.
 	Wait time.Duration
 	// Gather is how long to wait after a change before the next watch, so that changes in quick succession cost one call.
 	Gather time.Duration
@@ -39,23 +39,24 @@
 	// Log takes a line when the store is lost and when it is regained.
 	Log logrus.FieldLogger
 
-	current  atomic.Int64 // when the copy was last known to be current, in nanoseconds of Unix time
-	regained atomic.Int64 // when the store answered again after it had been away, likewise
+	// The times are kept whole, since steps of the clock must not change their distance.
+	current  atomic.Pointer[time.Time] // when the copy was last known to be current
+	regained atomic.Pointer[time.Time] // when the store answered again after it had been away
 	lost     atomic.Bool
 }
 
 // Current returns when the copy was last known to hold all changes; zero means never.
 func (f *Follower) Current() time.Time {
-	if at := f.current.Load(); at != 0 {
-		return time.Unix(0, at)
+	if at := f.current.Load(); at != nil {
+		return *at
 	}
 	return time.Time{}
 }
 
 // Regained returns when the store answered again after it had last been away; zero means that it never was.
 func (f *Follower) Regained() time.Time {
-	if at := f.regained.Load(); at != 0 {
-		return time.Unix(0, at)
+	if at := f.regained.Load(); at != nil {
+		return *at
 	}
 	return time.Time{}
 }
@@ -99,10 +100,10 @@
 func (f *Follower) answered() {
 	now := time.Now()
 	if f.lost.CompareAndSwap(true, false) {
-		f.regained.Store(now.UnixNano())
+		f.regained.Store(&now)
 		f.Log.WithFields(logrus.Fields{"prefix": f.Prefix, "age-ms": now.Sub(f.Current()).Milliseconds()}).Info("store: regained")
 	}
-	f.current.Store(now.UnixNano())
+	f.current.Store(&now)
 }
 
 func (f *Follower) list(ctx context.Context) (int64, error) {
