--- a/internal/berylrelay/relay.go
+++ b/internal/berylrelay/relay.go
@@ -30,9 +30,9 @@
 	leastStall = 700 * time.Millisecond
 	// noTargetStall stands in where a route names no longest pause.
 	noTargetStall = 2 * time.Second
-	// patienceShare is the part of the time to the first event that a request may spend in a queue; the rest is the
-	// engine's, which needs some 30 ms when idle and thrice that when full.
-	patienceShare = 0.7
+	// patienceShare is the part of the time to the first event that a request may be predicted to spend in a queue; the
+	// rest is for the engine and for what predictions miss by (see TestReplicasLostUnderPeak in berylsched).
+	patienceShare = 0.5
 	// shortWait is the least time after which a refused caller is told to come back.
 	shortWait = 100 * time.Millisecond
 )
--- /dev/null
+++ b/internal/berylsched/patience_test.go
@@ -0,0 +1,125 @@
+package berylsched_test
+
+import (
+	"slices"
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"berylroad.example/berylroad/internal/beryloutcome"
+	"berylroad.example/berylroad/internal/berylpermit"
+	"berylroad.example/berylroad/internal/berylsched"
+)
+
+// simulation feeds one owner with arrivals and ends calls after a fixed time, on a clock of its own.
+type simulation struct {
+	owner   berylsched.Owner
+	now     time.Time
+	busy    time.Duration
+	seq     uint64
+	arrived map[uint64]time.Time
+	ends    map[uint64]time.Time
+	ups     map[uint64]string
+	waits   []time.Duration
+	refused []time.Duration // time from the arrival to the refusal
+}
+
+func newSimulation(upstreams []berylsched.Upstream, busy time.Duration) *simulation {
+	s := &simulation{now: time.Unix(1000, 0), busy: busy, arrived: make(map[uint64]time.Time), ends: make(map[uint64]time.Time), ups: make(map[uint64]string)}
+	s.configure(upstreams)
+	return s
+}
+
+func (s *simulation) configure(upstreams []berylsched.Upstream) {
+	s.take(s.owner.Configure(s.now, berylsched.Config{LongShare: 0.5, Upstreams: upstreams}))
+	var names []string
+	for _, u := range upstreams {
+		names = append(names, u.Name)
+	}
+	s.take(s.owner.Owned(s.now, names))
+}
+
+func (s *simulation) take(actions []berylsched.Action) {
+	for _, a := range actions {
+		if a.Kind != berylsched.ActionReply {
+			continue
+		}
+		seq := a.Reply.ID.Seq
+		switch a.Reply.Verdict {
+		case berylpermit.Granted:
+			s.waits = append(s.waits, s.now.Sub(s.arrived[seq]))
+			s.ends[seq], s.ups[seq] = s.now.Add(s.length(seq)), a.Reply.Upstream
+		case berylpermit.Refused:
+			s.refused = append(s.refused, s.now.Sub(s.arrived[seq]))
+		}
+	}
+}
+
+// length spreads the lengths of calls evenly from a quarter to seven quarters of the mean, as answers' lengths are spread.
+func (s *simulation) length(seq uint64) time.Duration {
+	return s.busy/4 + time.Duration(seq*7919%1000)*s.busy*3/2/1000
+}
+
+// run lets arrivals come evenly for a while, then drains.
+func (s *simulation) run(span time.Duration, perSecond int, patience time.Duration) {
+	const step = time.Millisecond
+	every := time.Second / time.Duration(perSecond)
+	next, until := s.now, s.now.Add(span)
+	for s.now.Before(until) || len(s.ends) > 0 {
+		for !next.After(s.now) && s.now.Before(until) {
+			s.seq++
+			s.arrived[s.seq] = s.now
+			id := berylpermit.ID{Host: "h", Boot: 1, Seq: s.seq}
+			s.take(s.owner.Ask(s.now, berylpermit.Ask{ID: id, Target: "svc", Remaining: 5 * time.Second, Queue: true, Patience: patience}))
+			next = next.Add(every)
+		}
+		for seq, end := range s.ends {
+			if !end.After(s.now) {
+				delete(s.ends, seq)
+				id := berylpermit.ID{Host: "h", Boot: 1, Seq: seq}
+				s.take(s.owner.Release(s.now, berylpermit.Release{ID: id, Upstream: s.ups[seq], Report: berylpermit.Report{
+					Kind: beryloutcome.Answered, FirstToken: 30 * time.Millisecond, Tokens: 30, TokenGap: 20 * time.Millisecond, Busy: s.length(seq),
+				}}))
+			}
+		}
+		s.now = s.now.Add(step)
+		if s.now.UnixMilli()%25 == 0 {
+			s.take(s.owner.Tick(s.now))
+		}
+	}
+}
+
+func upstreams(n, slots int) []berylsched.Upstream {
+	var list []berylsched.Upstream
+	for i := range n {
+		list = append(list, berylsched.Upstream{Name: string(rune('a' + i)), Slots: slots, Targets: []string{"svc"}})
+	}
+	return list
+}
+
+// ReplicasLostUnderPeak: two thirds of the upstreams are taken away while online requests keep coming, twice as many as
+// the rest can serve. As many are served as the slots allow, all of them soon; the others hear at once that they are not.
+func TestReplicasLostUnderPeak(t *testing.T) {
+	is := is.New(t)
+	const (
+		firstEvent = 300 * time.Millisecond // the route's target
+		engineTime = 30 * time.Millisecond
+		patience   = firstEvent / 2
+	)
+	s := newSimulation(upstreams(6, 8), 700*time.Millisecond)
+	s.run(2*time.Second, 40, patience) // the owner learns how long calls take
+	s.configure(upstreams(2, 8))
+	s.waits, s.refused = nil, nil
+	s.run(10*time.Second, 46, patience) // the slots allow 22.9 a second
+	slices.Sort(s.waits)
+	late := len(s.waits) - sort.Search(len(s.waits), func(i int) bool { return s.waits[i] > firstEvent-engineTime })
+	t.Logf("served %d, late %d, refused %d", len(s.waits), late, len(s.refused))
+	is.True(late*20 <= len(s.waits))      // 95 in 100 are on time
+	is.True(len(s.waits) >= 229*95/100)   // of those that the slots allow in 10 s
+	is.True(len(s.refused) >= 460-229-30) // nobody is left waiting for nothing
+	for _, after := range s.refused {
+		is.Equal(after, time.Duration(0)) // told at once
+	}
+}
--- a/internal/berylstore/follower.go
+++ b/internal/berylstore/follower.go
@@ -88,7 +88,12 @@
 	if f.lost.CompareAndSwap(false, true) {
 		f.Log.WithError(err).WithField("prefix", f.Prefix).Warn("store: lost")
 	}
-	timer := time.NewTimer(retryPause/2 + rand.N(retryPause))
+	wait(ctx, retryPause/2+rand.N(retryPause))
+}
+
+// wait waits for that long or until ctx ends.
+func wait(ctx context.Context, span time.Duration) {
+	timer := time.NewTimer(span)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
@@ -131,13 +136,13 @@
 
 // watch applies changes until a call fails.
 func (f *Follower) watch(ctx context.Context, above int64) error {
-	wait := f.Wait
-	if wait == 0 {
-		wait = defaultWait
+	span := f.Wait
+	if span == 0 {
+		span = defaultWait
 	}
 	for {
-		bounded, cancel := context.WithTimeout(ctx, wait+watchSlack)
-		events, asOf, err := f.Store.Watch(bounded, f.Prefix, above, wait)
+		bounded, cancel := context.WithTimeout(ctx, span+watchSlack)
+		events, asOf, err := f.Store.Watch(bounded, f.Prefix, above, span)
 		cancel()
 		if errors.Is(err, ErrCompacted) || ctx.Err() != nil {
 			return err
@@ -152,7 +157,7 @@
 		}
 		above = max(above, asOf)
 		if len(events) > 0 && f.Gather > 0 {
-			time.Sleep(f.Gather)
+			wait(ctx, f.Gather)
 		}
 	}
 }
