A listing fails when the job's record has changed since its results were taken

Readers at its side saw 11 results, the new owner knew one until its next listing. Ruled out: the store (the check held), the follower (the record had arrived).

Change: the revision is taken with the results. TestListingBegunBeforeTheJobWasLost failed before.

--- a/internal/berylbatch/duty_test.go
+++ b/internal/berylbatch/duty_test.go
@@ -21,6 +21,7 @@
 	"berylroad.example/berylroad/internal/berylpermit"
 	"berylroad.example/berylroad/internal/berylrelay"
 	"berylroad.example/berylroad/internal/berylroute"
+	"berylroad.example/berylroad/internal/berylstore"
 )
 
 // eventGap is the time between two events of the engine in these tests.
@@ -606,3 +607,29 @@
 		readAll(t, a, "flood", 30, 20*time.Second)
 	})
 }
+
+// A host that was frozen wakes with finished items, takes up their listing, and only then learns that the job has another
+// owner. The listing must fail: its results would stand where the new owner lists others.
+func TestListingBegunBeforeTheJobWasLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(1)
+		d := New(Config{Host: "a", Boot: 1, Store: &w.store, Routes: &w.routes, Fleet: &w.fleet, Members: &member{w, "a"}, Peers: w, Log: quiet()})
+		is.Equal(d.Submit(t.Context(), w.submission("j", 2)), nil)
+		d.mu.Lock()
+		j := d.jobs["j"]
+		j.items[0].text = []byte("done")
+		j.finish(j.items[0], Completed)
+		record, revision := j.record, j.revision
+		d.mu.Unlock()
+		segments := d.nextSegments()
+		record.Owner = "b"
+		value := encode(&record)
+		taken := w.store.Commit(t.Context(), berylstore.Txn{Checks: []berylstore.Check{{Key: recordKey("j"), Revision: revision}}, Puts: []berylstore.Put{{Key: recordKey("j"), Value: value}}})
+		d.apply([]berylstore.Event{{Item: berylstore.Item{Key: recordKey("j"), Value: value, Revision: taken.Revision}}}, taken.Revision)
+		d.commitSegments(t.Context(), segments)
+		page, err := w.store.List(t.Context(), segmentsOf("j"), "")
+		is.NoErr(err)
+		is.Equal(len(page.Items), 0)
+	})
+}
--- a/internal/berylbatch/list.go
+++ b/internal/berylbatch/list.go
@@ -23,11 +23,13 @@
 
 // segment is one listing of one job's results on its way to the store.
 type segment struct {
-	job     *job
-	record  Record
-	from    int
-	results []Result
-	done    bool
+	job    *job
+	record Record
+	// revision is the record's when the results were taken; the listing fails if it has changed since.
+	revision int64
+	from     int
+	results  []Result
+	done     bool
 }
 
 // commitLoop lists finished items until ctx ends.
@@ -69,7 +71,7 @@
 		if len(j.finished) == 0 || !j.running() {
 			continue
 		}
-		s := segment{job: j, record: j.record, from: len(j.results)}
+		s := segment{job: j, record: j.record, revision: j.revision, from: len(j.results)}
 		for _, r := range j.finished {
 			if len(s.results) > 0 && size+len(r.Text) > bytesPerListing {
 				break
@@ -89,11 +91,10 @@
 // commitSegments writes listings in one change, and apart from each other when one of them is in conflict.
 func (d *Duty) commitSegments(ctx context.Context, segments []segment) bool {
 	var txn berylstore.Txn
-	d.mu.Lock()
 	for _, s := range segments {
 		key := recordKey(s.job.id)
 		txn.Checks = append(txn.Checks,
-			berylstore.Check{Key: key, Revision: s.job.revision},
+			berylstore.Check{Key: key, Revision: s.revision},
 			berylstore.Check{Key: segmentKey(s.job.id, s.from)})
 		txn.Puts = append(txn.Puts, berylstore.Put{Key: segmentKey(s.job.id, s.from), Value: encode(s.results)})
 		if s.done {
@@ -101,7 +102,6 @@
 			txn.Puts = append(txn.Puts, berylstore.Put{Key: key, Value: encode(&s.record)})
 		}
 	}
-	d.mu.Unlock()
 	result := d.commitOnce(ctx, txn)
 	switch result.Status {
 	case berylstore.Done:
