Hosts of a large failure domain watch the store for each other; finished items gather for 0.9 s

Change: where a failure domain has 5 live hosts or more, one watches (twice a second) and the others ask it, as a call between hosts; a copy older than 0.85 s, a host that does not answer within 0.75 s or that has lost the store sends them to the store itself. Bound: 1.6 s of the 2 s for a configuration, TestSharedWatch with the watching host frozen, gone and cut off.

--- a/internal/berylbatch/duty.go
+++ b/internal/berylbatch/duty.go
@@ -51,6 +51,8 @@
 	Members Members
 	// Peers reads jobs that other hosts run.
 	Peers Peers
+	// Share lets hosts follow the records for each other; it may be nil.
+	Share *berylstore.Share
 	// Retention is how long after its submission a job can be read.
 	Retention time.Duration
 	// Log takes a line for each decision on a job or an item.
@@ -89,6 +91,7 @@
 		Reset:  d.reset,
 		Apply:  d.apply,
 		Log:    config.Log,
+		Share:  config.Share,
 	}
 	return d
 }
@@ -131,6 +134,11 @@
 	return !d.follower.Current().IsZero()
 }
 
+// Records is the follower of the jobs' records.
+func (d *Duty) Records() *berylstore.Follower {
+	return &d.follower
+}
+
 // reset takes all records.
 func (d *Duty) reset(items []berylstore.Item, asOf int64) {
 	d.mu.Lock()
--- a/internal/berylbatch/list.go
+++ b/internal/berylbatch/list.go
@@ -10,9 +10,13 @@
 )
 
 const (
-	// listEvery is the time between two listings of finished items. Callers read about twice a second, and a listing
-	// costs the store one call.
-	listEvery = 400 * time.Millisecond
+	// listEvery is the time for which finished items gather before they are listed. A listing costs the store one call,
+	// and jobs are due in many seconds.
+	listEvery = 900 * time.Millisecond
+	// listSoon is that time where a job is whole or about to be due.
+	listSoon = 150 * time.Millisecond
+	// dueSoon is how long before a job's due time its items no longer wait for others.
+	dueSoon = 2500 * time.Millisecond
 	// jobsPerListing bounds the jobs in one change; each takes up to four of the store's 32 entries.
 	jobsPerListing = 8
 	// bytesPerListing bounds the results in one change, below the store's limit for a value.
@@ -40,13 +44,30 @@
 			return
 		case <-d.commit:
 		}
-		if !pause(ctx, listEvery) {
+		if !pause(ctx, d.listDelay(time.Now())) {
 			return
 		}
 		d.listFinished(ctx)
 	}
 }
 
+// listDelay returns how long finished items may wait for others.
+func (d *Duty) listDelay(now time.Time) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, j := range d.jobs {
+		if len(j.finished) == 0 || !j.running() {
+			continue
+		}
+		route := d.routeOf(j)
+		whole := len(j.results)+len(j.finished) == len(j.items)
+		if whole || route != nil && now.Add(dueSoon).After(j.record.submitted().Add(route.Due)) {
+			return listSoon
+		}
+	}
+	return listEvery
+}
+
 // listFinished lists all finished items; those that could not be listed are tried again later.
 func (d *Duty) listFinished(ctx context.Context) bool {
 	for {
--- a/internal/berylentry/host.go
+++ b/internal/berylentry/host.go
@@ -27,6 +27,8 @@
 	leaveTimeout = 300 * time.Millisecond
 	// kindReadJob is the message by which jobs are read from the hosts that run them.
 	kindReadJob = "job-read"
+	// kindWatch is the message by which hosts watch the store for each other.
+	kindWatch = "store-watch"
 )
 
 // Dialect decodes what the platform's operators and upstreams write into the store.
@@ -83,6 +85,7 @@
 	operators berylstore.Follower
 	announced berylstore.Follower
 	registry  *registry
+	followers map[string]*berylstore.Follower // by prefix
 	wire      *berylwire.Endpoint
 	members   *berylhost.Host
 	scheduler *berylsched.Scheduler
@@ -193,19 +196,26 @@
 		Log:      h.Log,
 	})
 	links := &beryllink.Links{Wire: h.wire, Find: h.findPeer}
+	share := h.newShare(links)
+	h.operators.Share, h.announced.Share = share, share
 	h.scheduler = berylsched.New(berylsched.Settings{
 		Host: h.Settings.Host, Boot: h.boot, Transport: links, Metrics: h.Metrics, Log: h.Log,
 	})
 	beryllink.Handle(h.wire, h.scheduler)
-	h.registry = newRegistry(h.Store, self, h.Log, func(members []berylhost.Member) {
+	h.registry = newRegistry(h.Store, self, h.Log, share, func(members []berylhost.Member) {
 		h.members.SetCandidates(context.Background(), members)
 	})
 	h.Relay = &berylrelay.Relay{Permits: h.scheduler, Fleet: &h.fleet, Caller: h.Caller, Log: h.Log}
 	h.Jobs = berylbatch.New(berylbatch.Config{
 		Host: h.Settings.Host, Boot: h.boot, Store: h.Store, Permits: h.scheduler, Fleet: &h.fleet, Caller: h.Caller,
-		Routes: &h.routes, Members: (*memberView)(h), Peers: &jobPeers{links}, Retention: h.Settings.Retention, Log: h.Log,
+		Routes: &h.routes, Members: (*memberView)(h), Peers: &jobPeers{links}, Share: share, Retention: h.Settings.Retention, Log: h.Log,
 	})
 	berylwire.Handle(h.wire, kindReadJob, h.Jobs.HandleRead)
+	h.followers = map[string]*berylstore.Follower{}
+	for _, f := range []*berylstore.Follower{&h.operators, &h.announced, &h.registry.follower, h.Jobs.Records()} {
+		h.followers[f.Prefix] = f
+	}
+	berylwire.Handle(h.wire, kindWatch, h.answerWatch)
 }
 
 // becomeReady waits until this host knows enough to serve.
--- a/internal/berylentry/registry.go
+++ b/internal/berylentry/registry.go
@@ -56,12 +56,12 @@
 	rewrites chan struct{}
 }
 
-func newRegistry(store berylstore.Store, self berylhost.Member, log logrus.FieldLogger, install func([]berylhost.Member)) *registry {
+func newRegistry(store berylstore.Store, self berylhost.Member, log logrus.FieldLogger, share *berylstore.Share, install func([]berylhost.Member)) *registry {
 	r := &registry{
 		store: store, self: self, log: log, install: install,
 		hosts: make(map[string]hostRecord), notify: make(chan struct{}), rewrites: make(chan struct{}, 1),
 	}
-	r.follower = berylstore.Follower{Store: store, Prefix: hostPrefix, Wait: registryWait, Log: log, Reset: r.reset, Apply: r.apply}
+	r.follower = berylstore.Follower{Store: store, Prefix: hostPrefix, Wait: registryWait, Log: log, Share: share, Reset: r.reset, Apply: r.apply}
 	return r
 }
 
--- a/internal/berylstore/follower.go
+++ b/internal/berylstore/follower.go
@@ -38,6 +38,10 @@
 	Apply func(events []Event, asOf int64)
 	// Log takes a line when the store is lost and when it is regained.
 	Log logrus.FieldLogger
+	// Share lets hosts watch for each other; nil watches for this host alone.
+	Share *Share
+
+	recent recent
 
 	// The times are kept whole, since steps of the clock must not change their distance.
 	current  atomic.Pointer[time.Time] // when the copy was last known to be current
@@ -127,6 +131,7 @@
 		items = append(items, page.Items...)
 		if !page.More || len(page.Items) == 0 {
 			f.answered()
+			f.recent.reset(first)
 			f.Reset(items, first)
 			return first, nil
 		}
@@ -134,16 +139,10 @@
 	}
 }
 
-// watch applies changes until a call fails.
+// watch applies changes until the history is gone or ctx ends.
 func (f *Follower) watch(ctx context.Context, above int64) error {
-	span := f.Wait
-	if span == 0 {
-		span = defaultWait
-	}
 	for {
-		bounded, cancel := context.WithTimeout(ctx, span+watchSlack)
-		events, asOf, err := f.Store.Watch(bounded, f.Prefix, above, span)
-		cancel()
+		events, asOf, err := f.next(ctx, above)
 		if errors.Is(err, ErrCompacted) || ctx.Err() != nil {
 			return err
 		}
@@ -152,6 +151,7 @@
 			continue
 		}
 		f.answered()
+		f.recent.add(events, asOf)
 		if len(events) > 0 {
 			f.Apply(events, asOf)
 		}
@@ -161,3 +161,25 @@
 		}
 	}
 }
+
+// next waits for changes, at the host that watches for this one or at the store.
+func (f *Follower) next(ctx context.Context, above int64) ([]Event, int64, error) {
+	span := f.Wait
+	if span == 0 {
+		span = defaultWait
+	}
+	if f.Share != nil {
+		source, serving := f.Share.Source()
+		if source != "" {
+			if reply, ok := f.Share.ask(ctx, source, f.Prefix, above); ok {
+				return reply.Events, reply.AsOf, nil
+			}
+		}
+		if serving {
+			span = min(span, servingWait)
+		}
+	}
+	bounded, cancel := context.WithTimeout(ctx, span+watchSlack)
+	defer cancel()
+	return f.Store.Watch(bounded, f.Prefix, above, span)
+}
--- /dev/null
+++ b/internal/berylstore/follower_test.go
@@ -0,0 +1,168 @@
+package berylstore_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"berylroad.example/berylroad/internal/berylfake"
+	"berylroad.example/berylroad/internal/berylstore"
+)
+
+// copyOf is one host's copy of the items under a prefix.
+type copyOf struct {
+	berylstore.Follower
+	mu    sync.Mutex
+	items map[string]string
+}
+
+func newCopy(store berylstore.Store) *copyOf {
+	c := &copyOf{items: make(map[string]string)}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	c.Follower = berylstore.Follower{Store: store, Prefix: "p/", Log: log,
+		Reset: func(items []berylstore.Item, _ int64) {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.items = make(map[string]string)
+			for _, item := range items {
+				c.items[item.Key] = string(item.Value)
+			}
+		},
+		Apply: func(events []berylstore.Event, _ int64) {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			for _, e := range events {
+				if e.Deleted {
+					delete(c.items, e.Key)
+				} else {
+					c.items[e.Key] = string(e.Value)
+				}
+			}
+		},
+	}
+	return c
+}
+
+func (c *copyOf) get(key string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.items[key]
+}
+
+func put(s *berylfake.MemoryStore, key, value string) {
+	fault := s.Fault
+	s.Fault = nil
+	s.Commit(context.Background(), berylstore.Txn{Puts: []berylstore.Put{{Key: key, Value: []byte(value)}}})
+	s.Fault = fault
+}
+
+func TestFollower(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store := &berylfake.MemoryStore{}
+		for i := range 12 { // more than one page
+			put(store, fmt.Sprintf("p/%02d", i), "old")
+		}
+		c := newCopy(store)
+		go c.Run(ctx)
+		time.Sleep(time.Millisecond)
+		is.Equal(c.get("p/11"), "old")
+		put(store, "p/11", "new")
+		time.Sleep(time.Millisecond)
+		is.Equal(c.get("p/11"), "new")
+		is.True(c.Regained().IsZero())
+
+		store.Fault = func(string, string) berylfake.StoreFault { return berylfake.StoreRefuses }
+		time.Sleep(5 * time.Second)
+		is.True(c.Away())
+		put(store, "p/11", "newer")
+		store.Compact() // nobody can catch up from the history
+		store.Fault = nil
+		time.Sleep(time.Second)
+		is.Equal(c.get("p/11"), "newer")
+		is.True(!c.Away())
+		is.True(time.Since(c.Regained()) <= time.Second)
+	})
+}
+
+// A configuration must be in force within 2 s on each host that reaches the store, also while the host that watches for it
+// is frozen, cut off or behind.
+func TestSharedWatch(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		// ask is how the watching host answers after the fault; nil answers as it should.
+		ask func(ctx context.Context, f *berylstore.Follower, r berylstore.WatchRequest) (berylstore.WatchReply, error)
+		// away cuts the watching host from the store.
+		away bool
+	}{
+		{name: "well"},
+		{name: "frozen", ask: func(ctx context.Context, _ *berylstore.Follower, _ berylstore.WatchRequest) (berylstore.WatchReply, error) {
+			<-ctx.Done()
+			return berylstore.WatchReply{}, ctx.Err()
+		}},
+		{name: "gone", ask: func(context.Context, *berylstore.Follower, berylstore.WatchRequest) (berylstore.WatchReply, error) {
+			return berylstore.WatchReply{}, io.EOF
+		}},
+		{name: "cut from the store", away: true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				store := &berylfake.MemoryStore{}
+				put(store, "p/a", "old")
+				cut := &cutStore{Store: store}
+				watching, relying := newCopy(cut), newCopy(store)
+				watching.Share = &berylstore.Share{Source: func() (string, bool) { return "", true }}
+				broken := false
+				relying.Share = &berylstore.Share{
+					Source: func() (string, bool) { return "watching", false },
+					Ask: func(ctx context.Context, _ string, r berylstore.WatchRequest) (berylstore.WatchReply, error) {
+						if broken && tt.ask != nil {
+							return tt.ask(ctx, &watching.Follower, r)
+						}
+						return watching.Answer(ctx, r), nil
+					},
+				}
+				go watching.Run(ctx)
+				go relying.Run(ctx)
+				time.Sleep(10 * time.Second)
+				calls := store.Calls()["watch"]
+				is.True(calls <= 25) // two a second, all from one host
+				broken, cut.cut = true, tt.away
+				put(store, "p/a", "new")
+				began := time.Now()
+				for relying.get("p/a") != "new" {
+					time.Sleep(10 * time.Millisecond)
+				}
+				is.True(time.Since(began) <= 1800*time.Millisecond) // 2 s but for the asking
+			})
+		})
+	}
+}
+
+// cutStore is a store whose watches fall silent when it is cut off.
+type cutStore struct {
+	berylstore.Store
+	cut bool
+}
+
+func (s *cutStore) Watch(ctx context.Context, prefix string, above int64, wait time.Duration) ([]berylstore.Event, int64, error) {
+	events, asOf, err := s.Store.Watch(ctx, prefix, above, wait)
+	if s.cut {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
+	return events, asOf, err
+}
--- /dev/null
+++ b/internal/berylstore/share.go
@@ -0,0 +1,137 @@
+package berylstore
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+const (
+	// servingWait is how long the watch of a host waits that watches for others too. With oldestShared and peerWait it
+	// bounds how old what they know can be: 1.6 s, below the 2 s within which a configuration must be in force.
+	servingWait = 500 * time.Millisecond
+	// peerWait is how long a watch at another host waits.
+	peerWait = 500 * time.Millisecond
+	// peerSlack is how much longer that host may take to answer.
+	peerSlack = 250 * time.Millisecond
+	// oldestShared is how old another host's copy may be; beyond it the store is asked.
+	oldestShared = 850 * time.Millisecond
+	// recentEvents is how many changes a host keeps for others; who is further behind lists anew.
+	recentEvents = 2048
+)
+
+// WatchRequest asks another host for the changes under a prefix.
+type WatchRequest struct {
+	// Prefix selects the items.
+	Prefix string `cbor:"1,keyasint"`
+	// Above is the revision that the asking host knows.
+	Above int64 `cbor:"2,keyasint"`
+	// Wait is how long to wait for a change.
+	Wait time.Duration `cbor:"3,keyasint"`
+}
+
+// WatchReply answers a WatchRequest.
+type WatchReply struct {
+	// Known says that the asked host has all changes above the revision; if not, the store must be asked.
+	Known bool `cbor:"1,keyasint,omitempty"`
+	// Age is how long ago the asked host's copy was last known to be current.
+	Age time.Duration `cbor:"2,keyasint"`
+	// Events are the changes.
+	Events []Event `cbor:"3,keyasint,omitempty"`
+	// AsOf is the revision to go on from.
+	AsOf int64 `cbor:"4,keyasint"`
+}
+
+// Share lets hosts watch for each other.
+type Share struct {
+	// Source returns the host that watches for this one, or an empty name; serving says that others rely on this one.
+	Source func() (host string, serving bool)
+	// Ask asks another host.
+	Ask func(ctx context.Context, host string, request WatchRequest) (WatchReply, error)
+}
+
+// ask returns another host's answer if it is fresh and whole.
+func (s *Share) ask(ctx context.Context, source, prefix string, above int64) (WatchReply, bool) {
+	bounded, cancel := context.WithTimeout(ctx, peerWait+peerSlack)
+	defer cancel()
+	reply, err := s.Ask(bounded, source, WatchRequest{Prefix: prefix, Above: above, Wait: peerWait})
+	return reply, err == nil && reply.Known && reply.Age <= oldestShared
+}
+
+// recent is the latest changes under a prefix; its zero value knows none.
+type recent struct {
+	mu      sync.Mutex
+	events  []Event
+	floor   int64 // changes up to here are not kept
+	asOf    int64
+	changed chan struct{}
+}
+
+func (r *recent) reset(asOf int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.events, r.floor, r.asOf = nil, asOf, asOf
+	r.notify()
+}
+
+func (r *recent) add(events []Event, asOf int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.asOf = max(r.asOf, asOf)
+	if len(events) == 0 {
+		return
+	}
+	r.events = append(r.events, events...)
+	if over := len(r.events) - recentEvents; over > 0 {
+		r.floor = r.events[over-1].Revision
+		r.events = append([]Event(nil), r.events[over:]...)
+	}
+	r.notify()
+}
+
+// notify wakes those that wait; the caller holds mu.
+func (r *recent) notify() {
+	if r.changed != nil {
+		close(r.changed)
+		r.changed = nil
+	}
+}
+
+// since returns the changes above a revision and a channel that is closed at the next one.
+func (r *recent) since(above int64) (events []Event, asOf int64, known bool, changed <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.changed == nil {
+		r.changed = make(chan struct{})
+	}
+	if above < r.floor || r.asOf == 0 {
+		return nil, 0, false, r.changed
+	}
+	for i := range r.events {
+		if r.events[i].Revision > above {
+			events = append(events, r.events[i])
+		}
+	}
+	return events, r.asOf, true, r.changed
+}
+
+// Answer answers another host that asks for changes; it waits for one no longer than asked for.
+func (f *Follower) Answer(ctx context.Context, request WatchRequest) WatchReply {
+	timer := time.NewTimer(min(request.Wait, peerWait))
+	defer timer.Stop()
+	for {
+		events, asOf, known, changed := f.recent.since(request.Above)
+		reply := WatchReply{Known: known && !f.Away(), Age: time.Since(f.Current()), Events: events, AsOf: asOf}
+		if !reply.Known || len(events) > 0 {
+			return reply
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			reply.Age = time.Since(f.Current())
+			return reply
+		case <-ctx.Done():
+			return WatchReply{}
+		}
+	}
+}
--- a/internal/berylstore/store.go
+++ b/internal/berylstore/store.go
@@ -19,18 +19,18 @@
 // Item is one key with its value.
 type Item struct {
 	// Key is the item's name.
-	Key string
+	Key string `cbor:"1,keyasint"`
 	// Value is what was written; it must not be changed.
-	Value []byte
+	Value []byte `cbor:"2,keyasint,omitempty"`
 	// Revision is that of the last change.
-	Revision int64
+	Revision int64 `cbor:"3,keyasint"`
 }
 
 // Event is one change of an item.
 type Event struct {
 	Item
 	// Deleted marks a removal; the item then has no value.
-	Deleted bool
+	Deleted bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Check demands that an item still has a revision; zero demands that there is none of that key.
