The progress of items outlives their host

Ruled out: idle slots (none), adoption (done 0.3 s after the restart), the order of items.

Change: each host records what has arrived of its unfinished items under a lease of its own, every 1.5 s, less often in fleets over 100 hosts; who adopts a job lets its items go on at the last event recorded. A planned stop records at its end. Tests: TestProgressOutlivesItsHost (resumed from 0 before), a race of adoption with the first call found by it and mended, a read of a record without its lock found by -race and mended.

--- a/internal/berylbatch/adopt.go
+++ b/internal/berylbatch/adopt.go
@@ -86,6 +86,9 @@
 	record, revision := j.record, j.revision
 	d.mu.Unlock()
 	log := d.Log.WithFields(logrus.Fields{"job": id, "from": record.Owner, "revision": revision})
+	if record.Owner != "" && !d.owns(j) {
+		record.Last, record.LastBoot = record.Owner, record.Boot
+	}
 	record.Owner, record.Boot = d.Host, d.Boot
 	record.Adoptions++
 	value := encode(&record)
@@ -123,6 +126,7 @@
 		log.WithError(err).Warn("job: adopted, but its results can't be read yet")
 		return
 	}
+	arrived := d.readProgress(ctx, id)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	j := d.jobs[id]
@@ -130,12 +134,10 @@
 		return
 	}
 	j.load(spec, results)
+	taken := j.takeProgress(arrived)
 	j.wakeReaders()
 	d.nudge(d.wake)
-	log.WithFields(logrus.Fields{"results": len(results), "items": len(spec.Items)}).Info("job: adopted")
-	if len(results) == len(spec.Items) {
-		d.nudge(d.commit)
-	}
+	log.WithFields(logrus.Fields{"results": len(results), "items": len(spec.Items), "in-progress": taken}).Info("job: adopted")
 }
 
 // handOver lists what is finished and gives this host's jobs back, so that others need not wait for its death to be
@@ -144,6 +146,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
 	defer cancel()
 	d.listFinished(ctx)
+	d.recordProgress(ctx, "")
 	for {
 		txn, ids := d.nextHandOver(all)
 		if len(ids) == 0 {
@@ -172,6 +175,7 @@
 		}
 		record := j.record
 		record.Owner, record.Boot = "", 0
+		record.Last, record.LastBoot = d.Host, d.Boot
 		txn.Checks = append(txn.Checks, berylstore.Check{Key: recordKey(id), Revision: j.revision})
 		txn.Puts = append(txn.Puts, berylstore.Put{Key: recordKey(id), Value: encode(&record)})
 		ids = append(ids, id)
--- a/internal/berylbatch/duty.go
+++ b/internal/berylbatch/duty.go
@@ -24,6 +24,8 @@
 	Alive(host string, boot uint64) bool
 	// Rank returns how many live hosts come before this one for a key.
 	Rank(key string) int
+	// Count returns the number of live hosts.
+	Count() int
 }
 
 // Peers reads jobs from the hosts that run them.
@@ -51,6 +53,8 @@
 	Members Members
 	// Peers reads jobs that other hosts run.
 	Peers Peers
+	// Lease returns a lease that ends with this host, or zero while it has none.
+	Lease func() int64
 	// Share lets hosts follow the records for each other; it may be nil.
 	Share *berylstore.Share
 	// Retention is how long after its submission a job can be read.
@@ -68,6 +72,7 @@
 	jobs     map[string]*job
 	asking   map[string]int // permits asked for, by service
 	pace     pace
+	cache    progressCache
 	wake     chan struct{}
 	commit   chan struct{}
 	stopping bool
@@ -109,6 +114,7 @@
 	duties.Go(func() { d.dispatch(ctx) })
 	duties.Go(func() { d.commitLoop(ctx) })
 	duties.Go(func() { d.adoptLoop(ctx) })
+	duties.Go(func() { d.progressLoop(ctx) })
 	<-ctx.Done()
 	d.mu.Lock()
 	d.stopping = true
--- a/internal/berylbatch/duty_test.go
+++ b/internal/berylbatch/duty_test.go
@@ -99,7 +99,7 @@
 func (w *world) host(ctx context.Context, name string, boot uint64) (d *Duty, kill context.CancelFunc) {
 	d = New(Config{
 		Host: name, Boot: boot, Store: &w.store, Permits: w, Fleet: &w.fleet, Caller: &w.engine, Routes: &w.routes,
-		Members: &member{w, name}, Peers: w, Retention: 2 * time.Minute, Log: quiet(),
+		Members: &member{w, name}, Peers: w, Lease: w.lease(ctx), Retention: 2 * time.Minute, Log: quiet(),
 	})
 	w.mu.Lock()
 	w.alive[name], w.hosts[name] = boot, d
@@ -112,6 +112,7 @@
 	go d.dispatch(running)
 	go d.commitLoop(running)
 	go d.adoptLoop(running)
+	go d.progressLoop(running)
 	return d, func() {
 		stop()
 		w.mu.Lock()
@@ -120,6 +121,15 @@
 	}
 }
 
+// lease returns a lease that outlasts the test.
+func (w *world) lease(ctx context.Context) func() int64 {
+	lease, err := w.store.Grant(ctx, time.Hour)
+	if err != nil {
+		return func() int64 { return 0 }
+	}
+	return func() int64 { return lease }
+}
+
 func (w *world) ReadJob(ctx context.Context, host string, read ReadRequest) (ReadReply, error) {
 	w.mu.Lock()
 	d, up := w.hosts[host], w.alive[host] != 0
@@ -141,6 +151,8 @@
 	return m.alive[host] == boot
 }
 
+func (m *member) Count() int { return 2 }
+
 func (m *member) Rank(string) int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -318,13 +330,13 @@
 				a, _ := w.host(ctx, "a", 1)
 				time.Sleep(time.Millisecond)
 				next := 0
-				w.store.Fault = func(call, _ string) berylfake.StoreFault {
+				w.store.SetFault(func(call, _ string) berylfake.StoreFault {
 					if call != "commit" || next >= len(tt.faults) {
 						return berylfake.StoreWell
 					}
 					next++
 					return tt.faults[next-1]
-				}
+				})
 				refusal := a.Submit(ctx, w.submission("j", 3))
 				if tt.refused != 0 {
 					is.Equal(refusal.Status, tt.refused)
@@ -351,7 +363,7 @@
 		a, _ := w.host(ctx, "a", 1)
 		time.Sleep(time.Millisecond)
 		first := true
-		w.store.Fault = func(call, _ string) berylfake.StoreFault {
+		w.store.SetFault(func(call, _ string) berylfake.StoreFault {
 			switch {
 			case call != "commit":
 				return berylfake.StoreWell
@@ -361,12 +373,12 @@
 			default:
 				return berylfake.StoreRefuses
 			}
-		}
+		})
 		bounded, stop := context.WithTimeout(ctx, 3*time.Second)
 		defer stop()
 		refusal := a.Submit(bounded, w.submission("j", 2))
 		is.Equal(refusal.Status, http.StatusGatewayTimeout)
-		w.store.Fault = nil
+		w.store.SetFault(nil)
 		w.store.Late()
 		readAll(t, a, "j", 2, 8*time.Second) // it runs all the same
 	})
@@ -438,13 +450,13 @@
 				time.Sleep(time.Millisecond)
 				is.Equal(a.Submit(ctx, w.submission("j", 8)), nil)
 				n := 0
-				w.store.Fault = func(call, _ string) berylfake.StoreFault {
+				w.store.SetFault(func(call, _ string) berylfake.StoreFault {
 					n++
 					if call == "commit" && n%2 == 0 {
 						return fault
 					}
 					return berylfake.StoreWell
-				}
+				})
 				time.AfterFunc(1500*time.Millisecond, w.store.Late)
 				readAll(t, a, "j", 8, 15*time.Second)
 			})
@@ -548,7 +560,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		w := newWorld(1)
-		w.store.Fault = func(string, string) berylfake.StoreFault { return berylfake.StoreLosesCall }
+		w.store.SetFault(func(string, string) berylfake.StoreFault { return berylfake.StoreLosesCall })
 		a, _ := w.host(ctx, "a", 1)
 		_, refusal := a.Read(ctx, "j", 0, 0)
 		is.Equal(refusal.Status, http.StatusServiceUnavailable)
@@ -565,7 +577,7 @@
 		w := newWorld(2)
 		d := New(Config{
 			Host: "z", Boot: 1, Store: &w.store, Permits: w, Fleet: &w.fleet, Caller: &w.engine, Routes: &w.routes,
-			Members: &member{w, "z"}, Peers: w, Retention: 2 * time.Minute, Log: quiet(),
+			Members: &member{w, "z"}, Peers: w, Lease: w.lease(ctx), Retention: 2 * time.Minute, Log: quiet(),
 		})
 		w.mu.Lock()
 		w.alive["z"], w.hosts["z"] = 1, d
@@ -633,3 +645,37 @@
 		is.Equal(len(page.Items), 0)
 	})
 }
+
+// An item that runs for long goes on at another host near where it was when its host was lost, not from its start.
+func TestProgressOutlivesItsHost(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		planned bool
+		most    int64 // events that may be made again
+	}{{"killed", false, 160}, {"stopped as planned", true, 10}} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				w := newWorld(2)
+				w.engine.events = 600 // 6 s
+				a, kill := w.host(ctx, "a", 1)
+				b, _ := w.host(ctx, "b", 1)
+				time.Sleep(time.Millisecond)
+				is.Equal(a.Submit(ctx, w.submission("j", 2)), nil)
+				time.Sleep(4 * time.Second)
+				kill()
+				if tt.planned {
+					time.Sleep(time.Millisecond)
+					a.handOver(true)
+				}
+				for id, r := range readAll(t, b, "j", 2, 12*time.Second) {
+					is.Equal(string(r.Text), text(id, 600))
+					is.Equal(len(w.engine.resumed[id]), 1)
+					is.True(w.engine.resumed[id][0] >= 399-tt.most)
+				}
+			})
+		})
+	}
+}
--- a/internal/berylbatch/job.go
+++ b/internal/berylbatch/job.go
@@ -27,6 +27,8 @@
 type item struct {
 	*Item
 	job *job
+	// host is the host name that the job was sent to.
+	host string
 	// text is what has arrived; events counts its events and last is the number of the last one.
 	text   []byte
 	events int
@@ -62,7 +64,7 @@
 	}
 	j.items = make([]*item, len(spec.Items))
 	for i := range spec.Items {
-		j.items[i] = &item{Item: &spec.Items[i], job: j, ended: done[spec.Items[i].ID]}
+		j.items[i] = &item{Item: &spec.Items[i], job: j, host: j.record.Host, ended: done[spec.Items[i].ID]}
 	}
 }
 
--- a/internal/berylbatch/record.go
+++ b/internal/berylbatch/record.go
@@ -55,6 +55,9 @@
 	Done bool `cbor:"10,keyasint,omitempty"`
 	// Adoptions counts the changes of owner.
 	Adoptions int `cbor:"11,keyasint,omitempty"`
+	// Last and LastBoot name the run of a host that ran the job before; its record of progress may serve the owner.
+	Last     string `cbor:"12,keyasint,omitempty"`
+	LastBoot uint64 `cbor:"13,keyasint,omitempty"`
 }
 
 // Open says that results may still be added.
--- a/internal/berylbatch/run.go
+++ b/internal/berylbatch/run.go
@@ -244,7 +244,7 @@
 		ID:          it.ID,
 		Method:      http.MethodPost,
 		Path:        it.Path,
-		Host:        it.job.record.Host,
+		Host:        it.host,
 		Header:      it.Header,
 		Body:        it.Body,
 		Resume:      it.events > 0,
@@ -279,13 +279,16 @@
 			report.FirstToken = time.Since(began)
 		}
 		report.Tokens++
-		if err := it.add(&event); err != nil {
+		d.mu.Lock()
+		err = it.add(&event)
+		d.mu.Unlock()
+		if err != nil {
 			return reply.Status, err
 		}
 	}
 }
 
-// add appends an event; one that has arrived before is passed over, a gap is an error.
+// add appends an event; one that has arrived before is passed over, a gap is an error. The caller holds mu.
 func (it *item) add(event *berylrelay.Event) error {
 	if !event.HasID {
 		return nil
--- a/internal/berylcontract/store.go
+++ b/internal/berylcontract/store.go
@@ -115,7 +115,7 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is, backing, s := start(t)
-			backing.Fault = func(string, string) berylfake.StoreFault { return tt.fault }
+			backing.SetFault(func(string, string) berylfake.StoreFault { return tt.fault })
 			bounded, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
 			defer cancel()
 			r := s.Commit(bounded, berylstore.Txn{Checks: []berylstore.Check{{Key: "f"}}, Puts: []berylstore.Put{{Key: "f", Value: []byte("v")}}})
@@ -127,7 +127,7 @@
 			is.True(err != nil)
 			_, _, err = s.Watch(bounded, "f", 0, 10*time.Millisecond)
 			is.True(err != nil)
-			backing.Fault = nil
+			backing.SetFault(nil)
 			_, found, _ := backing.Get(t.Context(), "f")
 			is.Equal(found, tt.applied)
 			backing.Late()
--- a/internal/berylentry/follow.go
+++ b/internal/berylentry/follow.go
@@ -176,6 +176,11 @@
 	return max(slices.IndexFunc(ranked, func(m berylhost.Member) bool { return m.Name == v.Settings.Host }), 0)
 }
 
+// Count returns the number of live hosts.
+func (v *memberView) Count() int {
+	return len(v.members.Live())
+}
+
 // jobPeers reads jobs from other hosts.
 type jobPeers struct {
 	links *beryllink.Links
--- a/internal/berylentry/host.go
+++ b/internal/berylentry/host.go
@@ -208,7 +208,8 @@
 	h.Relay = &berylrelay.Relay{Permits: h.scheduler, Fleet: &h.fleet, Caller: h.Caller, Log: h.Log}
 	h.Jobs = berylbatch.New(berylbatch.Config{
 		Host: h.Settings.Host, Boot: h.boot, Store: h.Store, Permits: h.scheduler, Fleet: &h.fleet, Caller: h.Caller,
-		Routes: &h.routes, Members: (*memberView)(h), Peers: &jobPeers{links}, Share: share, Retention: h.Settings.Retention, Log: h.Log,
+		Routes: &h.routes, Members: (*memberView)(h), Peers: &jobPeers{links}, Share: share,
+		Lease: h.registry.currentLease, Retention: h.Settings.Retention, Log: h.Log,
 	})
 	berylwire.Handle(h.wire, kindReadJob, h.Jobs.HandleRead)
 	h.followers = map[string]*berylstore.Follower{}
--- a/internal/berylentry/registry.go
+++ b/internal/berylentry/registry.go
@@ -164,6 +164,13 @@
 	return record.Leaving && record.Member.Boot == boot
 }
 
+// currentLease returns the lease of this host's announcement, or zero while there is none.
+func (r *registry) currentLease() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lease
+}
+
 // changed returns a channel that is closed at the next change.
 func (r *registry) changed() <-chan struct{} {
 	r.mu.Lock()
--- a/internal/berylfake/memorystore.go
+++ b/internal/berylfake/memorystore.go
@@ -33,11 +33,8 @@
 
 // MemoryStore is a berylstore.Store in memory with scripted faults; its zero value is empty and well.
 type MemoryStore struct {
-	// Fault says what happens to a call; nil means that all goes well. Call is one of get, list, watch, commit, grant
-	// and keep.
-	Fault func(call, key string) StoreFault
-
 	mu       sync.Mutex
+	fault    func(call, key string) StoreFault
 	revision int64
 	items    map[string]memoryItem
 	history  []berylstore.Event
@@ -69,13 +66,21 @@
 	return calls
 }
 
-// begin counts a call, returns its fault and takes the lock.
+// SetFault says what happens to calls from now on; nil means that all goes well. The call is one of get, list, watch,
+// commit, grant and keep, and the function is called for one at a time.
+func (s *MemoryStore) SetFault(fault func(call, key string) StoreFault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = fault
+}
+
+// begin takes the lock, counts a call and returns its fault.
 func (s *MemoryStore) begin(call, key string) StoreFault {
+	s.mu.Lock()
 	fault := StoreWell
-	if s.Fault != nil {
-		fault = s.Fault(call, key)
+	if s.fault != nil {
+		fault = s.fault(call, key)
 	}
-	s.mu.Lock()
 	if s.items == nil {
 		s.items = make(map[string]memoryItem)
 		s.leases = make(map[int64]time.Time)
@@ -184,6 +189,21 @@
 	return result
 }
 
+// Write writes an item past all faults, as somebody else would.
+func (s *MemoryStore) Write(key, value string) {
+	fault := s.takeFault()
+	s.Commit(context.Background(), berylstore.Txn{Puts: []berylstore.Put{{Key: key, Value: []byte(value)}}})
+	s.SetFault(fault)
+}
+
+func (s *MemoryStore) takeFault() func(call, key string) StoreFault {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fault := s.fault
+	s.fault = nil
+	return fault
+}
+
 // Late carries out the calls that were held up.
 func (s *MemoryStore) Late() {
 	s.mu.Lock()
--- a/internal/berylstore/follower_test.go
+++ b/internal/berylstore/follower_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -57,13 +58,6 @@
 	return c.items[key]
 }
 
-func put(s *berylfake.MemoryStore, key, value string) {
-	fault := s.Fault
-	s.Fault = nil
-	s.Commit(context.Background(), berylstore.Txn{Puts: []berylstore.Put{{Key: key, Value: []byte(value)}}})
-	s.Fault = fault
-}
-
 func TestFollower(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -71,23 +65,23 @@
 		defer cancel()
 		store := &berylfake.MemoryStore{}
 		for i := range 12 { // more than one page
-			put(store, fmt.Sprintf("p/%02d", i), "old")
+			store.Write(fmt.Sprintf("p/%02d", i), "old")
 		}
 		c := newCopy(store)
 		go c.Run(ctx)
 		time.Sleep(time.Millisecond)
 		is.Equal(c.get("p/11"), "old")
-		put(store, "p/11", "new")
+		store.Write("p/11", "new")
 		time.Sleep(time.Millisecond)
 		is.Equal(c.get("p/11"), "new")
 		is.True(c.Regained().IsZero())
 
-		store.Fault = func(string, string) berylfake.StoreFault { return berylfake.StoreRefuses }
+		store.SetFault(func(string, string) berylfake.StoreFault { return berylfake.StoreRefuses })
 		time.Sleep(5 * time.Second)
 		is.True(c.Away())
-		put(store, "p/11", "newer")
+		store.Write("p/11", "newer")
 		store.Compact() // nobody can catch up from the history
-		store.Fault = nil
+		store.SetFault(nil)
 		time.Sleep(time.Second)
 		is.Equal(c.get("p/11"), "newer")
 		is.True(!c.Away())
@@ -121,15 +115,15 @@
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
 				store := &berylfake.MemoryStore{}
-				put(store, "p/a", "old")
+				store.Write("p/a", "old")
 				cut := &cutStore{Store: store}
 				watching, relying := newCopy(cut), newCopy(store)
 				watching.Share = &berylstore.Share{Source: func() (string, bool) { return "", true }}
-				broken := false
+				var broken atomic.Bool
 				relying.Share = &berylstore.Share{
 					Source: func() (string, bool) { return "watching", false },
 					Ask: func(ctx context.Context, _ string, r berylstore.WatchRequest) (berylstore.WatchReply, error) {
-						if broken && tt.ask != nil {
+						if broken.Load() && tt.ask != nil {
 							return tt.ask(ctx, &watching.Follower, r)
 						}
 						return watching.Answer(ctx, r), nil
@@ -140,8 +134,9 @@
 				time.Sleep(10 * time.Second)
 				calls := store.Calls()["watch"]
 				is.True(calls <= 25) // two a second, all from one host
-				broken, cut.cut = true, tt.away
-				put(store, "p/a", "new")
+				broken.Store(true)
+				cut.cut.Store(tt.away)
+				store.Write("p/a", "new")
 				began := time.Now()
 				for relying.get("p/a") != "new" {
 					time.Sleep(10 * time.Millisecond)
@@ -155,12 +150,12 @@
 // cutStore is a store whose watches fall silent when it is cut off.
 type cutStore struct {
 	berylstore.Store
-	cut bool
+	cut atomic.Bool
 }
 
 func (s *cutStore) Watch(ctx context.Context, prefix string, above int64, wait time.Duration) ([]berylstore.Event, int64, error) {
 	events, asOf, err := s.Store.Watch(ctx, prefix, above, wait)
-	if s.cut {
+	if s.cut.Load() {
 		<-ctx.Done()
 		return nil, 0, ctx.Err()
 	}
