Hosts that do not reach the store make their calls through hosts that do

Ruled out: upstreams and other hosts (well all the while), the callers' retries (they reached the other host of the same failure domain).

Change: a follower that has lost the store is fed by other hosts and looks every second whether the store is back; reads and changes go through two other hosts, those of other failure domains first. A change that may have been made is not given to a second host. An acceptance of unknown outcome is tried again for 1 s, not 3.5 s. Two hosts, not all, answer an order to empty a disk host. Tests: TestDetour, TestFollowerThatIsCutOff.

--- a/internal/berylbatch/submit.go
+++ b/internal/berylbatch/submit.go
@@ -15,6 +15,9 @@
 const (
 	// commitTimeout bounds one change in the store, which answers within milliseconds where it is well.
 	commitTimeout = 800 * time.Millisecond
+	// acceptPatience is how long an acceptance of which the outcome is not known is tried again here. After it the caller
+	// is better served by a host that reaches the store.
+	acceptPatience = time.Second
 	// againPause is the time between two tries of a change whose outcome is not known.
 	againPause = 100 * time.Millisecond
 	// awayWait is when a caller is told to come back while the store is away.
@@ -78,6 +81,7 @@
 // accept writes a new job until it is certain whether it is kept.
 func (d *Duty) accept(ctx context.Context, id string, txn berylstore.Txn, value []byte, spec *Spec, log *logrus.Entry) *beryloutcome.Refusal {
 	maybe := false
+	began := time.Now()
 	for {
 		result := d.commitOnce(ctx, txn)
 		switch result.Status {
@@ -106,7 +110,7 @@
 				return storeAway()
 			}
 		}
-		if !pause(ctx, againPause) {
+		if time.Since(began) > acceptPatience || !pause(ctx, againPause) {
 			log.Warn("job: outcome of the acceptance not known in time")
 			return &beryloutcome.Refusal{
 				Status:  http.StatusGatewayTimeout,
--- a/internal/berylentry/follow.go
+++ b/internal/berylentry/follow.go
@@ -23,6 +23,8 @@
 	// settleTime is how long after its start a host takes every other for alive, so that it adopts no job of a host that
 	// it has not heard of yet.
 	settleTime = 3 * time.Second
+	// retireReporters is how many hosts answer such an order, so that it is answered though one of them is lost.
+	retireReporters = 2
 	// retireTimeout bounds the answer to the operators' order to empty a disk host.
 	retireTimeout = time.Second
 )
@@ -33,8 +35,8 @@
 		h.installConfig(item)
 		return
 	}
-	if key, value, ok := h.Dialect.Retirement(item.Key); ok {
-		h.reportEmpty(key, value)
+	if key, value, ok := h.Dialect.Retirement(item.Key); ok && (*memberView)(h).Rank(key) < retireReporters {
+		go h.reportEmpty(key, value)
 	}
 }
 
@@ -57,7 +59,7 @@
 func (h *Host) reportEmpty(key string, value []byte) {
 	ctx, cancel := context.WithTimeout(context.Background(), retireTimeout)
 	defer cancel()
-	result := h.Store.Commit(ctx, berylstore.Txn{
+	result := h.detour.Commit(ctx, berylstore.Txn{
 		Checks: []berylstore.Check{{Key: key}},
 		Puts:   []berylstore.Put{{Key: key, Value: value}},
 	})
--- a/internal/berylentry/host.go
+++ b/internal/berylentry/host.go
@@ -29,6 +29,8 @@
 	kindReadJob = "job-read"
 	// kindWatch is the message by which hosts watch the store for each other.
 	kindWatch = "store-watch"
+	// kindStore is the message by which hosts make calls to the store for each other.
+	kindStore = "store-call"
 )
 
 // Dialect decodes what the platform's operators and upstreams write into the store.
@@ -85,6 +87,7 @@
 	operators berylstore.Follower
 	announced berylstore.Follower
 	registry  *registry
+	detour    *berylstore.Detour
 	followers map[string]*berylstore.Follower // by prefix
 	wire      *berylwire.Endpoint
 	members   *berylhost.Host
@@ -198,6 +201,8 @@
 	links := &beryllink.Links{Wire: h.wire, Find: h.findPeer}
 	share := h.newShare(links)
 	h.operators.Share, h.announced.Share = share, share
+	h.detour = h.newDetour(links)
+	h.operators.Store, h.announced.Store = h.detour, h.detour
 	h.scheduler = berylsched.New(berylsched.Settings{
 		Host: h.Settings.Host, Boot: h.boot, Transport: links, Metrics: h.Metrics, Log: h.Log,
 	})
@@ -207,7 +212,7 @@
 	})
 	h.Relay = &berylrelay.Relay{Permits: h.scheduler, Fleet: &h.fleet, Caller: h.Caller, Log: h.Log}
 	h.Jobs = berylbatch.New(berylbatch.Config{
-		Host: h.Settings.Host, Boot: h.boot, Store: h.Store, Permits: h.scheduler, Fleet: &h.fleet, Caller: h.Caller,
+		Host: h.Settings.Host, Boot: h.boot, Store: h.detour, Permits: h.scheduler, Fleet: &h.fleet, Caller: h.Caller,
 		Routes: &h.routes, Members: (*memberView)(h), Peers: &jobPeers{links}, Share: share,
 		Lease: h.registry.currentLease, Retention: h.Settings.Retention, Log: h.Log,
 	})
@@ -217,6 +222,7 @@
 		h.followers[f.Prefix] = f
 	}
 	berylwire.Handle(h.wire, kindWatch, h.answerWatch)
+	berylwire.Handle(h.wire, kindStore, h.answerStore)
 }
 
 // becomeReady waits until this host knows enough to serve.
--- a/internal/berylentry/share.go
+++ b/internal/berylentry/share.go
@@ -21,6 +21,7 @@
 func (h *Host) newShare(links *beryllink.Links) *berylstore.Share {
 	return &berylstore.Share{
 		Source: h.watchSource,
+		Others: h.others,
 		Ask: func(ctx context.Context, host string, request berylstore.WatchRequest) (berylstore.WatchReply, error) {
 			return beryllink.Request[berylstore.WatchRequest, berylstore.WatchReply](ctx, links, host, kindWatch, request)
 		},
@@ -53,3 +54,41 @@
 	}
 	return f.Answer(ctx, request), nil
 }
+
+// newDetour lets other hosts make this host's calls to the store while it does not reach it.
+func (h *Host) newDetour(links *beryllink.Links) *berylstore.Detour {
+	return &berylstore.Detour{
+		Store: h.Store,
+		Away:  h.storeAway,
+		Hosts: h.others,
+		Ask: func(ctx context.Context, host string, call berylstore.Call) (berylstore.CallReply, error) {
+			return beryllink.Request[berylstore.Call, berylstore.CallReply](ctx, links, host, kindStore, call)
+		},
+	}
+}
+
+// storeAway says that this host does not reach the store, as far as its watches show.
+func (h *Host) storeAway() bool {
+	return h.operators.Away() || h.announced.Away()
+}
+
+// others returns the other live hosts, those of this failure domain last: a fault of the path to the store is most often
+// shared by them.
+func (h *Host) others() []string {
+	var far, near []string
+	for _, m := range berylhost.Rank(watchKey+h.Settings.Host, h.members.Live(), h.Settings.Region) {
+		switch {
+		case m.Name == h.Settings.Host:
+		case m.FailureDomain == h.Settings.FailureDomain:
+			near = append(near, m.Name)
+		default:
+			far = append(far, m.Name)
+		}
+	}
+	return append(far, near...)
+}
+
+// answerStore makes a call to the store for another host.
+func (h *Host) answerStore(ctx context.Context, _ string, call berylstore.Call) (berylstore.CallReply, error) {
+	return berylstore.AnswerCall(ctx, h.Store, h.storeAway(), call), nil
+}
--- /dev/null
+++ b/internal/berylstore/detour.go
@@ -0,0 +1,165 @@
+package berylstore
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// detourHosts bounds the hosts that are asked for one call.
+const detourHosts = 2
+
+// detourTimeout bounds one call made by another host: the store's own answer and two hops.
+const detourTimeout = 600 * time.Millisecond
+
+// CallKind names a call of the store.
+type CallKind uint8
+
+const (
+	// CallGet reads one item.
+	CallGet CallKind = iota
+	// CallList reads one page.
+	CallList
+	// CallCommit makes a change.
+	CallCommit
+)
+
+// Call is a call of the store that another host is asked to make.
+type Call struct {
+	// Kind says which call it is.
+	Kind CallKind `cbor:"1,keyasint"`
+	// Key is the item's key or the listing's prefix; After is the key that the listing goes on from.
+	Key   string `cbor:"2,keyasint,omitempty"`
+	After string `cbor:"3,keyasint,omitempty"`
+	// Txn is the change.
+	Txn Txn `cbor:"4,keyasint,omitempty"`
+}
+
+// CallReply answers a Call.
+type CallReply struct {
+	// Status says what is certain; of reads it is Done or NotDone.
+	Status Status `cbor:"1,keyasint"`
+	// Items are the item that was found, the page, or the items of a conflict.
+	Items []Item `cbor:"2,keyasint,omitempty"`
+	// More and AsOf are the page's.
+	More bool  `cbor:"3,keyasint,omitempty"`
+	AsOf int64 `cbor:"4,keyasint,omitempty"`
+	// Revision is the change's.
+	Revision int64 `cbor:"5,keyasint,omitempty"`
+}
+
+// Detour is a store whose calls are made by other hosts while this host can't reach it. Watches go to the store alone.
+type Detour struct {
+	Store
+	// Away says that this host does not reach the store.
+	Away func() bool
+	// Hosts returns hosts that may reach it, best first.
+	Hosts func() []string
+	// Ask asks one of them.
+	Ask func(ctx context.Context, host string, call Call) (CallReply, error)
+}
+
+var _ Store = (*Detour)(nil)
+
+// errNoDetour says that no other host could make a call either.
+var errNoDetour = errors.Mark(errors.New("no other host reaches the store"), ErrNotDone)
+
+// ask has another host make a call. A call that may have been made is not given to the next host.
+func (d *Detour) ask(ctx context.Context, call Call) (CallReply, error) {
+	hosts := d.Hosts()
+	for _, host := range hosts[:min(len(hosts), detourHosts)] {
+		bounded, cancel := context.WithTimeout(ctx, detourTimeout)
+		reply, err := d.Ask(bounded, host, call)
+		cancel()
+		switch {
+		case err != nil && call.Kind == CallCommit:
+			return CallReply{}, errors.Mark(err, ErrUnknown)
+		case err == nil && reply.Status != NotDone:
+			return reply, nil
+		}
+	}
+	return CallReply{}, errNoDetour
+}
+
+// Get returns an item as it is now.
+func (d *Detour) Get(ctx context.Context, key string) (Item, bool, error) {
+	var err error
+	if !d.Away() {
+		var item Item
+		var found bool
+		if item, found, err = d.Store.Get(ctx, key); err == nil || !d.Away() {
+			return item, found, err
+		}
+	}
+	reply, detourErr := d.ask(ctx, Call{Kind: CallGet, Key: key})
+	if detourErr != nil {
+		return Item{}, false, errors.CombineErrors(detourErr, err)
+	}
+	if len(reply.Items) == 0 {
+		return Item{}, false, nil
+	}
+	return reply.Items[0], true, nil
+}
+
+// List returns the items under a prefix whose keys come after the given one.
+func (d *Detour) List(ctx context.Context, prefix, after string) (Page, error) {
+	page, err := d.Store.List(ctx, prefix, after)
+	if err == nil || !d.Away() {
+		return page, err
+	}
+	reply, detourErr := d.ask(ctx, Call{Kind: CallList, Key: prefix, After: after})
+	if detourErr != nil {
+		return Page{}, errors.CombineErrors(detourErr, err)
+	}
+	return Page{Items: reply.Items, More: reply.More, AsOf: reply.AsOf}, nil
+}
+
+// Commit makes a change.
+func (d *Detour) Commit(ctx context.Context, txn Txn) Result {
+	if !d.Away() {
+		result := d.Store.Commit(ctx, txn)
+		if result.Status != NotDone {
+			return result
+		}
+	}
+	reply, err := d.ask(ctx, Call{Kind: CallCommit, Txn: txn})
+	switch {
+	case errors.Is(err, ErrUnknown):
+		return Result{Status: Unknown, Err: err}
+	case err != nil:
+		return Result{Status: NotDone, Err: err}
+	default:
+		return Result{Status: reply.Status, Revision: reply.Revision, Current: reply.Items}
+	}
+}
+
+// AnswerCall makes a call for another host, at a store that this host reaches itself.
+func AnswerCall(ctx context.Context, s Store, away bool, call Call) CallReply {
+	if away {
+		return CallReply{Status: NotDone}
+	}
+	switch call.Kind {
+	case CallGet:
+		item, found, err := s.Get(ctx, call.Key)
+		if err != nil {
+			return CallReply{Status: NotDone}
+		}
+		reply := CallReply{Status: Done}
+		if found {
+			reply.Items = []Item{item}
+		}
+		return reply
+	case CallList:
+		page, err := s.List(ctx, call.Key, call.After)
+		if err != nil {
+			return CallReply{Status: NotDone}
+		}
+		return CallReply{Status: Done, Items: page.Items, More: page.More, AsOf: page.AsOf}
+	case CallCommit:
+		result := s.Commit(ctx, call.Txn)
+		return CallReply{Status: result.Status, Items: result.Current, Revision: result.Revision}
+	default:
+		return CallReply{Status: NotDone}
+	}
+}
--- /dev/null
+++ b/internal/berylstore/detour_test.go
@@ -0,0 +1,117 @@
+package berylstore_test
+
+import (
+	"context"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"berylroad.example/berylroad/internal/berylfake"
+	"berylroad.example/berylroad/internal/berylstore"
+)
+
+// detourWorld is a host that may be cut from the store, and two others that may be too.
+type detourWorld struct {
+	store  berylfake.MemoryStore
+	cut    berylfake.MemoryStore // what the cut host sees of the store: nothing
+	detour berylstore.Detour
+	asked  []string
+	// lost are the hosts that do not reach the store, silent those that do not answer.
+	lost, silent map[string]bool
+}
+
+func newDetourWorld() *detourWorld {
+	w := &detourWorld{lost: map[string]bool{}, silent: map[string]bool{}}
+	w.cut.SetFault(func(string, string) berylfake.StoreFault { return berylfake.StoreRefuses })
+	w.detour = berylstore.Detour{
+		Store: &w.cut,
+		Away:  func() bool { return true },
+		Hosts: func() []string { return []string{"b", "c", "d"} },
+		Ask: func(ctx context.Context, host string, call berylstore.Call) (berylstore.CallReply, error) {
+			w.asked = append(w.asked, host)
+			if w.silent[host] {
+				return berylstore.CallReply{}, io.EOF
+			}
+			return berylstore.AnswerCall(ctx, &w.store, w.lost[host], call), nil
+		},
+	}
+	return w
+}
+
+func TestDetour(t *testing.T) {
+	create := berylstore.Txn{Checks: []berylstore.Check{{Key: "k"}}, Puts: []berylstore.Put{{Key: "k", Value: []byte("v")}}}
+	t.Run("calls go through another host", func(t *testing.T) {
+		is, w := is.New(t), newDetourWorld()
+		is.Equal(w.detour.Commit(t.Context(), create).Status, berylstore.Done)
+		again := w.detour.Commit(t.Context(), create)
+		is.Equal(again.Status, berylstore.Conflict)
+		is.Equal(string(again.Current[0].Value), "v")
+		item, found, err := w.detour.Get(t.Context(), "k")
+		is.NoErr(err)
+		is.True(found)
+		is.Equal(string(item.Value), "v")
+		page, err := w.detour.List(t.Context(), "k", "")
+		is.NoErr(err)
+		is.Equal(len(page.Items), 1)
+		_, found, err = w.detour.Get(t.Context(), "none")
+		is.NoErr(err)
+		is.True(!found)
+	})
+	t.Run("the next host, where one does not reach the store either", func(t *testing.T) {
+		is, w := is.New(t), newDetourWorld()
+		w.lost["b"] = true
+		is.Equal(w.detour.Commit(t.Context(), create).Status, berylstore.Done)
+		is.Equal(w.asked, []string{"b", "c"})
+	})
+	t.Run("refused at once where nobody reaches it", func(t *testing.T) {
+		is, w := is.New(t), newDetourWorld()
+		w.lost["b"], w.lost["c"] = true, true
+		is.Equal(w.detour.Commit(t.Context(), create).Status, berylstore.NotDone)
+		_, _, err := w.detour.Get(t.Context(), "k")
+		is.True(err != nil)
+	})
+	t.Run("a change that may have been made is not given to the next host", func(t *testing.T) {
+		is, w := is.New(t), newDetourWorld()
+		w.silent["b"] = true
+		is.Equal(w.detour.Commit(t.Context(), create).Status, berylstore.Unknown)
+		is.Equal(w.asked, []string{"b"})
+	})
+}
+
+// A host that is cut from the store hears of changes from others, and goes on by itself once it is back.
+func TestFollowerThatIsCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store := &berylfake.MemoryStore{}
+		store.Write("p/a", "1")
+		mine := &refusingStore{Store: store}
+		well, cut := newCopy(store), newCopy(mine)
+		cut.Share = &berylstore.Share{
+			Source: func() (string, bool) { return "", false },
+			Others: func() []string { return []string{"well"} },
+			Ask: func(ctx context.Context, _ string, r berylstore.WatchRequest) (berylstore.WatchReply, error) {
+				return well.Answer(ctx, r), nil
+			},
+		}
+		go well.Run(ctx)
+		go cut.Run(ctx)
+		time.Sleep(time.Second)
+		mine.refuse.Store(true)
+		time.Sleep(3 * time.Second)
+		is.True(cut.Away())
+		store.Write("p/a", "2")
+		time.Sleep(1500 * time.Millisecond)
+		is.Equal(cut.get("p/a"), "2")
+		mine.refuse.Store(false)
+		time.Sleep(time.Second)
+		is.True(!cut.Away())
+		store.Write("p/a", "3")
+		time.Sleep(50 * time.Millisecond)
+		is.Equal(cut.get("p/a"), "3")
+	})
+}
--- a/internal/berylstore/follower.go
+++ b/internal/berylstore/follower.go
@@ -148,9 +148,14 @@
 		}
 		if err != nil {
 			f.away(ctx, err)
-			continue
+			reply, ok := f.Share.askAny(ctx, f.Prefix, above)
+			if !ok {
+				continue
+			}
+			events, asOf = reply.Events, reply.AsOf
+		} else {
+			f.answered()
 		}
-		f.answered()
 		f.recent.add(events, asOf)
 		if len(events) > 0 {
 			f.Apply(events, asOf)
@@ -168,10 +173,16 @@
 	if span == 0 {
 		span = defaultWait
 	}
+	if f.Away() && f.Share != nil {
+		// Only a look whether the store is back: what has changed comes from other hosts meanwhile.
+		bounded, cancel := context.WithTimeout(ctx, probeTimeout)
+		defer cancel()
+		return f.Store.Watch(bounded, f.Prefix, above, 0)
+	}
 	if f.Share != nil {
 		source, serving := f.Share.Source()
 		if source != "" {
-			if reply, ok := f.Share.ask(ctx, source, f.Prefix, above); ok {
+			if reply, ok := f.Share.ask(ctx, source, f.Prefix, above, oldestShared); ok {
 				return reply.Events, reply.AsOf, nil
 			}
 		}
--- a/internal/berylstore/follower_test.go
+++ b/internal/berylstore/follower_test.go
@@ -161,3 +161,23 @@
 	}
 	return events, asOf, err
 }
+
+// refusingStore refuses watches and listings while it is told to.
+type refusingStore struct {
+	berylstore.Store
+	refuse atomic.Bool
+}
+
+func (s *refusingStore) Watch(ctx context.Context, prefix string, above int64, wait time.Duration) ([]berylstore.Event, int64, error) {
+	if s.refuse.Load() {
+		return nil, 0, berylstore.ErrNotDone
+	}
+	return s.Store.Watch(ctx, prefix, above, wait)
+}
+
+func (s *refusingStore) List(ctx context.Context, prefix, after string) (berylstore.Page, error) {
+	if s.refuse.Load() {
+		return berylstore.Page{}, berylstore.ErrNotDone
+	}
+	return s.Store.List(ctx, prefix, after)
+}
--- a/internal/berylstore/share.go
+++ b/internal/berylstore/share.go
@@ -16,6 +16,11 @@
 	peerSlack = 250 * time.Millisecond
 	// oldestShared is how old another host's copy may be; beyond it the store is asked.
 	oldestShared = 850 * time.Millisecond
+	// oldestDetour is how old another host's copy may be for a host that does not reach the store itself: a watch's wait
+	// and its slack.
+	oldestDetour = 3 * time.Second
+	// probeTimeout bounds the look whether the store can be reached again.
+	probeTimeout = 400 * time.Millisecond
 	// recentEvents is how many changes a host keeps for others; who is further behind lists anew.
 	recentEvents = 2048
 )
@@ -46,16 +51,32 @@
 type Share struct {
 	// Source returns the host that watches for this one, or an empty name; serving says that others rely on this one.
 	Source func() (host string, serving bool)
+	// Others returns hosts that may reach the store when this one does not, best first; nil has none.
+	Others func() []string
 	// Ask asks another host.
 	Ask func(ctx context.Context, host string, request WatchRequest) (WatchReply, error)
 }
 
-// ask returns another host's answer if it is fresh and whole.
-func (s *Share) ask(ctx context.Context, source, prefix string, above int64) (WatchReply, bool) {
+// ask returns another host's answer if it is whole and no older than the given age.
+func (s *Share) ask(ctx context.Context, source, prefix string, above int64, oldest time.Duration) (WatchReply, bool) {
 	bounded, cancel := context.WithTimeout(ctx, peerWait+peerSlack)
 	defer cancel()
 	reply, err := s.Ask(bounded, source, WatchRequest{Prefix: prefix, Above: above, Wait: peerWait})
-	return reply, err == nil && reply.Known && reply.Age <= oldestShared
+	return reply, err == nil && reply.Known && reply.Age <= oldest
+}
+
+// askAny returns the answer of one of the hosts that may reach the store when this one does not.
+func (s *Share) askAny(ctx context.Context, prefix string, above int64) (WatchReply, bool) {
+	if s == nil || s.Others == nil {
+		return WatchReply{}, false
+	}
+	hosts := s.Others()
+	for _, host := range hosts[:min(len(hosts), detourHosts)] {
+		if reply, ok := s.ask(ctx, host, prefix, above, oldestDetour); ok {
+			return reply, true
+		}
+	}
+	return WatchReply{}, false
 }
 
 // recent is the latest changes under a prefix; its zero value knows none.
--- a/internal/berylstore/store.go
+++ b/internal/berylstore/store.go
@@ -36,29 +36,29 @@
 // Check demands that an item still has a revision; zero demands that there is none of that key.
 type Check struct {
 	// Key names the item.
-	Key string
+	Key string `cbor:"1,keyasint"`
 	// Revision is the one that it must have.
-	Revision int64
+	Revision int64 `cbor:"2,keyasint,omitempty"`
 }
 
 // Put writes one item.
 type Put struct {
 	// Key names the item.
-	Key string
+	Key string `cbor:"1,keyasint"`
 	// Value is what to write.
-	Value []byte
+	Value []byte `cbor:"2,keyasint,omitempty"`
 	// Lease removes the item when it ends; zero keeps it.
-	Lease int64
+	Lease int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Txn is a change that takes effect whole or not at all.
 type Txn struct {
 	// Checks must all hold.
-	Checks []Check
+	Checks []Check `cbor:"1,keyasint,omitempty"`
 	// Puts are written.
-	Puts []Put
+	Puts []Put `cbor:"2,keyasint,omitempty"`
 	// Deletes are removed.
-	Deletes []string
+	Deletes []string `cbor:"3,keyasint,omitempty"`
 }
 
 // Status says what is certain of a change.
