--- a/internal/berylbatch/duty.go
+++ b/internal/berylbatch/duty.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
+	"berylroad.example/berylroad/internal/beryloutcome"
 	"berylroad.example/berylroad/internal/berylpermit"
 	"berylroad.example/berylroad/internal/berylrelay"
 	"berylroad.example/berylroad/internal/berylroute"
@@ -61,6 +64,8 @@
 	Retention time.Duration
 	// Log takes a line for each decision on a job or an item.
 	Log logrus.FieldLogger
+	// Metrics takes counts; nil keeps none.
+	Metrics *metrics.Set
 }
 
 // Duty is one host's part in all jobs.
@@ -98,9 +103,32 @@
 		Log:    config.Log,
 		Share:  config.Share,
 	}
+	if d.Metrics != nil {
+		d.Metrics.NewGauge("berylroad_batch_jobs_owned", func() float64 { return float64(d.owned()) })
+	}
 	return d
 }
 
+// owned counts the open jobs that this host runs.
+func (d *Duty) owned() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := 0
+	for _, j := range d.jobs {
+		if j.running() && j.record.Open() {
+			n++
+		}
+	}
+	return n
+}
+
+// count counts a call for an item by how it ended.
+func (d *Duty) count(outcome beryloutcome.Kind) {
+	if d.Metrics != nil {
+		d.Metrics.GetOrCreateCounter(fmt.Sprintf("berylroad_batch_calls_total{outcome=%q}", outcome)).Inc()
+	}
+}
+
 // Run works until ctx ends; the items in flight are then broken off and what is finished is listed.
 func (d *Duty) Run(ctx context.Context) {
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
--- a/internal/berylbatch/run.go
+++ b/internal/berylbatch/run.go
@@ -216,6 +216,7 @@
 		d.mu.Unlock()
 	}
 	d.settle(it, status, err, &report)
+	d.count(report.Kind)
 	permit.Release(report)
 	fields := logrus.Fields{
 		"job": it.job.id, "item": it.ID, "upstream": permit.Upstream, "from-event": from, "events": it.events,
--- a/internal/berylcmd/entry/run/run.go
+++ b/internal/berylcmd/entry/run/run.go
@@ -44,18 +44,22 @@
 	}
 	entry := log.WithField("host", settings.Host)
 	berylplatform.WatchReload(f.Context, o.NodeFile, entry)
+	set := metrics.NewSet()
+	set.NewGauge("berylroad_log_lines_dropped_total", func() float64 { return float64(lines.Dropped()) })
+	store := berylplatform.NewStore(settings.StoreAddress)
+	store.Metrics = set
 	host := berylentry.New(berylentry.Config{
 		Settings:       settings,
-		Store:          berylplatform.NewStore(settings.StoreAddress),
+		Store:          store,
 		Dialect:        berylplatform.Dialect{},
 		OperatorPrefix: berylplatform.OperatorPrefix,
 		UpstreamPrefix: berylplatform.UpstreamPrefix,
 		Caller:         &berylplatform.Upstreams{},
 		Log:            entry,
-		Metrics:        metrics.NewSet(),
+		Metrics:        set,
 	})
 	entry.WithFields(logrus.Fields{"callers": settings.CallerAddress, "peers": settings.PeerAddress, "store": settings.StoreAddress}).Info("host: started")
-	front := berylplatform.Front{Host: host, Log: entry}
+	front := berylplatform.Front{Host: host, Log: entry, Metrics: set}
 	err = front.Run(f.Context, settings)
 	entry.WithError(err).Info("host: stopped")
 	return err
--- a/internal/berylentry/host.go
+++ b/internal/berylentry/host.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -210,16 +211,17 @@
 	h.registry = newRegistry(h.Store, self, h.Log, share, func(members []berylhost.Member) {
 		h.members.SetCandidates(context.Background(), members)
 	})
-	h.Relay = &berylrelay.Relay{Permits: h.scheduler, Fleet: &h.fleet, Caller: h.Caller, Log: h.Log}
+	h.Relay = &berylrelay.Relay{Permits: h.scheduler, Fleet: &h.fleet, Caller: h.Caller, Log: h.Log, Metrics: h.Metrics}
 	h.Jobs = berylbatch.New(berylbatch.Config{
 		Host: h.Settings.Host, Boot: h.boot, Store: h.detour, Permits: h.scheduler, Fleet: &h.fleet, Caller: h.Caller,
 		Routes: &h.routes, Members: (*memberView)(h), Peers: &jobPeers{links}, Share: share,
-		Lease: h.registry.currentLease, Retention: h.Settings.Retention, Log: h.Log,
+		Lease: h.registry.currentLease, Retention: h.Settings.Retention, Log: h.Log, Metrics: h.Metrics,
 	})
 	berylwire.Handle(h.wire, kindReadJob, h.Jobs.HandleRead)
 	h.followers = map[string]*berylstore.Follower{}
 	for _, f := range []*berylstore.Follower{&h.operators, &h.announced, &h.registry.follower, h.Jobs.Records()} {
 		h.followers[f.Prefix] = f
+		h.Metrics.NewGauge(fmt.Sprintf("berylroad_belief_age_seconds{prefix=%q}", f.Prefix), func() float64 { return time.Since(f.Current()).Seconds() })
 	}
 	berylwire.Handle(h.wire, kindWatch, h.answerWatch)
 	berylwire.Handle(h.wire, kindStore, h.answerStore)
--- a/internal/berylentry/settings.go
+++ b/internal/berylentry/settings.go
@@ -12,6 +12,8 @@
 	CallerAddress, ReadyAddress string
 	// PeerAddress is the IP address and UDP port for other hosts.
 	PeerAddress string
+	// OperatorAddress shows metrics.
+	OperatorAddress string
 	// StoreAddress is that of the platform's store.
 	StoreAddress string
 	// DataDirectory is where a host with a disk keeps files; it is empty elsewhere.
--- /dev/null
+++ b/internal/beryllog/writer_test.go
@@ -0,0 +1,74 @@
+package beryllog_test
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"berylroad.example/berylroad/internal/beryllog"
+)
+
+// reader takes lines, and stops reading while it is held.
+type reader struct {
+	mu   sync.Mutex
+	hold sync.Mutex
+	text bytes.Buffer
+}
+
+func (r *reader) Write(p []byte) (int, error) {
+	r.hold.Lock()
+	defer r.hold.Unlock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.text.Write(p)
+}
+
+func (r *reader) String() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.text.String()
+}
+
+// A reader that stops reading holds nobody up; lines are dropped, counted, and told of once it reads again.
+func TestReaderThatStops(t *testing.T) {
+	is := is.New(t)
+	var r reader
+	w := beryllog.NewWriter(&r)
+	log, err := beryllog.New(w, "info")
+	is.NoErr(err)
+	r.hold.Lock()
+	began := time.Now()
+	for range 10_000 {
+		log.WithField("request", "q").Info("request: ended")
+	}
+	is.True(time.Since(began) < 5*time.Second) // 0.5 ms a line at most, on any machine
+	is.True(w.Dropped() > 5000)
+	time.Sleep(1100 * time.Millisecond)
+	r.hold.Unlock()
+	for range 200 {
+		if strings.Contains(r.String(), "lines dropped") {
+			break
+		}
+		log.Info("more")
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.True(strings.Contains(r.String(), "lines dropped"))
+	w.Close()
+}
+
+func TestLastLinesAreWritten(t *testing.T) {
+	is := is.New(t)
+	var r reader
+	w := beryllog.NewWriter(&r)
+	log, err := beryllog.New(w, "info")
+	is.NoErr(err)
+	log.WithField("status", 503).Warn("host: stopped")
+	w.Close()
+	is.True(strings.Contains(r.String(), `"msg":"host: stopped","status":503`))
+	_, err = beryllog.New(w, "loud")
+	is.True(err != nil)
+}
--- a/internal/berylrelay/relay.go
+++ b/internal/berylrelay/relay.go
@@ -3,11 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
@@ -80,6 +82,8 @@
 	Caller Caller
 	// Log takes one line for each request.
 	Log logrus.FieldLogger
+	// Metrics takes counts and times; nil keeps none.
+	Metrics *metrics.Set
 }
 
 // Do carries one request. When ctx ends its caller has left.
@@ -419,8 +423,24 @@
 	return beryloutcome.Result{Kind: kind, Refusal: refusal, Upstream: x.upstream, FirstToken: x.first, Attempts: x.sends}
 }
 
+// measure counts how the request ended.
+func (x *exchange) measure(result beryloutcome.Result) {
+	if x.Metrics == nil {
+		return
+	}
+	x.Metrics.GetOrCreateCounter(fmt.Sprintf("berylroad_relay_requests_total{outcome=%q}", result.Kind)).Inc()
+	x.Metrics.GetOrCreateHistogram("berylroad_relay_permit_wait_seconds").Update(x.waited.Seconds())
+	if x.first > 0 {
+		x.Metrics.GetOrCreateHistogram("berylroad_relay_first_event_seconds").Update(x.first.Seconds())
+	}
+	if x.sends > 1 {
+		x.Metrics.GetOrCreateCounter("berylroad_relay_further_sends_total").Add(x.sends - 1)
+	}
+}
+
 // report logs how the request ended and what decided it.
 func (x *exchange) report(result beryloutcome.Result) {
+	x.measure(result)
 	fields := logrus.Fields{
 		"request":   x.request.ID,
 		"route":     x.request.Route.Name,
