--- a/internal/berylhost/host.go
+++ b/internal/berylhost/host.go
@@ -248,8 +248,8 @@
 	h.config.Metrics.GetOrCreateCounter(name).Inc()
 	h.config.Log.WithFields(logrus.Fields{
 		"member": t.Member.Name,
-		"from": t.From.String(),
-		"to":   t.Member.State.String(),
+		"from":   t.From.String(),
+		"to":     t.Member.State.String(),
 	}).Info("host changed state")
 }
 
