--- a/internal/berylbatch/duty_test.go
+++ b/internal/berylbatch/duty_test.go
@@ -51,6 +51,11 @@
 	return w
 }
 
+// setUp returns what most tests start from; the hosts end with the test.
+func setUp(t *testing.T, slots int) (*is.I, context.Context, *world) {
+	return is.New(t), t.Context(), newWorld(slots)
+}
+
 func (w *world) install(r berylroute.Route) {
 	r.Name, r.Host, r.Prefix, r.Kind = "r", "h", "/jobs/", berylroute.Batch
 	r.Shares = []berylroute.Share{{Service: "svc", Weight: 1}}
@@ -284,10 +289,7 @@
 
 func TestJobRunsOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		w := newWorld(4)
+		is, ctx, w := setUp(t, 4)
 		a, _ := w.host(ctx, "a", 1)
 		b, _ := w.host(ctx, "b", 1)
 		time.Sleep(time.Millisecond)
@@ -323,10 +325,7 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				ctx, cancel := context.WithCancel(t.Context())
-				defer cancel()
-				w := newWorld(4)
+				is, ctx, w := setUp(t, 4)
 				a, _ := w.host(ctx, "a", 1)
 				time.Sleep(time.Millisecond)
 				next := 0
@@ -356,10 +355,7 @@
 // A host must not promise that a job does not run while an earlier write of it may still take effect.
 func TestLateAcceptanceIsNeverRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		w := newWorld(4)
+		is, ctx, w := setUp(t, 4)
 		a, _ := w.host(ctx, "a", 1)
 		time.Sleep(time.Millisecond)
 		first := true
@@ -392,10 +388,7 @@
 	}{{"gone for good", false}, {"restarted", true}} {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				ctx, cancel := context.WithCancel(t.Context())
-				defer cancel()
-				w := newWorld(2)
+				is, ctx, w := setUp(t, 2)
 				a, kill := w.host(ctx, "a", 1)
 				b, _ := w.host(ctx, "b", 1)
 				time.Sleep(time.Millisecond)
@@ -417,10 +410,7 @@
 // A host that was cut off and taken for dead goes on for a while; what it finishes is not listed a second time.
 func TestFencedHostListsNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		w := newWorld(4)
+		is, ctx, w := setUp(t, 4)
 		a, _ := w.host(ctx, "a", 1)
 		b, _ := w.host(ctx, "b", 1)
 		time.Sleep(time.Millisecond)
@@ -442,10 +432,7 @@
 	for _, fault := range []berylfake.StoreFault{berylfake.StoreLosesAnswer, berylfake.StoreLosesCall, berylfake.StoreRefuses, berylfake.StoreActsLate} {
 		t.Run(fmt.Sprint(fault), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				ctx, cancel := context.WithCancel(t.Context())
-				defer cancel()
-				w := newWorld(2)
+				is, ctx, w := setUp(t, 2)
 				a, _ := w.host(ctx, "a", 1)
 				time.Sleep(time.Millisecond)
 				is.Equal(a.Submit(ctx, w.submission("j", 8)), nil)
@@ -466,10 +453,7 @@
 
 func TestYieldedItemGoesOn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		w := newWorld(1)
+		is, ctx, w := setUp(t, 1)
 		a, _ := w.host(ctx, "a", 1)
 		time.Sleep(time.Millisecond)
 		is.Equal(a.Submit(ctx, w.submission("j", 1)), nil)
@@ -488,10 +472,7 @@
 	}{{http.StatusUnprocessableEntity, 1}, {http.StatusInternalServerError, 3}} {
 		t.Run(fmt.Sprint(tt.status), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				ctx, cancel := context.WithCancel(t.Context())
-				defer cancel()
-				w := newWorld(4)
+				is, ctx, w := setUp(t, 4)
 				w.engine.status = func(id string) int {
 					if id == "j-1" {
 						return tt.status
@@ -512,10 +493,7 @@
 
 func TestEndedJobStopsEverywhere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		w := newWorld(1)
+		is, ctx, w := setUp(t, 1)
 		a, _ := w.host(ctx, "a", 1)
 		b, _ := w.host(ctx, "b", 1)
 		time.Sleep(time.Millisecond)
@@ -536,10 +514,7 @@
 
 func TestQuota(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		w := newWorld(1)
+		is, ctx, w := setUp(t, 1)
 		w.install(berylroute.Route{Due: 18 * time.Second, Retention: time.Minute, MaxAttempts: 3, MaxWaitingTokens: 1000})
 		a, _ := w.host(ctx, "a", 1)
 		b, _ := w.host(ctx, "b", 1)
@@ -556,10 +531,7 @@
 
 func TestUnsureHostRefuses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		w := newWorld(1)
+		is, ctx, w := setUp(t, 1)
 		w.store.SetFault(func(string, string) berylfake.StoreFault { return berylfake.StoreLosesCall })
 		a, _ := w.host(ctx, "a", 1)
 		_, refusal := a.Read(ctx, "j", 0, 0)
@@ -571,10 +543,7 @@
 // A planned stop gives the jobs back, so that they go on without a wait for the host's death to be noticed.
 func TestPlannedStopGivesJobsBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		w := newWorld(2)
+		is, ctx, w := setUp(t, 2)
 		d := New(Config{
 			Host: "z", Boot: 1, Store: &w.store, Permits: w, Fleet: &w.fleet, Caller: &w.engine, Routes: &w.routes,
 			Members: &member{w, "z"}, Peers: w, Lease: w.lease(ctx), Retention: 2 * time.Minute, Log: quiet(),
@@ -603,10 +572,7 @@
 // can't.
 func TestJobFloodBeyondCapacity(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		w := newWorld(1)
+		is, ctx, w := setUp(t, 1)
 		w.install(berylroute.Route{Due: 2 * time.Second, Retention: time.Minute, MaxAttempts: 3})
 		a, _ := w.host(ctx, "a", 1)
 		time.Sleep(time.Millisecond)
@@ -655,10 +621,7 @@
 	}{{"killed", false, 160}, {"stopped as planned", true, 10}} {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				ctx, cancel := context.WithCancel(t.Context())
-				defer cancel()
-				w := newWorld(2)
+				is, ctx, w := setUp(t, 2)
 				w.engine.events = 600 // 6 s
 				a, kill := w.host(ctx, "a", 1)
 				b, _ := w.host(ctx, "b", 1)
--- a/internal/berylcmd/disk/run/run.go
+++ b/internal/berylcmd/disk/run/run.go
@@ -1,17 +1,13 @@
 package run
 
 import (
-	"os"
-
 	"berylroad.example/berylroad/internal/berylcmd/factory"
-	"berylroad.example/berylroad/internal/beryllog"
-	berylplatform "berylroad.example/berylroad/platform"
+	"berylroad.example/berylroad/internal/berylcmd/nodelog"
 )
 
 // Options are the command's flags.
 type Options struct {
-	// NodeFile names the platform's settings file.
-	NodeFile string `help:"Settings file that the platform writes." env:"BERYLROAD_NODE_FILE" type:"path" placeholder:"FILE"`
+	nodelog.Flags
 }
 
 // Help is the command's longer help.
@@ -25,20 +21,13 @@
 
 // Run waits for the end.
 func (o *Options) Run(f *factory.Factory) error {
-	settings, err := berylplatform.LoadSettings(o.NodeFile)
-	if err != nil {
-		return err
-	}
-	lines := beryllog.NewWriter(os.Stdout)
-	defer lines.Close()
-	log, err := beryllog.New(lines, "info")
+	node, err := o.Start(f.Context)
 	if err != nil {
 		return err
 	}
-	entry := log.WithField("host", settings.Host)
-	berylplatform.WatchReload(f.Context, o.NodeFile, entry)
-	entry.Info("disk host: started")
+	defer node.Lines.Close()
+	node.Log.Info("disk host: started")
 	<-f.Context.Done()
-	entry.Info("disk host: stopped")
+	node.Log.Info("disk host: stopped")
 	return nil
 }
--- a/internal/berylcmd/entry/run/run.go
+++ b/internal/berylcmd/entry/run/run.go
@@ -1,23 +1,18 @@
 package run
 
 import (
-	"os"
-
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
 
 	"berylroad.example/berylroad/internal/berylcmd/factory"
+	"berylroad.example/berylroad/internal/berylcmd/nodelog"
 	"berylroad.example/berylroad/internal/berylentry"
-	"berylroad.example/berylroad/internal/beryllog"
 	berylplatform "berylroad.example/berylroad/platform"
 )
 
 // Options are the command's flags.
 type Options struct {
-	// LogLevel is the least level that is written.
-	LogLevel string `help:"Least level that is logged: debug, info, warning or error." default:"info"`
-	// NodeFile names the platform's settings file.
-	NodeFile string `help:"Settings file that the platform writes." env:"BERYLROAD_NODE_FILE" type:"path" placeholder:"FILE"`
+	nodelog.Flags
 }
 
 // Help is the command's longer help.
@@ -30,37 +25,31 @@
   BERYLROAD_NODE_FILE=/etc/berylroad/node.conf berylroad entry run`
 }
 
-// Run fills in what the command works with and runs it.
+// Run runs the host.
 func (o *Options) Run(f *factory.Factory) error {
-	settings, err := berylplatform.LoadSettings(o.NodeFile)
+	node, err := o.Start(f.Context)
 	if err != nil {
 		return err
 	}
-	lines := beryllog.NewWriter(os.Stdout)
-	defer lines.Close()
-	log, err := beryllog.New(lines, o.LogLevel)
-	if err != nil {
-		return &factory.FlagError{Err: err}
-	}
-	entry := log.WithField("host", settings.Host)
-	berylplatform.WatchReload(f.Context, o.NodeFile, entry)
+	defer node.Lines.Close()
+	s := node.Settings
 	set := metrics.NewSet()
-	set.NewGauge("berylroad_log_lines_dropped_total", func() float64 { return float64(lines.Dropped()) })
-	store := berylplatform.NewStore(settings.StoreAddress)
+	set.NewGauge("berylroad_log_lines_dropped_total", func() float64 { return float64(node.Lines.Dropped()) })
+	store := berylplatform.NewStore(s.StoreAddress)
 	store.Metrics = set
 	host := berylentry.New(berylentry.Config{
-		Settings:       settings,
+		Settings:       s,
 		Store:          store,
 		Dialect:        berylplatform.Dialect{},
 		OperatorPrefix: berylplatform.OperatorPrefix,
 		UpstreamPrefix: berylplatform.UpstreamPrefix,
 		Caller:         &berylplatform.Upstreams{},
-		Log:            entry,
+		Log:            node.Log,
 		Metrics:        set,
 	})
-	entry.WithFields(logrus.Fields{"callers": settings.CallerAddress, "peers": settings.PeerAddress, "store": settings.StoreAddress}).Info("host: started")
-	front := berylplatform.Front{Host: host, Log: entry, Metrics: set}
-	err = front.Run(f.Context, settings)
-	entry.WithError(err).Info("host: stopped")
+	node.Log.WithFields(logrus.Fields{"callers": s.CallerAddress, "peers": s.PeerAddress, "store": s.StoreAddress}).Info("host: started")
+	front := berylplatform.Front{Host: host, Log: node.Log, Metrics: set}
+	err = front.Run(f.Context, s)
+	node.Log.WithError(err).Info("host: stopped")
 	return err
 }
--- /dev/null
+++ b/internal/berylcmd/nodelog/nodelog.go
@@ -0,0 +1,48 @@
+package nodelog
+
+import (
+	"context"
+	"os"
+
+	"github.com/sirupsen/logrus"
+
+	"berylroad.example/berylroad/internal/berylcmd/factory"
+	"berylroad.example/berylroad/internal/berylentry"
+	"berylroad.example/berylroad/internal/beryllog"
+	berylplatform "berylroad.example/berylroad/platform"
+)
+
+// Flags are what both roles take.
+type Flags struct {
+	// LogLevel is the least level that is written.
+	LogLevel string `help:"Least level that is logged: debug, info, warning or error." default:"info"`
+	// NodeFile names the platform's settings file.
+	NodeFile string `help:"Settings file that the platform writes." env:"BERYLROAD_NODE_FILE" type:"path" placeholder:"FILE"`
+}
+
+// Node is a process's settings and log.
+type Node struct {
+	// Settings are the platform's.
+	Settings berylentry.Settings
+	// Lines takes the log's lines; close it last.
+	Lines *beryllog.Writer
+	// Log names the host in each line.
+	Log *logrus.Entry
+}
+
+// Start reads the settings, again at each SIGHUP until ctx ends, and opens the log on standard output.
+func (f *Flags) Start(ctx context.Context) (*Node, error) {
+	settings, err := berylplatform.LoadSettings(f.NodeFile)
+	if err != nil {
+		return nil, err
+	}
+	lines := beryllog.NewWriter(os.Stdout)
+	log, err := beryllog.New(lines, f.LogLevel)
+	if err != nil {
+		lines.Close()
+		return nil, &factory.FlagError{Err: err}
+	}
+	node := &Node{Settings: settings, Lines: lines, Log: log.WithField("host", settings.Host)}
+	berylplatform.WatchReload(ctx, f.NodeFile, node.Log)
+	return node, nil
+}
