A SIGHUP during a planned stop no longer ends the process

Ruled out: memory (32 MB), the grace time (8 s), an error of the host (it would have logged one).

Change: the handler stays as long as the process.

--- a/internal/berylcmd/disk/run/run.go
+++ b/internal/berylcmd/disk/run/run.go
@@ -21,7 +21,7 @@
 
 // Run waits for the end.
 func (o *Options) Run(f *factory.Factory) error {
-	node, err := o.Start(f.Context)
+	node, err := o.Start()
 	if err != nil {
 		return err
 	}
--- a/internal/berylcmd/entry/run/run.go
+++ b/internal/berylcmd/entry/run/run.go
@@ -27,7 +27,7 @@
 
 // Run runs the host.
 func (o *Options) Run(f *factory.Factory) error {
-	node, err := o.Start(f.Context)
+	node, err := o.Start()
 	if err != nil {
 		return err
 	}
--- a/internal/berylcmd/nodelog/nodelog.go
+++ b/internal/berylcmd/nodelog/nodelog.go
@@ -1,7 +1,6 @@
 package nodelog
 
 import (
-	"context"
 	"os"
 
 	"github.com/sirupsen/logrus"
@@ -30,8 +29,8 @@
 	Log *logrus.Entry
 }
 
-// Start reads the settings, again at each SIGHUP until ctx ends, and opens the log on standard output.
-func (f *Flags) Start(ctx context.Context) (*Node, error) {
+// Start reads the settings, again at each SIGHUP, and opens the log on standard output.
+func (f *Flags) Start() (*Node, error) {
 	settings, err := berylplatform.LoadSettings(f.NodeFile)
 	if err != nil {
 		return nil, err
@@ -43,6 +42,6 @@
 		return nil, &factory.FlagError{Err: err}
 	}
 	node := &Node{Settings: settings, Lines: lines, Log: log.WithField("host", settings.Host)}
-	berylplatform.WatchReload(ctx, f.NodeFile, node.Log)
+	berylplatform.WatchReload(f.NodeFile, node.Log)
 	return node, nil
 }
