--- /dev/null
+++ b/internal/berylentry/credentials.go
@@ -0,0 +1,104 @@
+package berylentry
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/sirupsen/logrus"
+
+	"berylroad.example/berylroad/internal/berylkey"
+	"berylroad.example/berylroad/internal/berylstore"
+)
+
+// fleetKey is where the fleet's certificate authority is kept.
+const fleetKey = "berylroad/fleet-key"
+
+// loadCredentials returns this host's proof of its name. The fleet's certificate authority is kept in the store, where the
+// first host puts it; who can read the store is trusted by the platform already.
+func loadCredentials(ctx context.Context, store berylstore.Store, settings Settings, log logrus.FieldLogger) (*berylkey.Credentials, error) {
+	host, _, err := net.SplitHostPort(settings.PeerAddress)
+	if err != nil {
+		return nil, errors.WithHint(errors.Wrap(err, "peer address"), "check the settings file")
+	}
+	authority, err := insist(ctx, log, "credentials: the fleet's key can't be read from the store, trying again", func() (berylkey.Pair, error) {
+		return fleetAuthority(ctx, store)
+	})
+	if err != nil {
+		return nil, err
+	}
+	pair, err := authority.CreateHost(time.Now(), settings.Host, net.ParseIP(host))
+	if err != nil {
+		return nil, err
+	}
+	return berylkey.New(time.Now(), authority.Cert, pair)
+}
+
+// insist tries until it succeeds or ctx ends.
+func insist[T any](ctx context.Context, log logrus.FieldLogger, complaint string, try func() (T, error)) (T, error) {
+	for {
+		value, err := try()
+		if err == nil {
+			return value, nil
+		}
+		log.WithError(err).Warn(complaint)
+		timer := time.NewTimer(registryPause)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return value, ctx.Err()
+		case <-timer.C:
+		}
+	}
+}
+
+// nextBoot returns the number of this run of a host. It grows from run to run, also when the clock was set back between
+// two of them.
+func nextBoot(ctx context.Context, store berylstore.Store, host string, log logrus.FieldLogger) (uint64, error) {
+	return insist(ctx, log, "host list: the last run of this host can't be read from the store, trying again", func() (uint64, error) {
+		bounded, cancel := context.WithTimeout(ctx, registryTimeout)
+		defer cancel()
+		item, found, err := store.Get(bounded, hostPrefix+host)
+		if err != nil {
+			return 0, err
+		}
+		boot := uint64(time.Now().UnixNano())
+		var last hostRecord
+		if found && cbor.Unmarshal(item.Value, &last) == nil {
+			boot = max(boot, last.Member.Boot+1)
+		}
+		return boot, nil
+	})
+}
+
+// fleetAuthority reads the fleet's certificate authority, and makes it where there is none.
+func fleetAuthority(ctx context.Context, store berylstore.Store) (berylkey.Pair, error) {
+	bounded, cancel := context.WithTimeout(ctx, registryTimeout)
+	defer cancel()
+	var pair berylkey.Pair
+	item, found, err := store.Get(bounded, fleetKey)
+	if err != nil {
+		return pair, err
+	}
+	if !found {
+		made, err := berylkey.CreateCA(time.Now())
+		if err != nil {
+			return pair, err
+		}
+		value, err := cbor.Marshal(made)
+		if err != nil {
+			return pair, err
+		}
+		result := store.Commit(bounded, berylstore.Txn{Checks: []berylstore.Check{{Key: fleetKey}}, Puts: []berylstore.Put{{Key: fleetKey, Value: value}}})
+		if result.Status == berylstore.Done {
+			return made, nil
+		}
+		if len(result.Current) == 0 {
+			return pair, errors.CombineErrors(errors.Newf("fleet key: %s", result.Status), result.Err)
+		}
+		item = result.Current[0]
+	}
+	return pair, errors.Wrap(cbor.Unmarshal(item.Value, &pair), "fleet key")
+}
--- a/internal/berylrelay/relay.go
+++ b/internal/berylrelay/relay.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -237,42 +236,6 @@
 	}
 }
 
-// watchStall ends a call that may be repeated when its upstream stays silent for too long; a call that may not be waits.
-func (x *exchange) watchStall(cancel context.CancelCauseFunc) *stallTimer {
-	s := &stallTimer{span: x.stallAfter()}
-	if x.request.Route.Repeatable() && x.ran < x.request.Route.Attempts() {
-		s.timer = time.AfterFunc(s.span, func() { cancel(errStalled) })
-	}
-	return s
-}
-
-func (x *exchange) stallAfter() time.Duration {
-	if x.request.Route.Gap == 0 {
-		return noTargetStall
-	}
-	return max(stallFactor*x.request.Route.Gap, leastStall)
-}
-
-// stallTimer ends a call after a silence; one without a timer never does.
-type stallTimer struct {
-	timer *time.Timer
-	span  time.Duration
-}
-
-// Reset starts the silence anew.
-func (s *stallTimer) Reset() {
-	if s.timer != nil {
-		s.timer.Reset(s.span)
-	}
-}
-
-// Stop lets the call go on.
-func (s *stallTimer) Stop() {
-	if s.timer != nil {
-		s.timer.Stop()
-	}
-}
-
 // lost decides what follows a call whose answer did not arrive whole.
 func (x *exchange) lost(ctx context.Context, report *berylpermit.Report, err error) step {
 	x.cause = err
@@ -422,45 +385,3 @@
 func (x *exchange) result(kind beryloutcome.Kind, refusal *beryloutcome.Refusal) beryloutcome.Result {
 	return beryloutcome.Result{Kind: kind, Refusal: refusal, Upstream: x.upstream, FirstToken: x.first, Attempts: x.sends}
 }
-
-// measure counts how the request ended.
-func (x *exchange) measure(result beryloutcome.Result) {
-	if x.Metrics == nil {
-		return
-	}
-	x.Metrics.GetOrCreateCounter(fmt.Sprintf("berylroad_relay_requests_total{outcome=%q}", result.Kind)).Inc()
-	x.Metrics.GetOrCreateHistogram("berylroad_relay_permit_wait_seconds").Update(x.waited.Seconds())
-	if x.first > 0 {
-		x.Metrics.GetOrCreateHistogram("berylroad_relay_first_event_seconds").Update(x.first.Seconds())
-	}
-	if x.sends > 1 {
-		x.Metrics.GetOrCreateCounter("berylroad_relay_further_sends_total").Add(x.sends - 1)
-	}
-}
-
-// report logs how the request ended and what decided it.
-func (x *exchange) report(result beryloutcome.Result) {
-	x.measure(result)
-	fields := logrus.Fields{
-		"request":   x.request.ID,
-		"route":     x.request.Route.Name,
-		"outcome":   result.Kind.String(),
-		"upstream":  x.upstream,
-		"sends":     x.sends,
-		"ran":       x.ran,
-		"waited-ms": x.waited.Milliseconds(),
-		"first-ms":  x.first.Milliseconds(),
-		"total-ms":  time.Since(x.began).Milliseconds(),
-	}
-	if x.seen {
-		fields["last-event"] = x.last
-	}
-	if result.Refusal != nil {
-		fields["status"] = result.Refusal.Status
-		fields["retry-after-ms"] = result.Refusal.RetryAfter.Milliseconds()
-	}
-	if x.cause != nil {
-		fields["cause"] = x.cause.Error()
-	}
-	x.Log.WithFields(fields).Info("request: ended")
-}
--- /dev/null
+++ b/internal/berylrelay/stall.go
@@ -0,0 +1,42 @@
+package berylrelay
+
+import (
+	"context"
+	"time"
+)
+
+// watchStall ends a call that may be repeated when its upstream stays silent for too long; a call that may not be waits.
+func (x *exchange) watchStall(cancel context.CancelCauseFunc) *stallTimer {
+	s := &stallTimer{span: x.stallAfter()}
+	if x.request.Route.Repeatable() && x.ran < x.request.Route.Attempts() {
+		s.timer = time.AfterFunc(s.span, func() { cancel(errStalled) })
+	}
+	return s
+}
+
+func (x *exchange) stallAfter() time.Duration {
+	if x.request.Route.Gap == 0 {
+		return noTargetStall
+	}
+	return max(stallFactor*x.request.Route.Gap, leastStall)
+}
+
+// stallTimer ends a call after a silence; one without a timer never does.
+type stallTimer struct {
+	timer *time.Timer
+	span  time.Duration
+}
+
+// Reset starts the silence anew.
+func (s *stallTimer) Reset() {
+	if s.timer != nil {
+		s.timer.Reset(s.span)
+	}
+}
+
+// Stop lets the call go on.
+func (s *stallTimer) Stop() {
+	if s.timer != nil {
+		s.timer.Stop()
+	}
+}
