--- a/internal/berylbatch/duty.go
+++ b/internal/berylbatch/duty.go
@@ -81,7 +81,7 @@
 	wake     chan struct{}
 	commit   chan struct{}
 	stopping bool
-	items    conc.WaitGroup
+	items    sync.WaitGroup // of sync, so that a panic ends the process at once
 	work     context.Context
 }
 
--- a/internal/berylexplain/explain.go
+++ b/internal/berylexplain/explain.go
@@ -11,6 +11,9 @@
 // idFields are the fields that name what a line is about.
 var idFields = []string{"request", "job", "item"}
 
+// started is the first line of a run.
+const started = "host: started"
+
 // Step is one line about the ID, with what its host believed when it wrote it.
 type Step struct {
 	// Line is the log's.
@@ -55,6 +58,9 @@
 	kind, _, _ := strings.Cut(line.Message, ":")
 	switch kind {
 	case "host", "stopping":
+		if line.Message == started {
+			*b = beliefs{upstreams: make(map[string]Line)} // a new run knows nothing of the last one
+		}
 		b.run = line
 	case "config":
 		b.config = line
