--- a/internal/berylcmd/root/root.go
+++ b/internal/berylcmd/root/root.go
@@ -12,6 +12,7 @@
 	"berylroad.example/berylroad/internal/berylcmd/demo"
 	diskrun "berylroad.example/berylroad/internal/berylcmd/disk/run"
 	entryrun "berylroad.example/berylroad/internal/berylcmd/entry/run"
+	"berylroad.example/berylroad/internal/berylcmd/explain"
 	"berylroad.example/berylroad/internal/berylcmd/factory"
 	jobcancel "berylroad.example/berylroad/internal/berylcmd/job/cancel"
 	jobresults "berylroad.example/berylroad/internal/berylcmd/job/results"
@@ -22,13 +23,14 @@
 	"berylroad.example/berylroad/internal/berylcmd/key/createhost"
 	"berylroad.example/berylroad/internal/berylcmd/load/compare"
 	"berylroad.example/berylroad/internal/berylcmd/serve"
+	settingscheck "berylroad.example/berylroad/internal/berylcmd/settings/check"
 	"berylroad.example/berylroad/internal/berylsettings"
 )
 
 // Command is the whole command line.
 type Command struct {
-	// Settings names a settings file.
-	Settings string `help:"Settings file in JSON with comments; flags and the environment go before it." type:"path" env:"BERYLROAD_SETTINGS" placeholder:"FILE"`
+	// SettingsFile names a settings file.
+	SettingsFile string `name:"settings" help:"Settings file in JSON with comments; flags and the environment go before it." type:"path" env:"BERYLROAD_SETTINGS" placeholder:"FILE"`
 
 	// Serve runs a host.
 	Serve serve.Options `cmd:"" help:"Run one host."`
@@ -40,6 +42,12 @@
 	Disk struct {
 		Run diskrun.Options `cmd:"" help:"Run one host with a disk."`
 	} `cmd:"" help:"Work with hosts that have a disk on the users' platform."`
+	// Settings groups the commands on settings files.
+	Settings struct {
+		Check settingscheck.Options `cmd:"" help:"Check the platform's settings file."`
+	} `cmd:"" name:"settings" help:"Work with the users' platform's settings files."`
+	// Explain shows what became of one request, job or item.
+	Explain explain.Options `cmd:"" help:"Show what became of one request, job or item."`
 	// Demo shows the whole path in one process.
 	Demo demo.Options `cmd:"" help:"Show one online answer and one finished job, with stand-ins, in one process."`
 	// Config groups the commands on the fleet's configuration.
