The etcd gateway's client is a store as well, and one contract runs against both

Cause: berylstore.Store had one implementation, the platform's, so the contract proved nothing of the other: the gateway's client had no change of several keys, and a read whose answer was lost ended as 'not sent'.

Ruled out: putting the gateway's HTTP form before MemoryStore (a second stand-in of the same protocol, 200 lines). The contract takes a Backing instead, which MemoryStore and the gateway's stand-in both are; the stand-in learned to cut reads and to hold writes until told.

Before: TestStore of beryletcd fails in answer lost, call lost and done late (reads marked as not sent). After: passes. The contract's watch after a compaction may now wait 2 s in place of 10 ms for the same answer: a watch of the gateway opens a stream first; what is demanded stays.

Conclusion: beryletcd.Store stands in for the platform's client wherever berylstore.Store is asked for; the entry host has not been run on it.

--- a/internal/berylcontract/store.go
+++ b/internal/berylcontract/store.go
@@ -13,11 +13,25 @@
 	"berylroad.example/berylroad/internal/berylstore"
 )
 
-// Store runs the contract against a store that open puts before a stand-in.
-func Store(t *testing.T, open func(t *testing.T, backing *berylfake.MemoryStore) berylstore.Store) {
-	start := func(t *testing.T) (*is.I, *berylfake.MemoryStore, berylstore.Store) {
-		backing := &berylfake.MemoryStore{}
-		return is.New(t), backing, open(t, backing)
+// Backing is the stand-in behind a store, as another writer and the one who scripts its faults see it.
+type Backing interface {
+	// Get reads an item, and Commit makes a change.
+	Get(ctx context.Context, key string) (berylstore.Item, bool, error)
+	Commit(ctx context.Context, txn berylstore.Txn) berylstore.Result
+	// Fail makes all calls from now on end with the fault.
+	Fail(fault berylfake.StoreFault)
+	// Late carries out the calls that were held up.
+	Late()
+	// Revoke ends a lease, and Compact drops the history.
+	Revoke(lease int64)
+	Compact()
+}
+
+// Store runs the contract against a store that open returns with the stand-in behind it.
+func Store(t *testing.T, open func(t *testing.T) (Backing, berylstore.Store)) {
+	start := func(t *testing.T) (*is.I, Backing, berylstore.Store) {
+		backing, s := open(t)
+		return is.New(t), backing, s
 	}
 	t.Run("items", func(t *testing.T) {
 		is, _, s := start(t)
@@ -81,7 +95,7 @@
 		is.Equal(len(events), 0)
 		backing.Compact()
 		backing.Commit(t.Context(), berylstore.Txn{Puts: []berylstore.Put{{Key: "w/c", Value: []byte("3")}}})
-		_, _, err = s.Watch(t.Context(), "w/", first.Revision, 10*time.Millisecond)
+		_, _, err = s.Watch(t.Context(), "w/", first.Revision, 2*time.Second)
 		is.True(errors.Is(err, berylstore.ErrCompacted))
 	})
 	t.Run("leases", func(t *testing.T) {
@@ -115,7 +129,7 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is, backing, s := start(t)
-			backing.SetFault(func(string, string) berylfake.StoreFault { return tt.fault })
+			backing.Fail(tt.fault)
 			bounded, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
 			defer cancel()
 			r := s.Commit(bounded, berylstore.Txn{Checks: []berylstore.Check{{Key: "f"}}, Puts: []berylstore.Put{{Key: "f", Value: []byte("v")}}})
@@ -127,7 +141,7 @@
 			is.True(err != nil)
 			_, _, err = s.Watch(bounded, "f", 0, 10*time.Millisecond)
 			is.True(err != nil)
-			backing.SetFault(nil)
+			backing.Fail(berylfake.StoreWell)
 			_, found, _ := backing.Get(t.Context(), "f")
 			is.Equal(found, tt.applied)
 			backing.Late()
--- a/internal/beryletcd/call.go
+++ b/internal/beryletcd/call.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		return fateUnsent, err
 	}
-	last := error(ErrBreakerOpen)
+	last, lastFate := error(ErrBreakerOpen), fateUnsent
 	first := c.preferred.Load()
 	for i := range c.endpoints {
 		index := (int(first) + i) % len(c.endpoints)
@@ -56,9 +56,9 @@
 		if f == fateUncertain && !name.isRead() || errors.Is(err, errAnswerTooLarge) || ctx.Err() != nil {
 			return f, err
 		}
-		last = err
+		last, lastFate = err, f
 	}
-	return fateUnsent, last
+	return lastFate, last
 }
 
 // spend takes one call from the budget; a lease's renewal is not held up, but the calls after it are.
--- a/internal/beryletcd/client.go
+++ b/internal/beryletcd/client.go
@@ -13,6 +13,8 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
+
+	"berylroad.example/berylroad/internal/berylstore"
 )
 
 const (
@@ -158,12 +160,20 @@
 	}
 	if fate != fateAnswered {
 		c.counters.count(name, Unavailable)
-		return wirePage{}, err
+		return wirePage{}, errors.Mark(err, readMark(fate))
 	}
 	c.counters.count(name, Done)
 	return page, nil
 }
 
+// readMark says what is certain of a read that failed.
+func readMark(fate fate) error {
+	if fate == fateUncertain {
+		return berylstore.ErrUnknown
+	}
+	return berylstore.ErrNotDone
+}
+
 // Swap writes the value if the key's revision is expect, where zero means that the key must be absent; the record expires
 // with the lease unless that is zero. It is sent once; an Unknown write is not sent again.
 func (c *Client) Swap(ctx context.Context, key string, value []byte, expect, lease int64) Outcome {
@@ -187,14 +197,20 @@
 		Success: []wireOp{op},
 		Failure: []wireOp{{Range: &wireRange{Key: []byte(key)}}},
 	}
-	var answer wireTxnAnswer
-	fate, err := c.call(ctx, name, "/v3/kv/txn", ask, &answer)
+	answer, fate, err := c.transact(ctx, name, ask)
 	outcome := writeOutcome(fate, err, answer)
+	c.counters.count(name, outcome.Status)
+	return outcome
+}
+
+// transact runs a transaction, which is sent once.
+func (c *Client) transact(ctx context.Context, name callName, ask wireTxn) (wireTxnAnswer, fate, error) {
+	answer := wireTxnAnswer{asked: &ask}
+	fate, err := c.call(ctx, name, "/v3/kv/txn", ask, &answer)
 	if fate == fateAnswered {
 		c.seen.note(answer.Header, seenAt{})
 	}
-	c.counters.count(name, outcome.Status)
-	return outcome
+	return answer, fate, err
 }
 
 // writeOutcome turns what is known about a transaction into its outcome.
--- a/internal/beryletcd/counters.go
+++ b/internal/beryletcd/counters.go
@@ -18,12 +18,13 @@
 	callKeepAlive
 	callRevoke
 	callWatch
+	callCommit
 	callNames
 )
 
 // String returns the metric label.
 func (n callName) String() string {
-	return [callNames]string{"get", "list", "swap", "remove", "grant", "keep-alive", "revoke", "watch"}[n]
+	return [callNames]string{"get", "list", "swap", "remove", "grant", "keep-alive", "revoke", "watch", "commit"}[n]
 }
 
 // statusCount is the number of Status values.
--- /dev/null
+++ b/internal/beryletcd/store.go
@@ -0,0 +1,157 @@
+package beryletcd
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"berylroad.example/berylroad/internal/berylstore"
+)
+
+// Store is the service as a berylstore.Store. Each watch opens a stream of its own and closes it with the first change.
+type Store struct {
+	client *Client
+}
+
+var _ berylstore.Store = (*Store)(nil)
+
+// NewStore returns the store behind the client.
+func NewStore(client *Client) *Store {
+	return &Store{client: client}
+}
+
+// Get returns an item as it is now.
+func (s *Store) Get(ctx context.Context, key string) (berylstore.Item, bool, error) {
+	read := s.client.Get(ctx, key)
+	if read.Status != Done {
+		return berylstore.Item{}, false, read.Err
+	}
+	return read.Record.item(), read.Record.Revision > 0, nil
+}
+
+// List returns one page of the items under a prefix.
+func (s *Store) List(ctx context.Context, prefix, after string) (berylstore.Page, error) {
+	from := ""
+	if after != "" {
+		from = after + "\x00"
+	}
+	listing := s.client.List(ctx, prefix, MaxPage, from)
+	if listing.Status != Done {
+		return berylstore.Page{}, listing.Err
+	}
+	page := berylstore.Page{More: listing.Next != "", AsOf: listing.Revision}
+	for _, r := range listing.Records {
+		page.Items = append(page.Items, r.item())
+	}
+	return page, nil
+}
+
+// Watch waits for changes under a prefix. Without one the revision to go on from stays as it was: the service's own may
+// be ahead of changes that are still on their way.
+func (s *Store) Watch(ctx context.Context, prefix string, above int64, wait time.Duration) ([]berylstore.Event, int64, error) {
+	var events []berylstore.Event
+	asOf := above
+	w := watch{
+		client: s.client, target: Target{Key: prefix, Prefix: true}, last: above, renew: max(wait, time.Millisecond), once: true,
+		handle: func(change Change) {
+			asOf = change.Revision
+			for _, r := range change.Records {
+				events = append(events, berylstore.Event{Item: r.item()})
+			}
+			for _, key := range change.Deleted {
+				events = append(events, berylstore.Event{Item: berylstore.Item{Key: key, Revision: change.Revision}, Deleted: true})
+			}
+		},
+	}
+	switch w.stream(ctx) {
+	case watchOver, watchSilent:
+		return events, asOf, nil
+	case watchStale:
+		return nil, 0, berylstore.ErrCompacted
+	default:
+		return nil, 0, errors.Mark(errNoWatch, berylstore.ErrUnknown)
+	}
+}
+
+// Commit makes a change; it is sent once.
+func (s *Store) Commit(ctx context.Context, txn berylstore.Txn) berylstore.Result {
+	ask := wireTxn{Compare: []wireCompare{}, Success: []wireOp{}, Failure: []wireOp{}}
+	for _, c := range txn.Checks {
+		key := []byte(c.Key)
+		ask.Compare = append(ask.Compare, wireCompare{Result: "EQUAL", Target: "MOD", Key: key, ModRevision: c.Revision})
+		ask.Failure = append(ask.Failure, wireOp{Range: &wireRange{Key: key}})
+	}
+	for _, p := range txn.Puts {
+		if len(p.Key) > MaxKeyBytes || len(p.Value) > MaxValueBytes {
+			return berylstore.Result{Status: berylstore.NotDone, Err: ErrTooLarge}
+		}
+		ask.Success = append(ask.Success, wireOp{Put: &wirePut{Key: []byte(p.Key), Value: p.Value, Lease: p.Lease}})
+	}
+	for _, key := range txn.Deletes {
+		ask.Success = append(ask.Success, wireOp{Delete: &wireRange{Key: []byte(key)}})
+	}
+	answer, fate, err := s.client.transact(ctx, callCommit, ask)
+	result := commitResult(fate, err, answer)
+	s.client.counters.count(callCommit, countedAs[result.Status])
+	return result
+}
+
+// countedAs gives the status under which the end of a change is counted.
+var countedAs = map[berylstore.Status]Status{
+	berylstore.Unknown: Unknown, berylstore.Done: Done, berylstore.Conflict: Conflict,
+	berylstore.NotDone: Unavailable, berylstore.LeaseGone: Unavailable,
+}
+
+// commitResult turns what is known about a transaction into the end of a change.
+func commitResult(fate fate, err error, answer wireTxnAnswer) berylstore.Result {
+	switch {
+	case fate == fateRefused && errors.Is(err, ErrLeaseGone):
+		return berylstore.Result{Status: berylstore.LeaseGone}
+	case fate == fateUnsent || fate == fateRefused:
+		return berylstore.Result{Status: berylstore.NotDone, Err: err}
+	case fate == fateUncertain:
+		return berylstore.Result{Status: berylstore.Unknown, Err: err}
+	case answer.Succeeded:
+		return berylstore.Result{Status: berylstore.Done, Revision: answer.Header.Revision}
+	}
+	result := berylstore.Result{Status: berylstore.Conflict}
+	for _, r := range answer.Responses {
+		for _, found := range r.Range.Kvs {
+			result.Current = append(result.Current, found.record().item())
+		}
+	}
+	return result
+}
+
+// Grant makes a lease.
+func (s *Store) Grant(ctx context.Context, length time.Duration) (int64, error) {
+	lease := s.client.Grant(ctx, length)
+	return lease.ID, leaseError(lease)
+}
+
+// Keep renews a lease.
+func (s *Store) Keep(ctx context.Context, lease int64) (bool, error) {
+	kept := s.client.KeepAlive(ctx, lease)
+	if errors.Is(kept.Err, ErrLeaseGone) {
+		return false, nil
+	}
+	return kept.Status == Done, leaseError(kept)
+}
+
+// leaseError says why a lease call failed and what is certain of it; nil means that it did not.
+func leaseError(lease Lease) error {
+	switch lease.Status {
+	case Done:
+		return nil
+	case Unknown:
+		return errors.Mark(lease.Err, berylstore.ErrUnknown)
+	default:
+		return errors.Mark(lease.Err, berylstore.ErrNotDone)
+	}
+}
+
+// item converts to the product's type.
+func (r Record) item() berylstore.Item {
+	return berylstore.Item{Key: r.Key, Value: r.Value, Revision: r.Revision}
+}
--- a/internal/beryletcd/watch.go
+++ b/internal/beryletcd/watch.go
@@ -44,13 +44,15 @@
 	watchSilent
 	// watchStale means that the changes since the last revision can't be had any more.
 	watchStale
+	// watchOver means that the one change that was waited for has come.
+	watchOver
 )
 
 // Watch reports the changes after the revision from to handle until the context ends; with from zero, or where the
 // changes can't be had any more, it reports a snapshot first. It goes on from the last revision when its stream breaks.
 // The calls of handle come from this goroutine; while one runs, changes wait at the service.
 func (c *Client) Watch(ctx context.Context, target Target, from int64, handle func(Change)) {
-	w := watch{client: c, target: target, last: from, handle: handle}
+	w := watch{client: c, target: target, last: from, renew: c.config.WatchRenew, handle: handle}
 	for ctx.Err() == nil {
 		if w.step(ctx) {
 			w.pause = 0
@@ -68,6 +70,9 @@
 	cluster uint64
 	handle  func(Change)
 	pause   time.Duration
+	// renew is the silence after which an open stream ends, and once ends it with the first change.
+	renew time.Duration
+	once  bool
 }
 
 // step reads a snapshot where one is needed and then follows one stream; false asks for a pause.
--- a/internal/beryletcd/watchstream.go
+++ b/internal/beryletcd/watchstream.go
@@ -160,7 +160,7 @@
 		}
 		if message.Result.Created {
 			opened = true
-			conn.wait(w.client.config.WatchRenew)
+			conn.wait(w.renew)
 		}
 		if end, over := w.take(message.Result); over {
 			return end, opened
@@ -209,5 +209,5 @@
 	slices.Reverse(change.Records)
 	slices.Reverse(change.Deleted)
 	w.report(change)
-	return watchBroken, false
+	return watchOver, w.once
 }
--- a/internal/beryletcd/wire.go
+++ b/internal/beryletcd/wire.go
@@ -81,6 +81,8 @@
 
 // wireTxnAnswer answers a wireTxn.
 type wireTxnAnswer struct {
+	// asked is the transaction, by which the answer is judged.
+	asked     *wireTxn
 	Header    wireHeader `json:"header"`
 	Succeeded bool       `json:"succeeded"`
 	Responses []struct {
@@ -88,9 +90,18 @@
 	} `json:"responses"`
 }
 
-// whole implements wireAnswer: each branch has one step, and the step of the failure branch is a range.
+// whole implements wireAnswer: each step of the branch that was run is answered, and those of the failure branch, which
+// are reads, with what was found.
 func (a wireTxnAnswer) whole() bool {
-	return a.Header.whole() && len(a.Responses) == 1 && (a.Succeeded || a.Responses[0].Range != nil)
+	if a.Succeeded {
+		return a.Header.whole() && len(a.Responses) == len(a.asked.Success)
+	}
+	for _, r := range a.Responses {
+		if r.Range == nil {
+			return false
+		}
+	}
+	return a.Header.whole() && len(a.Responses) == len(a.asked.Failure)
 }
 
 // wireLease is the answer to a lease call.
--- a/internal/berylfake/memorystore.go
+++ b/internal/berylfake/memorystore.go
@@ -74,6 +74,11 @@
 	s.fault = fault
 }
 
+// Fail makes all calls from now on end with the fault.
+func (s *MemoryStore) Fail(fault StoreFault) {
+	s.SetFault(func(string, string) StoreFault { return fault })
+}
+
 // begin takes the lock, counts a call and returns its fault.
 func (s *MemoryStore) begin(call, key string) StoreFault {
 	s.mu.Lock()
--- a/internal/berylfake/platform.go
+++ b/internal/berylfake/platform.go
@@ -25,6 +25,7 @@
 
 	mu       sync.Mutex
 	address  string
+	held     []func()
 	server   *http.Server
 	closing  chan struct{}
 	closed   sync.Once
--- a/internal/berylfake/platformfault.go
+++ b/internal/berylfake/platformfault.go
@@ -36,8 +36,10 @@
 	CutWrites int `json:"cut-writes"`
 	// LateWrites is the number of writes that are cut off at once and take effect LateMillis later; -1 means every one.
 	LateWrites int `json:"late-writes"`
-	// LateMillis is how much later late writes take effect.
+	// LateMillis is how much later late writes take effect; zero holds them until Late is called.
 	LateMillis int `json:"late-ms"`
+	// CutReads cuts reads and watches off unanswered.
+	CutReads bool `json:"cut-reads"`
 	// KeyPrefix limits the faults of writes to keys with this prefix.
 	KeyPrefix string `json:"key-prefix"`
 	// StaleBy answers reads from a state this many revisions old.
--- a/internal/berylfake/platformhttp.go
+++ b/internal/berylfake/platformhttp.go
@@ -52,10 +52,18 @@
 			p.faultyWrite(name, func() (any, *kvError) { return run(ask) }, w)
 			return
 		}
+		p.cutRead()
 		answerKV(w, run, ask)
 	}
 }
 
+// cutRead cuts a read off where the script says so.
+func (p *Platform) cutRead() {
+	if fault, _ := p.script.current(); fault.CutReads {
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // answerKV runs a call and writes its answer.
 func answerKV[T any](w http.ResponseWriter, run func(T) (any, *kvError), ask T) {
 	answer, refusal := run(ask)
@@ -69,7 +77,7 @@
 	case writeCut:
 		panic(http.ErrAbortHandler)
 	case writeLate:
-		time.AfterFunc(late, func() { _, _ = run() })
+		p.hold(late, func() { _, _ = run() })
 		panic(http.ErrAbortHandler)
 	case writeLoseAnswer:
 		_, _ = run()
@@ -79,6 +87,28 @@
 	writeKV(w, answer, refusal)
 }
 
+// hold carries a write out after that time, or when Late is called where there is none.
+func (p *Platform) hold(late time.Duration, run func()) {
+	if late > 0 {
+		time.AfterFunc(late, run)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.held = append(p.held, run)
+}
+
+// Late carries out the writes that are held.
+func (p *Platform) Late() {
+	p.mu.Lock()
+	held := p.held
+	p.held = nil
+	p.mu.Unlock()
+	for _, run := range held {
+		run()
+	}
+}
+
 // ready carries out the fault of the moment that holds for every call; false means that the call is over.
 func (p *Platform) ready(w http.ResponseWriter, r *http.Request) bool {
 	for {
--- a/internal/berylfake/platformwatch.go
+++ b/internal/berylfake/platformwatch.go
@@ -13,6 +13,7 @@
 	if !p.ready(w, r) {
 		return
 	}
+	p.cutRead()
 	var ask kvWatch
 	if err != nil || json.Unmarshal(body, &ask) != nil || ask.Create == nil {
 		writeKVError(w, &kvError{http.StatusBadRequest, grpcInvalid, "no create_request"})
