A host serves as soon as it knows routes and upstreams, before it has heard a peer

Routes and upstreams were known at 34.62, but the hosts refused until 34.81: they waited for the first peer (34.75) and for the next look of a ticker of 100 ms. 85 tries got 503 with a return after 300 ms, which is the whole time to the first event that callers allow.

Ruled out: herd return (callers came back within their own wait, no queue was longer than 50 ms), the store (back at 33.96).

Change: online requests are served from then on, by permits of this host's own as where it is cut off from its peers, with the upstreams' own refusal as the net. Readiness, which sends callers here, and calls on jobs wait for the peers as before; the look is every 10 ms until then.

--- a/internal/berylentry/follow.go
+++ b/internal/berylentry/follow.go
@@ -142,6 +142,9 @@
 	}
 	h.scheduler.SetConfig(document)
 	h.scheduler.SetMembers(members)
+	if len(all) > 0 {
+		h.passedOn.Store(true)
+	}
 }
 
 var errNotMember = errors.New("no address is known for the host")
--- a/internal/berylentry/host.go
+++ b/internal/berylentry/host.go
@@ -24,6 +24,8 @@
 const (
 	// expireEvery is how often upstreams that have not come back are looked for.
 	expireEvery = 100 * time.Millisecond
+	// startCheck is how often a starting host looks whether it knows enough: each refusal in between is one too many.
+	startCheck = 10 * time.Millisecond
 	// leaveTimeout bounds the farewell to the other hosts, which find out by themselves if it is lost.
 	leaveTimeout = 300 * time.Millisecond
 	// kindReadJob is the message by which jobs are read from the hosts that run them.
@@ -93,6 +95,8 @@
 	wire      *berylwire.Endpoint
 	members   *berylhost.Host
 	scheduler *berylsched.Scheduler
+	passedOn  atomic.Bool // the scheduler knows of upstreams
+	serving   atomic.Bool
 	ready     atomic.Bool
 	stopping  atomic.Bool
 	joined    atomic.Pointer[time.Time]
@@ -140,8 +144,14 @@
 	return h.ready.Load() && !h.stopping.Load()
 }
 
-// Serving says whether requests that arrive can be served; a host that is about to stop still serves.
+// Serving says whether online requests that arrive can be served: the routes and upstreams are known. A host that has not
+// heard its peers yet grants by itself, as one that is cut off from them does; one that is about to stop still serves.
 func (h *Host) Serving() bool {
+	return h.serving.Load()
+}
+
+// ServingJobs says whether calls on jobs can be served; a host that is about to stop still serves them.
+func (h *Host) ServingJobs() bool {
 	return h.ready.Load()
 }
 
@@ -229,10 +239,14 @@
 
 // becomeReady waits until this host knows enough to serve.
 func (h *Host) becomeReady(ctx context.Context) {
-	ticker := time.NewTicker(expireEvery)
+	ticker := time.NewTicker(startCheck)
 	defer ticker.Stop()
 	for {
-		if h.routes.Get() != nil && len(h.fleet.All()) > 0 && h.Jobs.Synced() && isClosed(h.members.Joined()) {
+		if !h.serving.Load() && h.routes.Get() != nil && h.passedOn.Load() {
+			h.serving.Store(true)
+			h.Log.WithFields(logrus.Fields{"version": h.routes.Get().Version, "upstreams": len(h.fleet.All())}).Info("host: serving")
+		}
+		if h.serving.Load() && h.Jobs.Synced() && isClosed(h.members.Joined()) {
 			now := time.Now()
 			h.joined.Store(&now)
 			h.ready.Store(true)
