One host watches the store for a fleet of small failure domains; slow prefixes are asked for less often

Change: where a failure domain has fewer than five hosts, one host watches for all of the region, or that of its largest domain.

--- a/internal/berylbatch/duty.go
+++ b/internal/berylbatch/duty.go
@@ -21,6 +21,10 @@
 // short beside the seconds within which an ended job must stop.
 const gatherRecords = 700 * time.Millisecond
 
+// sharedRecords is how long a watch of the records waits that is made for other hosts too: with it the end of a job is
+// known everywhere within 3 s, as operators demand (TestSharedWatchOfSlowPrefix).
+const sharedRecords = time.Second
+
 // Members says which hosts are up.
 type Members interface {
 	// Alive says whether that run of a host may be up; it is true of all while too little is known.
@@ -98,6 +102,7 @@
 		Store:  config.Store,
 		Prefix: RecordPrefix,
 		Gather: gatherRecords,
+		Shared: sharedRecords,
 		Reset:  d.reset,
 		Apply:  d.apply,
 		Log:    config.Log,
--- a/internal/berylentry/share.go
+++ b/internal/berylentry/share.go
@@ -10,14 +10,14 @@
 	"berylroad.example/berylroad/internal/berylstore"
 )
 
-// sharingHosts is the number of live hosts in a failure domain from which one watches the store for the others. That one
-// watches four times as often, so that fewer hosts would make more calls than each for itself.
+// sharingHosts is the number of live hosts from which one watches the store for the others. That one watches up to four
+// times as often, so that fewer hosts would make more calls than each for itself.
 const sharingHosts = 5
 
 // watchKey starts the key by which the host that watches for its failure domain is chosen.
 const watchKey = "store-watch/"
 
-// newShare lets the hosts of a failure domain watch the store for each other.
+// newShare lets hosts watch the store for each other.
 func (h *Host) newShare(links *beryllink.Links) *berylstore.Share {
 	return &berylstore.Share{
 		Source: h.watchSource,
@@ -30,17 +30,44 @@
 
 // watchSource returns the host that watches for this one, and whether others rely on this one.
 func (h *Host) watchSource() (string, bool) {
-	var near []berylhost.Member
+	var staying []berylhost.Member
 	for _, m := range h.members.Live() {
-		if m.FailureDomain == h.Settings.FailureDomain && !h.registry.isLeaving(m.Name, m.Boot) {
-			near = append(near, m)
+		if !h.registry.isLeaving(m.Name, m.Boot) {
+			staying = append(staying, m)
 		}
 	}
-	if len(near) < sharingHosts {
+	return watcher(h.Settings, staying)
+}
+
+// watcher chooses the host that watches for this one: of its failure domain where that has enough hosts, else of the
+// largest one of its region, or of all there where none has. It returns an empty name where this host watches itself, and
+// whether others rely on it then.
+func watcher(self Settings, live []berylhost.Member) (name string, serving bool) {
+	domains := make(map[string][]berylhost.Member)
+	var region []berylhost.Member
+	for _, m := range live {
+		if m.Region == self.Region {
+			domains[m.FailureDomain] = append(domains[m.FailureDomain], m)
+			region = append(region, m)
+		}
+	}
+	domain := self.FailureDomain
+	if len(domains[domain]) < sharingHosts {
+		for d, hosts := range domains {
+			if n := len(domains[domain]); len(hosts) > n || len(hosts) == n && d < domain {
+				domain = d
+			}
+		}
+	}
+	key, among := watchKey+domain, domains[domain]
+	if len(among) < sharingHosts {
+		key, among = watchKey+self.Region, region
+	}
+	if len(among) < sharingHosts {
 		return "", false
 	}
-	first, ok := berylhost.First(watchKey+h.Settings.FailureDomain, near, h.Settings.Region)
-	if !ok || first.Name == h.Settings.Host {
+	first, ok := berylhost.First(key, among, self.Region)
+	if !ok || first.Name == self.Host {
 		return "", ok
 	}
 	return first.Name, false
--- /dev/null
+++ b/internal/berylentry/share_test.go
@@ -0,0 +1,56 @@
+package berylentry
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"berylroad.example/berylroad/internal/berylhost"
+)
+
+// SmallDomains: a watch for each host costs more than one for all, also where no failure domain has many hosts.
+func TestWatcher(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		// hosts counts the hosts of each failure domain; those after the slash are of another region.
+		hosts map[string]int
+		// watching is how many hosts watch for others, and alone how many for themselves only.
+		watching, alone int
+	}{
+		{"few hosts", map[string]int{"r/a": 2, "r/b": 2}, 0, 4},
+		{"small failure domains", map[string]int{"r/a": 3, "r/b": 2, "r/c": 1}, 1, 0},
+		{"large failure domains", map[string]int{"r/a": 24, "r/b": 25, "r/c": 25}, 3, 0},
+		{"a large and a small one", map[string]int{"r/a": 6, "r/b": 2}, 1, 0},
+		{"small domains of two regions", map[string]int{"r/a": 3, "r/b": 3, "s/c": 2}, 1, 2},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var live []berylhost.Member
+			for domain, n := range tt.hosts {
+				for i := range n {
+					live = append(live, berylhost.Member{Name: fmt.Sprintf("%s-%d", domain, i), Region: domain[:1], FailureDomain: domain})
+				}
+			}
+			relied, serves := map[string]bool{}, map[string]bool{}
+			watching, alone := 0, 0
+			for _, m := range live {
+				source, serving := watcher(Settings{Host: m.Name, Region: m.Region, FailureDomain: m.FailureDomain}, live)
+				switch {
+				case source != "":
+					relied[source] = true
+				case serving:
+					serves[m.Name] = true
+					watching++
+				default:
+					alone++
+				}
+			}
+			is.Equal(watching, tt.watching)
+			is.Equal(alone, tt.alone)
+			for source := range relied {
+				is.True(serves[source]) // nobody relies on a host that relies on another
+			}
+		})
+	}
+}
--- a/internal/berylstore/follower.go
+++ b/internal/berylstore/follower.go
@@ -30,6 +30,9 @@
 	Prefix string
 	// Wait is how long one watch waits; zero is 2 s.
 	Wait time.Duration
+	// Shared is how long a watch waits that is made for other hosts too, and how long those wait for its answer; with it
+	// grows how old what they know can be. Zero is 0.5 s.
+	Shared time.Duration
 	// Gather is how long to wait after a change before the next watch, so that changes in quick succession cost one call.
 	Gather time.Duration
 	// Reset takes all items, at the start and after a gap in the history.
@@ -42,6 +45,8 @@
 	Share *Share
 
 	recent recent
+	// unanswered marks that the host which watches for this one had no answer the last time; only Run's goroutine uses it.
+	unanswered bool
 
 	// The times are kept whole, since steps of the clock must not change their distance.
 	current  atomic.Pointer[time.Time] // when the copy was last known to be current
@@ -182,15 +187,31 @@
 	if f.Share != nil {
 		source, serving := f.Share.Source()
 		if source != "" {
-			if reply, ok := f.Share.ask(ctx, source, f.Prefix, above, oldestShared); ok {
+			request := WatchRequest{Prefix: f.Prefix, Above: above, Wait: f.sharedWait()}
+			reply, ok := f.Share.ask(ctx, source, request, f.sharedWait()+sharedSlack)
+			if ok {
+				f.unanswered = false
 				return reply.Events, reply.AsOf, nil
 			}
+			if !f.unanswered {
+				// The other host may have lost the store as all have: a look tells, a whole watch would take seconds.
+				f.unanswered = true
+				span = 0
+			}
 		}
 		if serving {
-			span = min(span, servingWait)
+			span = min(span, f.sharedWait())
 		}
 	}
 	bounded, cancel := context.WithTimeout(ctx, span+watchSlack)
 	defer cancel()
 	return f.Store.Watch(bounded, f.Prefix, above, span)
 }
+
+// sharedWait returns how long a watch waits that is made for other hosts too.
+func (f *Follower) sharedWait() time.Duration {
+	if f.Shared == 0 {
+		return defaultShared
+	}
+	return f.Shared
+}
--- a/internal/berylstore/follower_test.go
+++ b/internal/berylstore/follower_test.go
@@ -147,6 +147,75 @@
 	}
 }
 
+// Of a prefix whose changes may wait longer, the watching host asks less often, and so do those that rely on it; what
+// they know is still no older than that wait, one ask and a direct watch.
+func TestSharedWatchOfSlowPrefix(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store := &berylfake.MemoryStore{}
+		store.Write("p/a", "old")
+		cut := &cutStore{Store: store}
+		watching, relying := newCopy(cut), newCopy(store)
+		watching.Shared, relying.Shared = time.Second, time.Second
+		watching.Share = &berylstore.Share{Source: func() (string, bool) { return "", true }}
+		var asked atomic.Int64
+		relying.Share = &berylstore.Share{
+			Source: func() (string, bool) { return "watching", false },
+			Ask: func(ctx context.Context, _ string, r berylstore.WatchRequest) (berylstore.WatchReply, error) {
+				asked.Add(1)
+				return watching.Answer(ctx, r), nil
+			},
+		}
+		go watching.Run(ctx)
+		go relying.Run(ctx)
+		time.Sleep(10 * time.Second)
+		is.True(store.Calls()["watch"] <= 13)
+		is.True(asked.Load() <= 13)
+		store.Write("p/a", "soon")
+		time.Sleep(10 * time.Millisecond)
+		is.Equal(relying.get("p/a"), "soon") // changes are passed on at once, whatever the wait
+		cut.cut.Store(true)
+		store.Write("p/a", "new")
+		began := time.Now()
+		for relying.get("p/a") != "new" {
+			time.Sleep(10 * time.Millisecond)
+		}
+		is.True(time.Since(began) <= 2800*time.Millisecond) // the end of a job is owed within 3 s
+	})
+}
+
+// SilentOutage: a store that falls silent for all is noticed by those that rely on a watching host about as soon as by that
+// one; until then calls on jobs wait in vain instead of being refused.
+func TestSharedWatchOfSilentStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store := &berylfake.MemoryStore{}
+		store.Write("p/a", "old")
+		cut := &cutStore{Store: store}
+		watching, relying := newCopy(cut), newCopy(cut)
+		watching.Share = &berylstore.Share{Source: func() (string, bool) { return "", true }}
+		relying.Share = &berylstore.Share{
+			Source: func() (string, bool) { return "watching", false },
+			Ask: func(ctx context.Context, _ string, r berylstore.WatchRequest) (berylstore.WatchReply, error) {
+				return watching.Answer(ctx, r), nil
+			},
+		}
+		go watching.Run(ctx)
+		go relying.Run(ctx)
+		time.Sleep(10 * time.Second)
+		cut.cut.Store(true)
+		began := time.Now()
+		for !relying.Away() {
+			time.Sleep(10 * time.Millisecond)
+		}
+		is.True(time.Since(began) <= 2100*time.Millisecond)
+	})
+}
+
 // cutStore is a store whose watches fall silent when it is cut off.
 type cutStore struct {
 	berylstore.Store
--- a/internal/berylstore/share.go
+++ b/internal/berylstore/share.go
@@ -7,15 +7,18 @@
 )
 
 const (
-	// servingWait is how long the watch of a host waits that watches for others too. With oldestShared and peerWait it
-	// bounds how old what they know can be: 1.6 s, below the 2 s within which a configuration must be in force.
-	servingWait = 500 * time.Millisecond
-	// peerWait is how long a watch at another host waits.
-	peerWait = 500 * time.Millisecond
-	// peerSlack is how much longer that host may take to answer.
+	// defaultShared is how long the watch of a host waits that watches for others too, and theirs at that host. With
+	// sharedSlack it bounds how old what they know can be: 1.6 s, below the 2 s within which a configuration must be in
+	// force.
+	defaultShared = 500 * time.Millisecond
+	// sharedSlack is how much older than such a wait another host's copy may be; beyond it the store is asked.
+	sharedSlack = 350 * time.Millisecond
+	// detourWait is how long a watch waits at another host while the store can't be reached from this one.
+	detourWait = 500 * time.Millisecond
+	// maxPeerWait bounds what a host waits for others.
+	maxPeerWait = 10 * time.Second
+	// peerSlack is how much longer than asked for that host may take to answer.
 	peerSlack = 250 * time.Millisecond
-	// oldestShared is how old another host's copy may be; beyond it the store is asked.
-	oldestShared = 850 * time.Millisecond
 	// oldestDetour is how old another host's copy may be for a host that does not reach the store itself: a watch's wait
 	// and its slack.
 	oldestDetour = 3 * time.Second
@@ -58,10 +61,10 @@
 }
 
 // ask returns another host's answer if it is whole and no older than the given age.
-func (s *Share) ask(ctx context.Context, source, prefix string, above int64, oldest time.Duration) (WatchReply, bool) {
-	bounded, cancel := context.WithTimeout(ctx, peerWait+peerSlack)
+func (s *Share) ask(ctx context.Context, source string, request WatchRequest, oldest time.Duration) (WatchReply, bool) {
+	bounded, cancel := context.WithTimeout(ctx, request.Wait+peerSlack)
 	defer cancel()
-	reply, err := s.Ask(bounded, source, WatchRequest{Prefix: prefix, Above: above, Wait: peerWait})
+	reply, err := s.Ask(bounded, source, request)
 	return reply, err == nil && reply.Known && reply.Age <= oldest
 }
 
@@ -72,7 +75,7 @@
 	}
 	hosts := s.Others()
 	for _, host := range hosts[:min(len(hosts), detourHosts)] {
-		if reply, ok := s.ask(ctx, host, prefix, above, oldestDetour); ok {
+		if reply, ok := s.ask(ctx, host, WatchRequest{Prefix: prefix, Above: above, Wait: detourWait}, oldestDetour); ok {
 			return reply, true
 		}
 	}
@@ -138,7 +141,7 @@
 
 // Answer answers another host that asks for changes; it waits for one no longer than asked for.
 func (f *Follower) Answer(ctx context.Context, request WatchRequest) WatchReply {
-	timer := time.NewTimer(min(request.Wait, peerWait))
+	timer := time.NewTimer(min(request.Wait, maxPeerWait))
 	defer timer.Stop()
 	for {
 		events, asOf, known, changed := f.recent.since(request.Above)
