Jobs given back at a planned stop are taken up at once, and not by hosts that stop themselves

A host that had announced its stop at 28.5 s took a job up at 30.5 s and gave it back at 31.5 s.

Ruled out: propagation of the records (the others adopted within 0.1 s of the giving back), hosts still settling (a job without owner does not wait for that).

Change: hosts that are about to stop come last in line, and adopt nothing. The host list is asked for each 2 s where one host watches for others: with 10 s a lost watching host could hide such announcements for as long.

--- a/internal/berylbatch/adopt.go
+++ b/internal/berylbatch/adopt.go
@@ -45,6 +45,9 @@
 func (d *Duty) orphans(now time.Time, since map[string]time.Time) []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.stopping {
+		return nil // they would only be given back
+	}
 	var ids []string
 	for id, j := range d.jobs {
 		owned := j.record.Owner != "" && d.Members.Alive(j.record.Owner, j.record.Boot)
--- a/internal/berylbatch/duty.go
+++ b/internal/berylbatch/duty.go
@@ -29,7 +29,7 @@
 type Members interface {
 	// Alive says whether that run of a host may be up; it is true of all while too little is known.
 	Alive(host string, boot uint64) bool
-	// Rank returns how many live hosts come before this one for a key.
+	// Rank returns how many live hosts come before this one for a key; those that are about to stop come last.
 	Rank(key string) int
 	// Count returns the number of live hosts.
 	Count() int
--- a/internal/berylbatch/duty_test.go
+++ b/internal/berylbatch/duty_test.go
@@ -568,6 +568,28 @@
 	})
 }
 
+// RollingRestart: a host that is about to stop takes over no job, which it would have to give back a moment later.
+func TestLeavingHostAdoptsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, ctx, w := setUp(t, 2)
+		z, kill := w.host(ctx, "z", 1)
+		a, _ := w.host(ctx, "a", 1) // first in line
+		b, _ := w.host(ctx, "b", 1)
+		time.Sleep(time.Millisecond)
+		is.Equal(z.Submit(ctx, w.submission("j", 10)), nil)
+		time.Sleep(500 * time.Millisecond)
+		a.Drain()
+		kill()
+		readAll(t, b, "j", 10, 8*time.Second)
+		item, _, err := w.store.Get(ctx, recordKey("j"))
+		is.NoErr(err)
+		record, err := decode[Record](item.Value)
+		is.NoErr(err)
+		is.Equal(record.Owner, "b")
+		is.Equal(record.Adoptions, 1)
+	})
+}
+
 // Jobs come faster than the upstreams can run them: those that can still be done in time are not held up by those that
 // can't.
 func TestJobFloodBeyondCapacity(t *testing.T) {
--- a/internal/berylentry/follow.go
+++ b/internal/berylentry/follow.go
@@ -175,10 +175,22 @@
 	return slices.ContainsFunc(live, func(m berylhost.Member) bool { return m.Name == host && m.Boot == boot })
 }
 
-// Rank returns how many live hosts come before this one for a key.
+// Rank returns how many live hosts come before this one for a key; those that are about to stop come last.
 func (v *memberView) Rank(key string) int {
-	ranked := berylhost.Rank(key, v.members.Live(), v.Settings.Region)
-	return max(slices.IndexFunc(ranked, func(m berylhost.Member) bool { return m.Name == v.Settings.Host }), 0)
+	return rank(key, v.Settings.Host, v.Settings.Region, v.members.Live(), v.registry.isLeaving)
+}
+
+func rank(key, host, region string, live []berylhost.Member, isLeaving func(name string, boot uint64) bool) int {
+	var staying, leaving []berylhost.Member
+	for _, m := range berylhost.Rank(key, live, region) {
+		if isLeaving(m.Name, m.Boot) {
+			leaving = append(leaving, m)
+		} else {
+			staying = append(staying, m)
+		}
+	}
+	ranked := append(staying, leaving...)
+	return max(slices.IndexFunc(ranked, func(m berylhost.Member) bool { return m.Name == host }), 0)
 }
 
 // Count returns the number of live hosts.
--- /dev/null
+++ b/internal/berylentry/rank_test.go
@@ -0,0 +1,31 @@
+package berylentry
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"berylroad.example/berylroad/internal/berylhost"
+)
+
+// RollingRestart: hosts that are about to stop are not waited for, so that what they give back is taken up at once.
+func TestRankPassesOverLeavingHosts(t *testing.T) {
+	is := is.New(t)
+	var live []berylhost.Member
+	for i := range 6 {
+		live = append(live, berylhost.Member{Name: fmt.Sprintf("h%d", i), Region: "r"})
+	}
+	isLeaving := func(name string, _ uint64) bool { return name == "h1" || name == "h4" }
+	for i := range 50 {
+		key := fmt.Sprintf("job-%d", i)
+		holders := map[int]string{}
+		for _, m := range live {
+			holders[rank(key, m.Name, "r", live, isLeaving)] = m.Name
+		}
+		is.Equal(len(holders), 6) // no two try at once
+		for r := range 4 {
+			is.True(!isLeaving(holders[r], 0)) // those that stay come first
+		}
+	}
+}
--- a/internal/berylentry/registry.go
+++ b/internal/berylentry/registry.go
@@ -23,6 +23,9 @@
 	// registryWait is how long one watch of the list waits. Newcomers show at once, whatever it is, and a connection that
 	// has gone silent delays only their discovery.
 	registryWait = 10 * time.Second
+	// registryShared is the same where one host watches for others: when that one is lost, it is how long the others may
+	// miss that a third is about to stop.
+	registryShared = 2 * time.Second
 	// registryTimeout bounds one call.
 	registryTimeout = time.Second
 	// registryPause is the time between two tries while the store is away.
@@ -57,7 +60,7 @@
 		store: store, self: self, log: log, install: install,
 		hosts: make(map[string]hostRecord), notify: make(chan struct{}), rewrites: make(chan struct{}, 1),
 	}
-	r.follower = berylstore.Follower{Store: store, Prefix: hostPrefix, Wait: registryWait, Shared: registryWait, Log: log, Share: share, Reset: r.reset, Apply: r.apply}
+	r.follower = berylstore.Follower{Store: store, Prefix: hostPrefix, Wait: registryWait, Shared: registryShared, Log: log, Share: share, Reset: r.reset, Apply: r.apply}
 	return r
 }
 
