Log budgets for frequent messages; metrics by kind and failure domain; libraries' words become log lines

Counts of requests had no label but the outcome.

Change: Budget, a formatter that leaves out lines of three frequent messages over 300 a second and tells how many; starts, stops, refusals of jobs and lost dependencies have none. The standard log is written as JSON lines. Histograms by kind of route and failure domain of the upstream, gauges of slots. Ruled out: a label for each upstream, since their ids come and go without end; entry status shows them.

--- a/internal/berylcmd/nodelog/nodelog.go
+++ b/internal/berylcmd/nodelog/nodelog.go
@@ -1,6 +1,7 @@
 package nodelog
 
 import (
+	standardlog "log"
 	"os"
 
 	"github.com/sirupsen/logrus"
@@ -11,6 +12,10 @@
 	berylplatform "berylroad.example/berylroad/platform"
 )
 
+// frequentLines is how many lines a second are written of each frequent message: above what a host of 0.4 of a core can
+// serve, and 0.3% of a core.
+const frequentLines = 300
+
 // Flags are what both roles take.
 type Flags struct {
 	// LogLevel is the least level that is written.
@@ -41,6 +46,9 @@
 		lines.Close()
 		return nil, &factory.FlagError{Err: err}
 	}
+	beryllog.SetBudget(log, frequentLines, "request: ended", "request: refused", "item: call ended")
+	standardlog.SetFlags(0)
+	standardlog.SetOutput(log.WithField("host", settings.Host).WriterLevel(logrus.WarnLevel)) // what libraries say
 	node := &Node{Settings: settings, Lines: lines, Log: log.WithField("host", settings.Host)}
 	berylplatform.WatchReload(f.NodeFile, node.Log)
 	return node, nil
--- a/internal/berylentry/host.go
+++ b/internal/berylentry/host.go
@@ -14,6 +14,7 @@
 	"berylroad.example/berylroad/internal/berylbatch"
 	"berylroad.example/berylroad/internal/berylhost"
 	"berylroad.example/berylroad/internal/beryllink"
+	"berylroad.example/berylroad/internal/berylpermit"
 	"berylroad.example/berylroad/internal/berylrelay"
 	"berylroad.example/berylroad/internal/berylroute"
 	"berylroad.example/berylroad/internal/berylsched"
@@ -234,11 +235,28 @@
 		h.followers[f.Prefix] = f
 		h.Metrics.NewGauge(fmt.Sprintf("berylroad_belief_age_seconds{prefix=%q}", f.Prefix), func() float64 { return time.Since(f.Current()).Seconds() })
 	}
+	h.gaugeSlots()
 	berylwire.Handle(h.wire, kindWatch, h.answerWatch)
 	berylwire.Handle(h.wire, kindStore, h.answerStore)
 	h.assembled.Store(true)
 }
 
+// gaugeSlots shows the slots that this host grants and those in use.
+func (h *Host) gaugeSlots() {
+	gauge := func(name string, count func(berylpermit.Load) int) {
+		h.Metrics.NewGauge(name, func() float64 {
+			sum := 0
+			for _, l := range h.scheduler.Loads() {
+				sum += count(l)
+			}
+			return float64(sum)
+		})
+	}
+	gauge("berylroad_owner_slots", func(l berylpermit.Load) int { return l.Slots })
+	gauge(`berylroad_owner_slots_used{class="online"}`, func(l berylpermit.Load) int { return l.Online })
+	gauge(`berylroad_owner_slots_used{class="batch"}`, func(l berylpermit.Load) int { return l.Batch })
+}
+
 // followed returns the followers of all that this host keeps a copy of.
 func (h *Host) followed() []*berylstore.Follower {
 	return []*berylstore.Follower{&h.operators, &h.announced, &h.registry.follower, h.Jobs.Records()}
--- /dev/null
+++ b/internal/beryllog/budget.go
@@ -0,0 +1,80 @@
+package beryllog
+
+import (
+	"bytes"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// budgetSpan is the time for which a budget holds.
+const budgetSpan = time.Second
+
+// Budget is a formatter that leaves out lines of frequent messages over a number a second, and tells how many it left out.
+type Budget struct {
+	// Formatter formats what is written.
+	Formatter logrus.Formatter
+	// Messages are those that have a budget; all others are always written.
+	Messages []string
+	// Lines is how many lines of each message are written in a second.
+	Lines int
+
+	mu      sync.Mutex
+	began   time.Time
+	written map[string]int
+	left    map[string]int
+}
+
+var _ logrus.Formatter = (*Budget)(nil)
+
+// Format returns the line of an entry, or nothing where it is left out; lines that tell of others that were left out in
+// the last second go before it.
+func (b *Budget) Format(entry *logrus.Entry) ([]byte, error) {
+	told, ok := b.take(entry.Time, entry.Message)
+	var text bytes.Buffer
+	for _, message := range slices.Sorted(maps.Keys(told)) {
+		line, err := b.Formatter.Format(&logrus.Entry{
+			Logger: entry.Logger, Time: entry.Time, Level: logrus.WarnLevel, Message: "log: lines left out, too many in a second",
+			Data: logrus.Fields{"message": message, "lines": told[message]},
+		})
+		if err != nil {
+			return nil, err
+		}
+		text.Write(line)
+	}
+	if ok {
+		line, err := b.Formatter.Format(entry)
+		if err != nil {
+			return nil, err
+		}
+		text.Write(line)
+	}
+	return text.Bytes(), nil
+}
+
+// take uses up one line of a message's budget; told counts what was left out in the span that has ended, if any.
+func (b *Budget) take(now time.Time, message string) (told map[string]int, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if since := now.Sub(b.began); b.written == nil || since >= budgetSpan || since < 0 {
+		told = b.left
+		b.began, b.written, b.left = now, make(map[string]int), make(map[string]int)
+	}
+	if !slices.Contains(b.Messages, message) {
+		return told, true
+	}
+	if b.written[message] >= b.Lines {
+		b.left[message]++
+		return told, false
+	}
+	b.written[message]++
+	return told, true
+}
+
+// SetBudget lets a logger write at most so many lines a second of each of the messages.
+func SetBudget(log *logrus.Logger, lines int, messages ...string) {
+	log.SetFormatter(&Budget{Formatter: log.Formatter, Messages: messages, Lines: lines})
+}
--- /dev/null
+++ b/internal/beryllog/budget_test.go
@@ -0,0 +1,36 @@
+package beryllog_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"berylroad.example/berylroad/internal/beryllog"
+)
+
+// HerdReturns: a flood of one message is bounded, told of, and hides nothing else.
+func TestBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var out bytes.Buffer
+		log, err := beryllog.New(&out, "info")
+		is.NoErr(err)
+		beryllog.SetBudget(log, 10, "request: refused")
+		for range 500 {
+			log.Info("request: refused")
+		}
+		log.Warn("store: lost")
+		is.Equal(strings.Count(out.String(), "request: refused"), 10)
+		is.Equal(strings.Count(out.String(), "store: lost"), 1)
+		time.Sleep(time.Second)
+		log.Info("host: stopped")
+		is.True(strings.Contains(out.String(), `"lines":490,"message":"request: refused"`))
+		log.Info("request: refused")
+		is.Equal(strings.Count(out.String(), `"msg":"request: refused"`), 11)
+		is.Equal(strings.Count(out.String(), "left out"), 1)
+	})
+}
--- a/internal/beryllog/writer.go
+++ b/internal/beryllog/writer.go
@@ -39,6 +39,9 @@
 
 // Write queues a line; it never blocks and never fails.
 func (w *Writer) Write(line []byte) (int, error) {
+	if len(line) == 0 {
+		return 0, nil // left out by a Budget
+	}
 	select {
 	case w.lines <- append([]byte(nil), line...):
 	default:
--- a/internal/berylrelay/report.go
+++ b/internal/berylrelay/report.go
@@ -9,15 +9,22 @@
 	"berylroad.example/berylroad/internal/beryloutcome"
 )
 
-// measure counts how the request ended.
+// measure counts how the request ended. Its labels are bounded: upstreams, which come and go, are told by their failure
+// domain, which is empty where the request reached none.
 func (x *exchange) measure(result beryloutcome.Result) {
 	if x.Metrics == nil {
 		return
 	}
-	x.Metrics.GetOrCreateCounter(fmt.Sprintf("berylroad_relay_requests_total{outcome=%q}", result.Kind)).Inc()
-	x.Metrics.GetOrCreateHistogram("berylroad_relay_permit_wait_seconds").Update(x.waited.Seconds())
+	domain := ""
+	if u, known := x.Fleet.Get(x.upstream); known {
+		domain = u.FailureDomain
+	}
+	labels := fmt.Sprintf("kind=%q,failure_domain=%q", x.request.Route.Kind, domain)
+	x.Metrics.GetOrCreateCounter(fmt.Sprintf("berylroad_relay_requests_total{%s,outcome=%q}", labels, result.Kind)).Inc()
+	x.Metrics.GetOrCreateHistogram(fmt.Sprintf("berylroad_relay_permit_wait_seconds{kind=%q}", x.request.Route.Kind)).Update(x.waited.Seconds())
+	x.Metrics.GetOrCreateHistogram(fmt.Sprintf("berylroad_relay_request_seconds{%s}", labels)).Update(time.Since(x.began).Seconds())
 	if x.first > 0 {
-		x.Metrics.GetOrCreateHistogram("berylroad_relay_first_event_seconds").Update(x.first.Seconds())
+		x.Metrics.GetOrCreateHistogram(fmt.Sprintf("berylroad_relay_first_event_seconds{%s}", labels)).Update(x.first.Seconds())
 	}
 	if x.sends > 1 {
 		x.Metrics.GetOrCreateCounter("berylroad_relay_further_sends_total").Add(x.sends - 1)
--- a/internal/berylroute/config.go
+++ b/internal/berylroute/config.go
@@ -24,6 +24,11 @@
 	Batch
 )
 
+// String returns the name used in metrics.
+func (k Kind) String() string {
+	return [...]string{"unsafe", "safe", "streaming", "batch"}[k]
+}
+
 // Share is one service's part of a route's requests.
 type Share struct {
 	// Service names it.
