--- a/internal/berylbatch/progress.go
+++ b/internal/berylbatch/progress.go
@@ -16,9 +16,10 @@
 	// progressEvery is the time between two records of progress, and so about the work that a lost host costs an item.
 	// An item runs for some 5 s, and a record costs the store one call.
 	progressEvery = 1500 * time.Millisecond
-	// progressHosts is the fleet for which that holds; a larger one records less often, since the store's rate of writes
-	// grows more slowly than the fleet.
-	progressHosts = 100
+	// progressHosts is the fleet for which that holds; a larger one records less often, up to progressSlowest times, since
+	// each of its hosts runs fewer items and the store's rate of writes does not grow with the fleet.
+	progressHosts   = 25
+	progressSlowest = 4
 	// progressBytes bounds one record, below the store's limit for a value.
 	progressBytes = 600 << 10
 	// progressMemory is for how long a record that was read serves further jobs of the same host.
@@ -54,7 +55,7 @@
 func (d *Duty) progressLoop(ctx context.Context) {
 	last := ""
 	for {
-		span := progressEvery * time.Duration(max(d.Members.Count()/progressHosts, 1))
+		span := progressEvery * time.Duration(min(max(d.Members.Count()/progressHosts, 1), progressSlowest))
 		if !pause(ctx, span) {
 			return
 		}
--- a/internal/berylentry/registry.go
+++ b/internal/berylentry/registry.go
@@ -23,6 +23,9 @@
 	// registryWait is how long one watch of the list waits. Newcomers show at once, whatever it is, and a connection that
 	// has gone silent delays only their discovery.
 	registryWait = 10 * time.Second
+	// registryGather is how long changes of the list gather before the next watch: when all hosts start together, each would
+	// else be woken by each of the others.
+	registryGather = 500 * time.Millisecond
 	// registryShared is the same where one host watches for others: when that one is lost, it is how long the others may
 	// miss that a third is about to stop.
 	registryShared = 2 * time.Second
@@ -60,7 +63,7 @@
 		store: store, self: self, log: log, install: install,
 		hosts: make(map[string]hostRecord), notify: make(chan struct{}), rewrites: make(chan struct{}, 1),
 	}
-	r.follower = berylstore.Follower{Store: store, Prefix: hostPrefix, Wait: registryWait, Shared: registryShared, Log: log, Share: share, Reset: r.reset, Apply: r.apply}
+	r.follower = berylstore.Follower{Store: store, Prefix: hostPrefix, Wait: registryWait, Shared: registryShared, Gather: registryGather, Log: log, Share: share, Reset: r.reset, Apply: r.apply}
 	return r
 }
 
