--- a/internal/berylbatch/dispatch.go
+++ b/internal/berylbatch/dispatch.go
@@ -45,9 +45,15 @@
 // waiting counts the items that could run, by service.
 func (d *Duty) waiting(now time.Time) map[string]int {
 	counts := make(map[string]int)
+	d.runnable(now, func(it *item, route *berylroute.Route) { counts[route.Service(it.ID)]++ })
+	return counts
+}
+
+// runnable visits the items that could run now; the caller holds mu.
+func (d *Duty) runnable(now time.Time, visit func(it *item, route *berylroute.Route)) {
 	config := d.Routes.Get()
 	if config == nil {
-		return counts
+		return
 	}
 	for _, j := range d.jobs {
 		if !j.running() || !j.record.Open() {
@@ -59,11 +65,10 @@
 		}
 		for _, it := range j.items {
 			if it.runnable(now) {
-				counts[route.Service(it.ID)]++
+				visit(it, route)
 			}
 		}
 	}
-	return counts
 }
 
 func (it *item) runnable(now time.Time) bool {
@@ -102,31 +107,21 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.asking[service]--
-	config := d.Routes.Get()
-	if d.stopping || config == nil {
+	if d.stopping {
 		return nil, nil, nil
 	}
 	var best candidate
 	now := time.Now()
-	for _, j := range d.jobs {
-		if !j.running() || !j.record.Open() {
-			continue
-		}
-		route := config.Match(j.record.Host, j.record.Path)
-		if route == nil || route.Kind != berylroute.Batch {
-			continue
+	d.runnable(now, func(it *item, route *berylroute.Route) {
+		if route.Service(it.ID) != service {
+			return
 		}
-		due := j.record.submitted().Add(route.Due)
-		for _, it := range j.items {
-			if !it.runnable(now) || route.Service(it.ID) != service {
-				continue
-			}
-			c := candidate{item: it, due: due, late: now.Add(d.pace.rest(it)).After(due)}
-			if best.item == nil || c.before(&best) {
-				best = c
-			}
+		due := it.job.record.submitted().Add(route.Due)
+		c := candidate{item: it, due: due, late: now.Add(d.pace.rest(it)).After(due)}
+		if best.item == nil || c.before(&best) {
+			best = c
 		}
-	}
+	})
 	if best.item == nil {
 		return nil, nil, nil
 	}
