--- a/internal/berylsched/broker.go
+++ b/internal/berylsched/broker.go
@@ -107,9 +107,6 @@
 			return nil, a.refuse()
 		}
 		if len(reached) > 0 {
-			if a.ask.Class == berylpermit.Batch {
-				t.nearFirst(a.ask.Target, reached)
-			}
 			permit, final := a.queue(ctx, t, reached)
 			if permit != nil {
 				return permit, nil
--- a/internal/berylsched/route.go
+++ b/internal/berylsched/route.go
@@ -49,7 +49,7 @@
 		}
 		c := candidate{host: sh.host, tie: rand.Uint32(), room: sh.room(now, ask)}
 		c.preferred = sh.host == first && c.room > 0
-		c.tier = tier(sh.far, c.room, ask.Class)
+		c.tier = tier(sh.far, c.room)
 		if sh.host == s.Host {
 			c.room += localBonus
 		}
@@ -65,32 +65,14 @@
 	return hosts
 }
 
-// nearFirst puts the owners of this host's region first.
-func (t *table) nearFirst(target string, hosts []string) {
-	isFar := func(host string) bool {
-		return slices.ContainsFunc(t.shares[target], func(sh share) bool { return sh.host == host && sh.far })
-	}
-	slices.SortStableFunc(hosts, func(a, b string) int {
-		if farA := isFar(a); farA != isFar(b) {
-			return order(!farA)
-		}
-		return 0
-	})
-}
-
-// tier ranks an owner. Batch work waits at owners of its region first, since it is sent again after each yield and its
-// bodies are large; online work waits wherever a slot may free first.
-func tier(far bool, room float64, class berylpermit.Class) int {
-	switch {
-	case room > 0 && !far:
-		return 0
-	case room > 0:
-		return 1
-	case !far || class != berylpermit.Batch:
+func tier(far bool, room float64) int {
+	if room <= 0 {
 		return 2
-	default:
-		return 3
 	}
+	if far {
+		return 1
+	}
+	return 0
 }
 
 // room returns which share of the owner's slots work of the ask's class can have.
