Reading the diff: the line on left-out lines names its host; the shared watch's tests share their set-up

Cause: explain puts lines down to the host in the field host, which the budget's own line lacked; duplicates showed one set-up of a watching and a relying copy written twice.

Ruled out: no decision of a host changes.

--- a/internal/berylentry/follow.go
+++ b/internal/berylentry/follow.go
@@ -180,6 +180,7 @@
 	return rank(key, v.Settings.Host, v.Settings.Region, v.members.Live(), v.registry.isLeaving)
 }
 
+// rank is Rank without a host's own view.
 func rank(key, host, region string, live []berylhost.Member, isLeaving func(name string, boot uint64) bool) int {
 	var staying, leaving []berylhost.Member
 	for _, m := range berylhost.Rank(key, live, region) {
--- a/internal/berylentry/registry.go
+++ b/internal/berylentry/registry.go
@@ -63,7 +63,10 @@
 		store: store, self: self, log: log, install: install,
 		hosts: make(map[string]hostRecord), notify: make(chan struct{}), rewrites: make(chan struct{}, 1),
 	}
-	r.follower = berylstore.Follower{Store: store, Prefix: hostPrefix, Wait: registryWait, Shared: registryShared, Gather: registryGather, Log: log, Share: share, Reset: r.reset, Apply: r.apply}
+	r.follower = berylstore.Follower{
+		Store: store, Prefix: hostPrefix, Wait: registryWait, Shared: registryShared, Gather: registryGather,
+		Log: log, Share: share, Reset: r.reset, Apply: r.apply,
+	}
 	return r
 }
 
--- a/internal/beryllog/budget.go
+++ b/internal/beryllog/budget.go
@@ -36,9 +36,12 @@
 	told, ok := b.take(entry.Time, entry.Message)
 	var text bytes.Buffer
 	for _, message := range slices.Sorted(maps.Keys(told)) {
+		fields := logrus.Fields{"message": message, "lines": told[message]}
+		if host, named := entry.Data["host"]; named {
+			fields["host"] = host
+		}
 		line, err := b.Formatter.Format(&logrus.Entry{
-			Logger: entry.Logger, Time: entry.Time, Level: logrus.WarnLevel, Message: "log: lines left out, too many in a second",
-			Data: logrus.Fields{"message": message, "lines": told[message]},
+			Logger: entry.Logger, Time: entry.Time, Level: logrus.WarnLevel, Message: "log: lines left out, too many in a second", Data: fields,
 		})
 		if err != nil {
 			return nil, err
--- a/internal/berylstore/follower_test.go
+++ b/internal/berylstore/follower_test.go
@@ -58,6 +58,20 @@
 	return c.items[key]
 }
 
+// relyOn makes another copy's host watch for this one, and counts how often it is asked.
+func (c *copyOf) relyOn(watching *copyOf) *atomic.Int64 {
+	var asked atomic.Int64
+	watching.Share = &berylstore.Share{Source: func() (string, bool) { return "", true }}
+	c.Share = &berylstore.Share{
+		Source: func() (string, bool) { return "watching", false },
+		Ask: func(ctx context.Context, _ string, r berylstore.WatchRequest) (berylstore.WatchReply, error) {
+			asked.Add(1)
+			return watching.Answer(ctx, r), nil
+		},
+	}
+	return &asked
+}
+
 func TestFollower(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -159,15 +173,7 @@
 		cut := &cutStore{Store: store}
 		watching, relying := newCopy(cut), newCopy(store)
 		watching.Shared, relying.Shared = time.Second, time.Second
-		watching.Share = &berylstore.Share{Source: func() (string, bool) { return "", true }}
-		var asked atomic.Int64
-		relying.Share = &berylstore.Share{
-			Source: func() (string, bool) { return "watching", false },
-			Ask: func(ctx context.Context, _ string, r berylstore.WatchRequest) (berylstore.WatchReply, error) {
-				asked.Add(1)
-				return watching.Answer(ctx, r), nil
-			},
-		}
+		asked := relying.relyOn(watching)
 		go watching.Run(ctx)
 		go relying.Run(ctx)
 		time.Sleep(10 * time.Second)
@@ -197,13 +203,7 @@
 		store.Write("p/a", "old")
 		cut := &cutStore{Store: store}
 		watching, relying := newCopy(cut), newCopy(cut)
-		watching.Share = &berylstore.Share{Source: func() (string, bool) { return "", true }}
-		relying.Share = &berylstore.Share{
-			Source: func() (string, bool) { return "watching", false },
-			Ask: func(ctx context.Context, _ string, r berylstore.WatchRequest) (berylstore.WatchReply, error) {
-				return watching.Answer(ctx, r), nil
-			},
-		}
+		relying.relyOn(watching)
 		go watching.Run(ctx)
 		go relying.Run(ctx)
 		time.Sleep(10 * time.Second)
