--- a/internal/berylcmd/root/root.go
+++ b/internal/berylcmd/root/root.go
@@ -12,6 +12,7 @@
 	"berylroad.example/berylroad/internal/berylcmd/demo"
 	diskrun "berylroad.example/berylroad/internal/berylcmd/disk/run"
 	entryrun "berylroad.example/berylroad/internal/berylcmd/entry/run"
+	entrystatus "berylroad.example/berylroad/internal/berylcmd/entry/status"
 	"berylroad.example/berylroad/internal/berylcmd/explain"
 	"berylroad.example/berylroad/internal/berylcmd/factory"
 	jobcancel "berylroad.example/berylroad/internal/berylcmd/job/cancel"
@@ -36,7 +37,8 @@
 	Serve serve.Options `cmd:"" help:"Run one host."`
 	// Entry groups the commands on entry hosts of the users' platform.
 	Entry struct {
-		Run entryrun.Options `cmd:"" help:"Run one entry host."`
+		Run    entryrun.Options    `cmd:"" help:"Run one entry host."`
+		Status entrystatus.Options `cmd:"" help:"Show what an entry host believes."`
 	} `cmd:"" help:"Work with entry hosts on the users' platform."`
 	// Disk groups the commands on hosts with a disk of the users' platform.
 	Disk struct {
--- a/internal/berylentry/host.go
+++ b/internal/berylentry/host.go
@@ -95,6 +95,7 @@
 	wire      *berylwire.Endpoint
 	members   *berylhost.Host
 	scheduler *berylsched.Scheduler
+	assembled atomic.Bool // the duties are made
 	passedOn  atomic.Bool // the scheduler knows of upstreams
 	serving   atomic.Bool
 	ready     atomic.Bool
@@ -229,12 +230,18 @@
 	})
 	berylwire.Handle(h.wire, kindReadJob, h.Jobs.HandleRead)
 	h.followers = map[string]*berylstore.Follower{}
-	for _, f := range []*berylstore.Follower{&h.operators, &h.announced, &h.registry.follower, h.Jobs.Records()} {
+	for _, f := range h.followed() {
 		h.followers[f.Prefix] = f
 		h.Metrics.NewGauge(fmt.Sprintf("berylroad_belief_age_seconds{prefix=%q}", f.Prefix), func() float64 { return time.Since(f.Current()).Seconds() })
 	}
 	berylwire.Handle(h.wire, kindWatch, h.answerWatch)
 	berylwire.Handle(h.wire, kindStore, h.answerStore)
+	h.assembled.Store(true)
+}
+
+// followed returns the followers of all that this host keeps a copy of.
+func (h *Host) followed() []*berylstore.Follower {
+	return []*berylstore.Follower{&h.operators, &h.announced, &h.registry.follower, h.Jobs.Records()}
 }
 
 // becomeReady waits until this host knows enough to serve.
--- a/internal/berylsched/scheduler.go
+++ b/internal/berylsched/scheduler.go
@@ -144,6 +144,15 @@
 	return nil
 }
 
+// Owners returns the owner of each upstream, as this host believes.
+func (s *Scheduler) Owners() map[string]string {
+	owners := make(map[string]string)
+	for name, p := range s.table.Load().places {
+		owners[name] = p.owner
+	}
+	return owners
+}
+
 // NoteLoads takes what other hosts say of the upstreams that they own.
 func (s *Scheduler) NoteLoads(loads []berylpermit.Load) {
 	s.table.Load().note(time.Now(), loads)
