--- a/internal/berylbatch/duty_test.go
+++ b/internal/berylbatch/duty_test.go
@@ -174,6 +174,8 @@
 type engine struct {
 	events int
 	status func(id string) int
+	// babble, where it is set, is the body of each item's first call.
+	babble func(ctx context.Context) io.Reader
 
 	mu   sync.Mutex
 	runs map[string]int
@@ -202,6 +204,9 @@
 	if status != http.StatusOK {
 		return &berylrelay.Reply{Status: status, Signed: true, Body: io.NopCloser(strings.NewReader(""))}, nil
 	}
+	if e.babble != nil && e.runs[call.ID] == 1 {
+		return &berylrelay.Reply{Status: status, Signed: true, Events: true, Body: io.NopCloser(e.babble(ctx))}, nil
+	}
 	return &berylrelay.Reply{Status: status, Signed: true, Events: true, Body: &eventBody{ctx: ctx, id: call.ID, next: from, last: int64(e.events)}}, nil
 }
 
--- a/internal/berylbatch/run.go
+++ b/internal/berylbatch/run.go
@@ -33,6 +33,9 @@
 	retentionMargin = 2 * time.Second
 	// itemBuffer is the read buffer of one call.
 	itemBuffer = 4 << 10
+	// maxItemText bounds the text of one item, in bytes: a result has to fit into one value of the store, in base64 and
+	// beside its job's other fields.
+	maxItemText = 512 << 10
 )
 
 var (
@@ -42,6 +45,7 @@
 	errPermanent = errors.New("the item can never be done")
 	errFailed    = errors.New("the upstream failed the item")
 	errUnrun     = errors.New("the upstream refused the item unrun")
+	errTooLong   = errors.Newf("the item's text is over %d bytes", maxItemText)
 )
 
 // runItem makes one call for an item and notes what it has come to.
@@ -131,30 +135,39 @@
 		if err != nil {
 			return reply.Status, err
 		}
-		stall.Reset(itemStall)
-		if report.FirstToken == 0 {
-			report.FirstToken = time.Since(began)
-		}
-		report.Tokens++
 		d.mu.Lock()
-		err = it.add(&event)
+		added, err := it.add(&event)
+		if errors.Is(err, errTooLong) {
+			it.restart() // which of the calls went wrong is not known
+		}
 		d.mu.Unlock()
 		if err != nil {
 			return reply.Status, err
 		}
+		if !added {
+			continue // no progress: an upstream that sends nothing else has stalled
+		}
+		stall.Reset(itemStall)
+		if report.FirstToken == 0 {
+			report.FirstToken = time.Since(began)
+		}
+		report.Tokens++
 	}
 }
 
-// add appends an event; one that has arrived before is passed over, a gap is an error. The caller holds mu.
-func (it *item) add(event *berylrelay.Event) error {
+// add appends an event and says whether it is a new one; a gap is an error. The caller holds mu.
+func (it *item) add(event *berylrelay.Event) (bool, error) {
 	if !event.HasID {
-		return nil
+		return false, nil
 	}
 	if it.events > 0 && event.ID <= it.last {
-		return nil
+		return false, nil
 	}
 	if it.events > 0 && event.ID != it.last+1 {
-		return errors.Newf("event %d after event %d", event.ID, it.last)
+		return false, errors.Newf("event %d after event %d", event.ID, it.last)
+	}
+	if len(it.text)+1+len(event.Data) > maxItemText {
+		return false, errTooLong
 	}
 	if it.events > 0 {
 		it.text = append(it.text, '\n')
@@ -162,7 +175,12 @@
 	it.text = append(it.text, event.Data...)
 	it.last = event.ID
 	it.events++
-	return nil
+	return true, nil
+}
+
+// restart drops what has arrived, so that the next call begins anew. The caller holds mu.
+func (it *item) restart() {
+	it.text, it.events, it.last = nil, 0, 0
 }
 
 // settle notes how a call ended: the item is finished, given up or waits for its next call.
--- /dev/null
+++ b/internal/berylrelay/endless_test.go
@@ -0,0 +1,175 @@
+package berylrelay
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"berylroad.example/berylroad/internal/beryloutcome"
+	"berylroad.example/berylroad/internal/berylroute"
+)
+
+// pacedCaller answers with a body that repeats the same bytes, one part after each pause, until the call ends.
+type pacedCaller struct {
+	status int
+	start  string
+	repeat string
+	pause  time.Duration
+	// parts is how often the bytes are repeated before the body ends cleanly; zero is without end.
+	parts int
+	read  int
+}
+
+func (c *pacedCaller) Call(ctx context.Context, _ *Call) (*Reply, error) {
+	reader := io.MultiReader(strings.NewReader(c.start), &pacedBody{ctx: ctx, caller: c})
+	return &Reply{Status: c.status, Signed: true, Events: c.status == http.StatusOK && strings.Contains(c.start, "id:"), Body: io.NopCloser(reader)}, nil
+}
+
+type pacedBody struct {
+	ctx    context.Context
+	caller *pacedCaller
+}
+
+func (b *pacedBody) Read(p []byte) (int, error) {
+	c := b.caller
+	if c.parts > 0 && c.read >= c.parts*len(c.repeat) {
+		return 0, io.EOF
+	}
+	timer := time.NewTimer(c.pause)
+	defer timer.Stop()
+	select {
+	case <-b.ctx.Done():
+		return 0, context.Cause(b.ctx)
+	case <-timer.C:
+	}
+	n := copy(p, c.repeat)
+	if c.parts > 0 {
+		n = min(n, c.parts*len(c.repeat)-c.read)
+	}
+	c.read += n
+	return n, nil
+}
+
+// lengthSink notes how long the answer was said to be.
+type lengthSink struct {
+	fakeSink
+	length int
+}
+
+func (s *lengthSink) Start(status int, header []Field, length int) error {
+	s.length = length
+	return s.fakeSink.Start(status, header, length)
+}
+
+func relayPaced(t *testing.T, route berylroute.Route, caller *pacedCaller, span time.Duration) (beryloutcome.Result, *lengthSink, time.Duration) {
+	t.Helper()
+	route.Name, route.Shares = "r", []berylroute.Share{{Service: "svc", Weight: 1}}
+	r := Relay{Permits: &fakeBroker{grants: []string{"a"}}, Fleet: newFleet("a"), Caller: caller, Log: quiet()}
+	sink, began := &lengthSink{}, time.Now()
+	result := r.Do(t.Context(), &Request{ID: "q", Route: &route, Deadline: began.Add(span)}, sink)
+	return result, sink, time.Since(began)
+}
+
+func TestAnswerWithoutEndIsCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		caller := &pacedCaller{status: http.StatusNotFound, repeat: strings.Repeat("x", 16<<10), pause: time.Microsecond}
+		result, sink, _ := relayPaced(t, berylroute.Route{Kind: berylroute.Safe}, caller, time.Minute)
+		is.Equal(result.Kind, beryloutcome.Unknown) // its caller's connection is cut
+		is.Equal(sink.length, -1)
+		is.True(caller.read <= maxAnswerBytes+passBuffer)
+	})
+}
+
+func TestLongAnswerIsPassedOnAsItArrives(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		caller := &pacedCaller{status: http.StatusCreated, repeat: strings.Repeat("y", 1<<10), pause: time.Millisecond, parts: 600}
+		result, sink, _ := relayPaced(t, berylroute.Route{Kind: berylroute.Safe}, caller, time.Minute)
+		is.Equal(result.Kind, beryloutcome.Answered)
+		is.Equal(sink.length, -1)
+		is.True(bytes.Equal(sink.body.Bytes(), bytes.Repeat([]byte("y"), 600<<10)))
+	})
+}
+
+func TestOnlyProgressKeepsAStreamAlive(t *testing.T) {
+	resumable := berylroute.Route{Kind: berylroute.Streaming, Resumable: true, MaxAttempts: 2, Gap: 500 * time.Millisecond}
+	once := berylroute.Route{Kind: berylroute.Streaming, Gap: 500 * time.Millisecond}
+	for _, tt := range []struct {
+		name   string
+		route  berylroute.Route
+		repeat string
+		pause  time.Duration
+		ended  time.Duration
+	}{
+		{"comments", resumable, ": still here\n\n", 300 * time.Millisecond, time.Second},
+		{"an event that has come before", resumable, "id: 1\ndata: w\n\n", 300 * time.Millisecond, time.Second},
+		{"single bytes", resumable, "x", 300 * time.Millisecond, time.Second},
+		{"comments where nothing may be repeated", once, ": still here\n\n", 300 * time.Millisecond, 5 * time.Second},
+		{"one event without an end", once, "data: xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx", 100 * time.Nanosecond, 5 * time.Second},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				caller := &pacedCaller{status: http.StatusOK, start: "id: 1\ndata: w\n\n", repeat: tt.repeat, pause: tt.pause}
+				result, _, took := relayPaced(t, tt.route, caller, 5*time.Second)
+				is.Equal(result.Kind, beryloutcome.Unknown)
+				is.True(took <= tt.ended)
+			})
+		})
+	}
+}
+
+// A slow stream whose events come within the route's pause is never cut.
+func TestSlowStreamIsNotCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		route := berylroute.Route{Kind: berylroute.Streaming, Resumable: true, MaxAttempts: 2, Gap: 500 * time.Millisecond}
+		pieces := strings.Split(events(2, 30), "\n\n")
+		reader := &slowReader{pieces: pieces[:len(pieces)-1], pause: 900 * time.Millisecond}
+		caller := callerFunc(func(ctx context.Context, _ *Call) (*Reply, error) {
+			reader.ctx = ctx
+			return &Reply{Status: http.StatusOK, Signed: true, Events: true, Body: io.NopCloser(io.MultiReader(strings.NewReader(events(1, 1)), reader))}, nil
+		})
+		route.Name, route.Shares = "r", []berylroute.Share{{Service: "svc", Weight: 1}}
+		r := Relay{Permits: &fakeBroker{grants: []string{"a"}}, Fleet: newFleet("a"), Caller: caller, Log: quiet()}
+		sink := &fakeSink{}
+		result := r.Do(t.Context(), &Request{ID: "q", Route: &route, Deadline: time.Now().Add(time.Minute)}, sink)
+		is.Equal(result.Kind, beryloutcome.Answered)
+		is.Equal(sink.body.String(), events(1, 30))
+	})
+}
+
+type callerFunc func(ctx context.Context, call *Call) (*Reply, error)
+
+func (f callerFunc) Call(ctx context.Context, call *Call) (*Reply, error) { return f(ctx, call) }
+
+// slowReader returns one event after each pause.
+type slowReader struct {
+	ctx    context.Context
+	pieces []string
+	pause  time.Duration
+}
+
+func (r *slowReader) Read(p []byte) (int, error) {
+	if len(r.pieces) == 0 {
+		return 0, io.EOF
+	}
+	timer := time.NewTimer(r.pause)
+	defer timer.Stop()
+	select {
+	case <-r.ctx.Done():
+		return 0, context.Cause(r.ctx)
+	case <-timer.C:
+	}
+	n := copy(p, r.pieces[0]+"\n\n")
+	r.pieces = r.pieces[1:]
+	return n, nil
+}
--- a/internal/berylrelay/events.go
+++ b/internal/berylrelay/events.go
@@ -9,10 +9,10 @@
 	"github.com/cockroachdb/errors"
 )
 
-// maxEventBytes bounds one event of a stream.
-const maxEventBytes = 1 << 20
+// maxEventBytes bounds one event of a stream, in bytes.
+const maxEventBytes = 256 << 10
 
-var errEventTooLarge = errors.New("an event is over 1 MB")
+var errEventTooLarge = errors.Newf("an event is over %d bytes", maxEventBytes)
 
 // Event is one event of a text/event-stream.
 type Event struct {
--- a/internal/berylrelay/relay.go
+++ b/internal/berylrelay/relay.go
@@ -20,8 +20,13 @@
 const (
 	// maxSends bounds the upstreams that are tried for one request, those that refuse it unrun included.
 	maxSends = 4
-	// maxAnswerBytes bounds an answer that is not a stream.
+	// maxHeldAnswer is how much of an answer that is not a stream is held until it is whole, in bytes: up to there a call
+	// that breaks off may be made again. What is longer is passed on as it arrives.
+	maxHeldAnswer = 256 << 10
+	// maxAnswerBytes bounds an answer that is not a stream, in bytes.
 	maxAnswerBytes = 16 << 20
+	// passBuffer is the buffer of a long answer, in bytes.
+	passBuffer = 32 << 10
 	// eventBuffer is the read buffer of one stream; events are some hundred bytes.
 	eventBuffer = 4 << 10
 	// stallFactor is how many of the route's longest pauses a resumable stream may be silent before another upstream
@@ -263,9 +268,9 @@
 	return x.request.Route.Repeatable() && x.ran < x.request.Route.Attempts()
 }
 
-// passWhole passes an answer that is not a stream on once it is whole.
+// passWhole passes an answer that is not a stream on: at once when it is whole, or as it arrives when it is long.
 func (x *exchange) passWhole(ctx context.Context, reply *Reply, report *berylpermit.Report) step {
-	body, err := io.ReadAll(io.LimitReader(reply.Body, maxAnswerBytes))
+	body, err := io.ReadAll(io.LimitReader(reply.Body, maxHeldAnswer+1))
 	if err != nil {
 		return x.lost(ctx, report, err)
 	}
@@ -277,8 +282,12 @@
 	if reply.Status >= http.StatusInternalServerError {
 		report.Kind = beryloutcome.Failed
 	}
+	length := len(body)
+	if length > maxHeldAnswer {
+		length = -1
+	}
 	x.started = true
-	if err := x.sink.Start(reply.Status, reply.Header, len(body)); err != nil {
+	if err := x.sink.Start(reply.Status, reply.Header, length); err != nil {
 		x.cause = err
 		return stepFail
 	}
@@ -286,9 +295,35 @@
 		x.cause = err
 		return stepFail
 	}
+	if length < 0 {
+		return x.passRest(ctx, reply, report, len(body))
+	}
 	return stepDone
 }
 
+// passRest passes the rest of a long answer on; one that goes on beyond all bounds is cut, so that it does not look whole.
+func (x *exchange) passRest(ctx context.Context, reply *Reply, report *berylpermit.Report, passed int) step {
+	buffer := make([]byte, passBuffer)
+	for {
+		n, err := reply.Body.Read(buffer)
+		passed += n
+		if passed > maxAnswerBytes {
+			return x.lost(ctx, report, errors.Newf("the answer is over %d bytes", maxAnswerBytes))
+		}
+		if writeErr := x.sink.Write(buffer[:n]); writeErr != nil {
+			x.cause = writeErr
+			report.Kind = beryloutcome.Cancelled
+			return stepFail
+		}
+		if IsEnd(err) {
+			return stepDone
+		}
+		if err != nil {
+			return x.lost(ctx, report, err)
+		}
+	}
+}
+
 // passEvents passes a stream on as it arrives. Of a stream that may be resumed only whole events are passed.
 func (x *exchange) passEvents(ctx context.Context, reply *Reply, stall *stallTimer, report *berylpermit.Report, began time.Time) step {
 	events := EventReader{Reader: bufio.NewReaderSize(reply.Body, eventBuffer)}
@@ -305,14 +340,17 @@
 		if err != nil {
 			return x.lost(ctx, report, err)
 		}
-		stall.Reset()
-		if report.Tokens == 0 {
-			report.FirstToken = time.Since(began)
-		}
-		report.Tokens++
 		if x.seen && event.HasID && event.ID <= x.last {
 			continue
 		}
+		if event.HasID {
+			// Comments and repeated events are no progress: an upstream that sends nothing else has stalled.
+			stall.Reset()
+			if report.Tokens == 0 {
+				report.FirstToken = time.Since(began)
+			}
+			report.Tokens++
+		}
 		if x.seen && event.HasID && event.ID > x.last+1 && x.ran > 1 {
 			return x.lost(ctx, report, errors.Newf("event %d after event %d", event.ID, x.last))
 		}
