What upstreams write again and again costs a host nothing; one table a change

Cause, from a benchmark of whole hosts in one process (BenchmarkEntryHosts): an upstream that starts writes its announcement anew each 1.2 s. Each write was a change for every host: one ask to the watching host and its answer, a clone of all upstreams, a document with a new revision, and two tables, each of which hashed every upstream with every host of its failure domain.

Change: announcements that change nothing publish nothing; changes of one watch are applied together; hosts wait 200 ms after a change of upstreams before they ask again; changes gather for 20 ms before one table is installed, and none is for an unchanged document; a table hashes each name once. Hosts exchange keys by X25519 alone, without the post-quantum key that makes a first packet two.

--- /dev/null
+++ b/internal/berylentry/fleet_bench_test.go
@@ -0,0 +1,214 @@
+package berylentry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"berylroad.example/berylroad/internal/berylfake"
+	"berylroad.example/berylroad/internal/beryloutcome"
+	"berylroad.example/berylroad/internal/berylrelay"
+	"berylroad.example/berylroad/internal/berylroute"
+)
+
+const (
+	benchDomains = 5
+	// benchRate is how many online requests each host gets a second, benchTime how long a stream runs.
+	benchRate = 3.0
+	benchTime = 500 * time.Millisecond
+	benchSpan = 8 * time.Second
+	// benchHeartbeat is the time between two writes of an upstream that starts and so changes its announcement each time.
+	benchHeartbeat = 1200 * time.Millisecond
+)
+
+// benchDialect reads announcements that are written as the product's own type.
+type benchDialect struct{}
+
+func (benchDialect) IsConfig(key string) bool { return key == "op/config" }
+
+func (benchDialect) Config([]byte) (*berylroute.Config, error) {
+	return &berylroute.Config{Version: 1, Routes: []berylroute.Route{{
+		Name: "r", Host: "h", Prefix: "/", Kind: berylroute.Streaming, Timeout: 5 * time.Second, FirstEvent: 300 * time.Millisecond,
+		Shares: []berylroute.Share{{Service: "svc", Weight: 1}},
+	}}}, nil
+}
+
+func (benchDialect) UpstreamID(key string) string { return strings.TrimPrefix(key, "servers/") }
+
+func (benchDialect) Upstream(_ string, value []byte) (u berylroute.Upstream, err error) {
+	return u, json.Unmarshal(value, &u)
+}
+
+func (benchDialect) Retirement(string) (string, []byte, bool) { return "", nil, false }
+
+// benchCaller answers each call with one event and ends the stream a while later.
+type benchCaller struct{}
+
+func (benchCaller) Call(ctx context.Context, _ *berylrelay.Call) (*berylrelay.Reply, error) {
+	read, write := io.Pipe()
+	go func() {
+		_, _ = io.WriteString(write, "id: 1\ndata: w\n\n")
+		select {
+		case <-time.After(benchTime):
+		case <-ctx.Done():
+		}
+		_ = write.Close()
+	}()
+	return &berylrelay.Reply{Status: http.StatusOK, Signed: true, Events: true, Body: read}, nil
+}
+
+func (benchCaller) Sweep(func(string) bool) {}
+func (benchCaller) Close()                  {}
+
+type benchSink struct{}
+
+func (benchSink) Start(int, []berylrelay.Field, int) error { return nil }
+func (benchSink) Write([]byte) error                       { return nil }
+
+// benchFleet is many hosts in one process, before one store.
+type benchFleet struct {
+	store berylfake.MemoryStore
+	hosts []*Host
+	ended sync.WaitGroup
+	// answered counts the requests that had a whole answer.
+	answered atomic.Int64
+}
+
+func startBenchFleet(b *testing.B, ctx context.Context, count int) *benchFleet {
+	b.Helper()
+	f := &benchFleet{}
+	f.store.Write("op/config", "{}")
+	for i := range count / 2 {
+		f.announce(i, false)
+	}
+	for i := range count {
+		socket, err := net.ListenPacket("udp4", "127.0.0.1:0")
+		if err != nil {
+			b.Fatal(err)
+		}
+		address := socket.LocalAddr().String()
+		_ = socket.Close()
+		h := New(Config{
+			Settings: Settings{Host: fmt.Sprintf("host-%d", i), Region: "r", FailureDomain: fmt.Sprintf("z-%d", i%benchDomains), PeerAddress: address},
+			Store:    &f.store, Dialect: benchDialect{}, OperatorPrefix: "op/", UpstreamPrefix: "servers/", Caller: benchCaller{},
+			Log: quiet(), Metrics: metrics.NewSet(),
+		})
+		f.hosts = append(f.hosts, h)
+		f.ended.Go(func() { _ = h.Run(ctx) })
+	}
+	return f
+}
+
+func (f *benchFleet) announce(i int, leaving bool) {
+	value, _ := json.Marshal(berylroute.Upstream{
+		ID: fmt.Sprintf("u-%d", i), Service: "svc", Address: "10.0.0.1:1", FailureDomain: fmt.Sprintf("z-%d", i%benchDomains), Slots: 8, Leaving: leaving,
+	})
+	f.store.Write(fmt.Sprintf("servers/u-%d", i), string(value))
+}
+
+// load sends online requests to each host until ctx ends.
+func (f *benchFleet) load(ctx context.Context) {
+	for _, h := range f.hosts {
+		go func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				time.Sleep(time.Duration(rand.ExpFloat64() / benchRate * float64(time.Second)))
+				if !h.Serving() {
+					continue
+				}
+				request := &berylrelay.Request{
+					ID: fmt.Sprintf("%s-%d", h.Settings.Host, n), Route: &h.Routes().Routes[0], Deadline: time.Now().Add(5 * time.Second),
+				}
+				go func() {
+					if h.Relay.Do(ctx, request, benchSink{}).Kind == beryloutcome.Answered {
+						f.answered.Add(1)
+					}
+				}()
+			}
+		}()
+	}
+}
+
+func (f *benchFleet) waitReady(b *testing.B, within time.Duration) {
+	b.Helper()
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		ready := 0
+		for _, h := range f.hosts {
+			if h.Ready() && len(h.members.Live()) == len(f.hosts) {
+				ready++
+			}
+		}
+		if ready == len(f.hosts) {
+			return
+		}
+	}
+	b.Fatal("the hosts do not become ready")
+}
+
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// BenchmarkEntryHosts reports what one host spends among others: at the start of all, idle, under a little load, and while
+// upstreams and hosts change. All hosts and the store share one process, so that the store's part is in the figures.
+func BenchmarkEntryHosts(b *testing.B) {
+	for _, count := range []int{15, 30, 60, 100} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			for b.Loop() {
+				ctx, cancel := context.WithCancel(b.Context())
+				spent := processorTime()
+				report := func(name string, span time.Duration) {
+					now := processorTime()
+					each := (now - spent).Seconds() / float64(count)
+					spent = now
+					if span == 0 {
+						b.ReportMetric(each*1e3, name+"-ms")
+						return
+					}
+					b.ReportMetric(each/span.Seconds()*100, name+"-%core")
+				}
+				f := startBenchFleet(b, ctx, count)
+				f.waitReady(b, time.Minute)
+				report("start", 0)
+				time.Sleep(benchSpan)
+				report("idle", benchSpan)
+				loaded, end := context.WithCancel(ctx)
+				f.load(loaded)
+				time.Sleep(benchSpan)
+				report("load", benchSpan)
+				links := 0
+				for _, h := range f.hosts {
+					links += h.wire.Connections()
+				}
+				b.ReportMetric(float64(links)/float64(count), "links/host")
+				b.ReportMetric(float64(f.answered.Load())/benchSpan.Seconds()/float64(count), "answered/host/s")
+				for i := range 20 {
+					f.announce(i%(count/2), i%2 == 0)
+					time.Sleep(benchSpan / 20)
+				}
+				report("changes", benchSpan)
+				for i := range int(benchSpan / (benchHeartbeat / time.Duration(count/2))) {
+					f.announce(i%(count/2), false)
+					time.Sleep(benchHeartbeat / time.Duration(count/2))
+				}
+				report("heartbeats", benchSpan)
+				end()
+				cancel()
+				f.ended.Wait()
+			}
+		})
+	}
+}
--- a/internal/berylentry/follow.go
+++ b/internal/berylentry/follow.go
@@ -20,6 +20,8 @@
 )
 
 const (
+	// gatherChanges is how long changes of upstreams and members gather before the scheduler has them.
+	gatherChanges = 20 * time.Millisecond
 	// settleTime is how long after its start a host takes every other for alive, so that it adopts no job of a host that
 	// it has not heard of yet.
 	settleTime = 3 * time.Second
@@ -80,15 +82,17 @@
 }
 
 func (h *Host) applyUpstreams(events []berylstore.Event, _ int64) {
-	for _, e := range events {
-		if !e.Deleted {
-			if u, ok := h.decodeUpstream(e.Item); ok {
-				h.fleet.Announce(u)
-				continue
-			}
+	changes := make([]berylroute.Change, len(events))
+	for i, e := range events {
+		changes[i] = berylroute.Change{Upstream: berylroute.Upstream{ID: h.Dialect.UpstreamID(e.Key)}, Gone: true}
+		if e.Deleted {
+			continue
+		}
+		if u, ok := h.decodeUpstream(e.Item); ok {
+			changes[i] = berylroute.Change{Upstream: u}
 		}
-		h.fleet.Vanish(time.Now(), h.announced.Regained(), h.Dialect.UpstreamID(e.Key))
 	}
+	h.fleet.Apply(time.Now(), h.announced.Regained(), changes)
 }
 
 func (h *Host) decodeUpstream(item berylstore.Item) (berylroute.Upstream, bool) {
@@ -101,9 +105,17 @@
 	return u, true
 }
 
-// follow passes each change of upstreams and members on to the scheduler.
+// follow passes changes of upstreams and members on to the scheduler. Those in quick succession are gathered: while a large
+// fleet starts, each would else cost every host a new table.
 func (h *Host) follow(ctx context.Context) {
+	gathered := time.NewTimer(0)
+	defer gathered.Stop()
 	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-gathered.C:
+		}
 		fleet, moved, listed := h.fleet.Changed(), h.members.Changed(), h.registry.changed()
 		h.passOn()
 		h.Caller.Sweep(func(id string) bool { _, ok := h.fleet.Get(id); return ok })
@@ -114,21 +126,22 @@
 		case <-moved:
 		case <-listed:
 		}
+		gathered.Reset(gatherChanges)
 	}
 }
 
 func (h *Host) passOn() {
 	live := h.members.Live()
-	h.revision++
-	document := berylconf.Document{Revision: h.revision}
+	var document berylconf.Document
 	// Every request counts as short: one kind of online work is all that this platform's routes tell apart.
 	document.Rules.LongTokens = math.MaxInt32
 	members := make([]berylsched.Member, len(live))
+	document.Inventory.Hosts = make([]berylconf.Host, len(live))
 	for i, m := range live {
 		members[i] = berylsched.Member{Name: m.Name, Boot: m.Boot, Leaving: h.registry.isLeaving(m.Name, m.Boot)}
 		// The scheduler places an upstream on a host of its region; here that is the failure domain, whose bounds are
 		// what bytes cost.
-		document.Inventory.Hosts = append(document.Inventory.Hosts, berylconf.Host{Name: m.Name, Region: m.FailureDomain})
+		document.Inventory.Hosts[i] = berylconf.Host{Name: m.Name, Region: m.FailureDomain}
 	}
 	all := h.fleet.All()
 	for _, id := range h.fleet.IDs() {
@@ -140,8 +153,7 @@
 			document.Rules.Leaving = append(document.Rules.Leaving, u.ID)
 		}
 	}
-	h.scheduler.SetConfig(document)
-	h.scheduler.SetMembers(members)
+	h.scheduler.Set(document, members)
 	if len(all) > 0 {
 		h.passedOn.Store(true)
 	}
--- a/internal/berylentry/host.go
+++ b/internal/berylentry/host.go
@@ -23,6 +23,10 @@
 )
 
 const (
+	// upstreamsGather is how long a host waits after changes of upstreams for more of them. Those that start announce
+	// themselves anew about once a second, and there may be hundreds. A change passes two hosts at most, so that it is
+	// known after twice this time; an upstream that leaves may be called for 2 s.
+	upstreamsGather = 200 * time.Millisecond
 	// expireEvery is how often upstreams that have not come back are looked for.
 	expireEvery = 100 * time.Millisecond
 	// startCheck is how often a starting host looks whether it knows enough: each refusal in between is one too many.
@@ -102,7 +106,6 @@
 	ready     atomic.Bool
 	stopping  atomic.Bool
 	joined    atomic.Pointer[time.Time]
-	revision  int64
 	work      context.Context // ends when the jobs are to stop
 	stopJobs  context.CancelFunc
 }
@@ -128,7 +131,7 @@
 		},
 	}
 	h.announced = berylstore.Follower{
-		Store: config.Store, Prefix: config.UpstreamPrefix, Log: config.Log,
+		Store: config.Store, Prefix: config.UpstreamPrefix, Gather: upstreamsGather, Log: config.Log,
 		Reset: h.resetUpstreams,
 		Apply: h.applyUpstreams,
 	}
--- a/internal/berylkey/credentials.go
+++ b/internal/berylkey/credentials.go
@@ -64,22 +64,28 @@
 	return config
 }
 
+// curves are the key exchanges between hosts. The library's default adds a post-quantum one, whose keys make a handshake
+// three packets longer and cost a host half as much again; hosts of a large fleet make thousands of handshakes.
+var curves = []tls.CurveID{tls.X25519}
+
 // ClientConfig returns a TLS configuration for one connection to the peer of that name; take a new one for each
 // connection.
 func (c *Credentials) ClientConfig(peer, protocol string) *tls.Config {
 	id := c.current.Load()
 	return &tls.Config{
-		MinVersion:   tls.VersionTLS13,
-		Certificates: []tls.Certificate{id.cert},
-		RootCAs:      id.roots,
-		ServerName:   peer,
-		NextProtos:   []string{protocol},
+		MinVersion:       tls.VersionTLS13,
+		CurvePreferences: curves,
+		Certificates:     []tls.Certificate{id.cert},
+		RootCAs:          id.roots,
+		ServerName:       peer,
+		NextProtos:       []string{protocol},
 	}
 }
 
 func (id *identity) serverConfig(protocol string) *tls.Config {
 	return &tls.Config{
 		MinVersion:             tls.VersionTLS13,
+		CurvePreferences:       curves,
 		Certificates:           []tls.Certificate{id.cert},
 		ClientCAs:              id.roots,
 		ClientAuth:             tls.RequireAndVerifyClientCert,
--- a/internal/berylroute/fleet.go
+++ b/internal/berylroute/fleet.go
@@ -43,6 +43,7 @@
 	mu        sync.Mutex
 	upstreams map[string]Upstream
 	lapsed    map[string]time.Time // until when a vanished upstream is kept
+	moved     bool                 // something has changed since the last publication
 	published atomic.Pointer[snapshot]
 	changed   chan struct{}
 }
@@ -102,36 +103,49 @@
 	f.publish()
 }
 
-// Announce takes one upstream's announcement.
-func (f *Fleet) Announce(u Upstream) {
+// Change is one change of an upstream's announcement.
+type Change struct {
+	// Upstream is what it announces; where it is gone only its ID is set.
+	Upstream Upstream
+	// Gone says that its announcement was removed or names no upstream to use.
+	Gone bool
+}
+
+// Apply takes changes in order and publishes what they come to at once; regained is when the store last came back from an
+// outage.
+func (f *Fleet) Apply(now, regained time.Time, changes []Change) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.set(u)
+	for _, c := range changes {
+		if c.Gone {
+			f.vanish(now, regained, c.Upstream.ID)
+		} else {
+			f.set(c.Upstream)
+		}
+	}
 	f.publish()
 }
 
+// Announce takes one upstream's announcement.
+func (f *Fleet) Announce(u Upstream) {
+	f.Apply(time.Time{}, time.Time{}, []Change{{Upstream: u}})
+}
+
 // Vanish takes the removal of an announcement; regained is when the store last came back from an outage.
 func (f *Fleet) Vanish(now, regained time.Time, id string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.vanish(now, regained, id)
-	f.publish()
+	f.Apply(now, regained, []Change{{Upstream: Upstream{ID: id}, Gone: true}})
 }
 
 // Expire drops the upstreams that have not come back in time.
 func (f *Fleet) Expire(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	dropped := false
 	for id, until := range f.lapsed {
 		if now.After(until) {
 			f.drop(id, "lapsed in an outage of the store and did not come back")
-			dropped = true
 		}
 	}
-	if dropped {
-		f.publish()
-	}
+	f.publish()
 }
 
 func (f *Fleet) set(u Upstream) {
@@ -145,6 +159,7 @@
 		return
 	}
 	f.upstreams[u.ID] = u
+	f.moved = true
 	log := f.Log.WithFields(logrus.Fields{"upstream": u.ID, "service": u.Service, "failure-domain": u.FailureDomain, "address": u.Address, "slots": u.Slots})
 	switch {
 	case u.Leaving && !old.Leaving:
@@ -174,10 +189,16 @@
 func (f *Fleet) drop(id, reason string) {
 	delete(f.upstreams, id)
 	delete(f.lapsed, id)
+	f.moved = true
 	f.Log.WithFields(logrus.Fields{"upstream": id, "reason": reason}).Info("upstream: gone")
 }
 
+// publish tells of what has moved, if anything has: upstreams write again and again what is known of them.
 func (f *Fleet) publish() {
+	if !f.moved {
+		return
+	}
+	f.moved = false
 	next := &snapshot{upstreams: maps.Clone(f.upstreams), leaving: make(map[string][]string)}
 	for _, u := range f.upstreams {
 		if u.Leaving {
--- a/internal/berylsched/scheduler.go
+++ b/internal/berylsched/scheduler.go
@@ -60,15 +60,13 @@
 	// mu guards the inputs of the table.
 	mu      sync.Mutex
 	doc     berylconf.Document
+	given   berylconf.Document // doc as Set was given it
 	members []Member
 }
 
 // New returns a Scheduler that does nothing until Run.
 func New(settings Settings) *Scheduler {
 	s := &Scheduler{Settings: settings}
-	if s.Owner == nil {
-		s.Owner = RendezvousOwner
-	}
 	if s.Log == nil {
 		s.Log = logrus.StandardLogger()
 	}
@@ -94,15 +92,12 @@
 // SetConfig installs a configuration, unless it has the revision of the one in force; it may be called before Run and at
 // any time after.
 func (s *Scheduler) SetConfig(doc berylconf.Document) {
-	doc.Rules = doc.Rules.WithDefaults()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if doc.Revision != 0 && doc.Revision == s.doc.Revision {
 		return
 	}
-	s.doc = doc
-	config := ownerConfig(doc)
-	s.duty.command(func(o *Owner, now time.Time) []Action { return o.Configure(now, config) })
+	s.setConfig(doc)
 	s.install()
 }
 
@@ -110,8 +105,45 @@
 func (s *Scheduler) SetMembers(members []Member) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.setMembers(members) {
+		s.install()
+	}
+}
+
+// Set installs a configuration and the list of live hosts together, unless both are those in force.
+func (s *Scheduler) Set(doc berylconf.Document, members []Member) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	configured := !sameInventory(&doc, &s.given)
+	if configured {
+		s.given = doc
+		s.setConfig(doc)
+	}
+	if s.setMembers(members) || configured {
+		s.install()
+	}
+}
+
+// sameInventory says whether two documents place the same upstreams on the same hosts.
+func sameInventory(a, b *berylconf.Document) bool {
+	return slices.Equal(a.Inventory.Hosts, b.Inventory.Hosts) && slices.Equal(a.Rules.Leaving, b.Rules.Leaving) &&
+		slices.EqualFunc(a.Inventory.Upstreams, b.Inventory.Upstreams, func(u, v berylconf.Upstream) bool {
+			return u.Name == v.Name && u.Region == v.Region && u.Service == v.Service && u.Slots == v.Slots && slices.Equal(u.Models, v.Models)
+		})
+}
+
+// setConfig takes a configuration; the caller holds mu and installs a table.
+func (s *Scheduler) setConfig(doc berylconf.Document) {
+	doc.Rules = doc.Rules.WithDefaults()
+	s.doc = doc
+	config := ownerConfig(doc)
+	s.duty.command(func(o *Owner, now time.Time) []Action { return o.Configure(now, config) })
+}
+
+// setMembers takes the live hosts and says whether they are others than before; the caller holds mu and installs a table.
+func (s *Scheduler) setMembers(members []Member) bool {
 	if slices.Equal(members, s.members) {
-		return
+		return false
 	}
 	for _, old := range s.members {
 		if !hasRun(members, old) {
@@ -119,7 +151,7 @@
 		}
 	}
 	s.members = slices.Clone(members)
-	s.install()
+	return true
 }
 
 func hasRun(members []Member, run Member) bool {
--- a/internal/berylsched/table.go
+++ b/internal/berylsched/table.go
@@ -40,6 +40,37 @@
 	return mix(xxhash.Sum64String(a) ^ mix(xxhash.Sum64String(b)))
 }
 
+// hostList is the hosts that may own the upstreams of one region.
+type hostList struct {
+	names []string // sorted
+	// mixed holds the part of pairWeight that each name gives, so that a table of hundreds of upstreams hashes it once.
+	mixed []uint64
+}
+
+func (l *hostList) add(name string) {
+	l.names = append(l.names, name)
+}
+
+// seal sorts the names and hashes them.
+func (l *hostList) seal() {
+	slices.Sort(l.names)
+	l.mixed = make([]uint64, len(l.names))
+	for i, name := range l.names {
+		l.mixed[i] = mix(xxhash.Sum64String(name))
+	}
+}
+
+// owner is RendezvousOwner for an upstream of that hash.
+func (l *hostList) owner(hash uint64) string {
+	best, weight := "", uint64(0)
+	for i, m := range l.mixed {
+		if w := mix(hash ^ m); best == "" || w > weight {
+			best, weight = l.names[i], w
+		}
+	}
+	return best
+}
+
 // mix is the 64-bit finalizer of SplitMix64 (Steele, Lea and Flood, 2014).
 func mix(x uint64) uint64 {
 	x += 0x9e3779b97f4a7c15
@@ -80,7 +111,7 @@
 }
 
 // newTable places every upstream on a live host of its region, or on any live host when its region has none.
-// What is known of the upstreams is taken over from the last table.
+// What is known of the upstreams is taken over from the last table. A nil owner is RendezvousOwner.
 func newTable(doc berylconf.Document, members []Member, self string, owner OwnerFunc, last *table) *table {
 	t := &table{
 		places:  make(map[string]*place, len(doc.Inventory.Upstreams)),
@@ -95,22 +126,31 @@
 		t.members[m.Name] = m
 	}
 	home := regionsOf(doc)
-	regions, all := hostsByRegion(doc, members, home)
+	leaving := make(map[string]bool, len(doc.Rules.Leaving))
+	for _, name := range doc.Rules.Leaving {
+		leaving[name] = true
+	}
+	regions, all := hostsByRegion(members, leaving, home)
+	listed := make(shareIndex)
 	for _, u := range doc.Inventory.Upstreams {
 		hosts := regions[u.Region]
-		if len(hosts) == 0 {
+		if hosts == nil {
 			hosts = all
 		}
 		p := &place{upstream: u.Name, hash: xxhash.Sum64String(u.Name), slots: u.Slots, known: last.knowledge(u.Name)}
 		p.far = u.Region != home[self]
-		p.leaving = slices.Contains(doc.Rules.Leaving, u.Name)
-		if len(hosts) > 0 {
-			p.owner = owner(u.Name, hosts)
+		p.leaving = leaving[u.Name]
+		if len(hosts.names) > 0 {
+			if owner == nil {
+				p.owner = hosts.owner(p.hash)
+			} else {
+				p.owner = owner(u.Name, hosts.names)
+			}
 		}
 		t.places[u.Name] = p
 		for _, name := range u.Targets() {
 			t.targets[name] = append(t.targets[name], p)
-			t.addShare(name, p)
+			t.addShare(listed, name, p)
 		}
 	}
 	return t
@@ -124,19 +164,28 @@
 	return new(knowledge)
 }
 
+// shareKey names one share of a table; shareIndex says where it stands among its target's.
+type (
+	shareKey struct {
+		target, host string
+		far          bool
+	}
+	shareIndex map[shareKey]int
+)
+
 // addShare lists an upstream under its owner, if it may get new work.
-func (t *table) addShare(target string, p *place) {
+func (t *table) addShare(listed shareIndex, target string, p *place) {
 	if p.leaving || p.owner == "" || p.slots <= 0 {
 		return
 	}
-	shares := t.shares[target]
-	i := slices.IndexFunc(shares, func(s share) bool { return s.host == p.owner && s.far == p.far })
-	if i < 0 {
-		i = len(shares)
-		shares = append(shares, share{host: p.owner, far: p.far})
+	key := shareKey{target: target, host: p.owner, far: p.far}
+	i, ok := listed[key]
+	if !ok {
+		i = len(t.shares[target])
+		listed[key] = i
+		t.shares[target] = append(t.shares[target], share{host: p.owner, far: p.far})
 	}
-	shares[i].places = append(shares[i].places, p)
-	t.shares[target] = shares
+	t.shares[target][i].places = append(t.shares[target][i].places, p)
 }
 
 // regionsOf returns the region of each host of the inventory.
@@ -149,23 +198,28 @@
 }
 
 // hostsByRegion lists the hosts that may own upstreams; when all are leaving, all may.
-func hostsByRegion(doc berylconf.Document, members []Member, region map[string]string) (map[string][]string, []string) {
-	regions := make(map[string][]string)
-	var staying, leaving []string
+func hostsByRegion(members []Member, leaving map[string]bool, region map[string]string) (map[string]*hostList, *hostList) {
+	regions := make(map[string]*hostList)
+	staying, going := &hostList{}, &hostList{}
 	for _, m := range members {
-		if m.Leaving || slices.Contains(doc.Rules.Leaving, m.Name) {
-			leaving = append(leaving, m.Name)
+		if m.Leaving || leaving[m.Name] {
+			going.add(m.Name)
 			continue
 		}
-		staying = append(staying, m.Name)
-		regions[region[m.Name]] = append(regions[region[m.Name]], m.Name)
+		staying.add(m.Name)
+		list := regions[region[m.Name]]
+		if list == nil {
+			list = &hostList{}
+			regions[region[m.Name]] = list
+		}
+		list.add(m.Name)
 	}
-	if len(staying) == 0 {
-		staying = leaving
+	if len(staying.names) == 0 {
+		staying = going
 	}
-	slices.Sort(staying)
-	for _, hosts := range regions {
-		slices.Sort(hosts)
+	staying.seal()
+	for _, list := range regions {
+		list.seal()
 	}
 	return regions, staying
 }
--- /dev/null
+++ b/internal/berylsched/table_test.go
@@ -0,0 +1,78 @@
+package berylsched
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"berylroad.example/berylroad/internal/berylconf"
+)
+
+// inventory describes a fleet of that many hosts and upstreams in five regions.
+func inventory(hosts, upstreams int) (berylconf.Document, []Member) {
+	var doc berylconf.Document
+	members := make([]Member, hosts)
+	for i := range hosts {
+		members[i] = Member{Name: fmt.Sprintf("host-%d", i), Boot: 1}
+		doc.Inventory.Hosts = append(doc.Inventory.Hosts, berylconf.Host{Name: members[i].Name, Region: fmt.Sprintf("r-%d", i%5)})
+	}
+	for i := range upstreams {
+		doc.Inventory.Upstreams = append(doc.Inventory.Upstreams, berylconf.Upstream{Name: fmt.Sprintf("u-%d", i), Region: fmt.Sprintf("r-%d", i%7), Service: "s", Slots: 8})
+	}
+	return doc, members
+}
+
+// All hosts must place alike, also those of a release before whose tables hashed each pair anew.
+func TestTablePlacesAsRendezvousOwner(t *testing.T) {
+	is := is.New(t)
+	doc, members := inventory(23, 60)
+	members[3].Leaving, doc.Rules.Leaving = true, []string{"host-9", "u-4"}
+	fast := newTable(doc, members, "host-1", nil, nil)
+	plain := newTable(doc, members, "host-1", RendezvousOwner, nil)
+	is.Equal(len(fast.places), 60)
+	for name, p := range plain.places {
+		is.Equal(fast.places[name].owner, p.owner)
+		is.Equal(fast.places[name].far, p.far)
+		is.Equal(fast.places[name].leaving, p.leaving)
+	}
+	is.Equal(len(fast.shares["s"]), len(plain.shares["s"]))
+}
+
+func TestSetInstallsOneTableForAChange(t *testing.T) {
+	is := is.New(t)
+	s := New(Settings{Host: "host-0", Boot: 1})
+	doc, members := inventory(4, 6)
+	s.Set(doc, members)
+	first := s.table.Load()
+	same, sameMembers := inventory(4, 6)
+	s.Set(same, sameMembers)
+	is.True(s.table.Load() == first) // nothing has changed
+	changed, fewer := inventory(3, 5)
+	s.Set(changed, fewer)
+	second := s.table.Load()
+	is.True(second != first)
+	select {
+	case <-first.stale:
+	default:
+		t.Fatal("those who wait on the last table are not woken")
+	}
+	is.Equal(len(second.places), 5)
+	is.Equal(len(second.members), 3)
+	changed.Rules.Leaving = []string{"u-1"}
+	s.Set(changed, fewer)
+	is.True(s.table.Load().places["u-1"].leaving)
+}
+
+func BenchmarkTable(b *testing.B) {
+	for _, hosts := range []int{30, 100, 300, 1000} {
+		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
+			doc, members := inventory(hosts, hosts)
+			b.ReportAllocs()
+			last := newTable(doc, members, "host-0", nil, nil)
+			for b.Loop() {
+				last = newTable(doc, members, "host-0", nil, last)
+			}
+		})
+	}
+}
--- a/internal/berylwire/endpoint.go
+++ b/internal/berylwire/endpoint.go
@@ -112,7 +112,7 @@
 		handlers: map[string]*handler{},
 	}
 	e.open, e.end = context.WithCancel(context.Background())
-	config.Metrics.NewGauge("berylroad_wire_connections", func() float64 { return float64(e.pool.count()) })
+	config.Metrics.NewGauge("berylroad_wire_connections", func() float64 { return float64(e.Connections()) })
 	resetKey := quic.StatelessResetKey(config.Credentials.ResetKey())
 	e.transport = &quic.Transport{Conn: socket, StatelessResetKey: &resetKey}
 	e.listener, err = e.transport.Listen(config.Credentials.ServerConfig(protocol), e.quic)
@@ -145,6 +145,11 @@
 	return e.transport.Conn.LocalAddr().String()
 }
 
+// Connections returns the number of connections that this endpoint has made and keeps.
+func (e *Endpoint) Connections() int {
+	return e.pool.count()
+}
+
 // Serve answers peers until the context ends or Close is called, then closes the endpoint.
 func (e *Endpoint) Serve(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
