Hosts that start together list the store page by page, from stale pages made current

Change: a page that fails is asked for again, for as long as it takes while the store says that it has too many calls; pauses then grow to 1 s. A store that refuses with 429 is up: no host takes it for lost. Pages may be stale (a tenth of the price, not counted toward the store's rates); one watch without a wait then brings the changes since, before anybody sees the items, so that nothing is shown that had gone. Where the history is too short for that, the next listing is current.

--- a/internal/berylcontract/store.go
+++ b/internal/berylcontract/store.go
@@ -22,9 +22,10 @@
 	Fail(fault berylfake.StoreFault)
 	// Late carries out the calls that were held up.
 	Late()
-	// Revoke ends a lease, and Compact drops the history.
+	// Revoke ends a lease, Compact drops the history, and Freeze makes stale listings show what there is now.
 	Revoke(lease int64)
 	Compact()
+	Freeze()
 }
 
 // Store runs the contract against a store that open returns with the stand-in behind it.
@@ -98,6 +99,27 @@
 		_, _, err = s.Watch(t.Context(), "w/", first.Revision, 2*time.Second)
 		is.True(errors.Is(err, berylstore.ErrCompacted))
 	})
+	t.Run("stale pages", func(t *testing.T) {
+		is, backing, s := start(t)
+		s.Commit(t.Context(), berylstore.Txn{Puts: []berylstore.Put{{Key: "s/gone", Value: []byte("1")}, {Key: "s/kept", Value: []byte("1")}}})
+		backing.Freeze()
+		s.Commit(t.Context(), berylstore.Txn{Puts: []berylstore.Put{{Key: "s/kept", Value: []byte("2")}}, Deletes: []string{"s/gone"}})
+		page, err := s.ListStale(t.Context(), "s/", "")
+		is.NoErr(err)
+		is.True(len(page.Items) > 0)
+		events, _, err := s.Watch(t.Context(), "s/", page.AsOf, 50*time.Millisecond)
+		is.NoErr(err)
+		last := make(map[string]berylstore.Event) // what the page and the changes since it come to
+		for _, item := range page.Items {
+			last[item.Key] = berylstore.Event{Item: item}
+		}
+		for _, e := range events {
+			last[e.Key] = e
+		}
+		gone, listed := last["s/gone"]
+		is.True(!listed || gone.Deleted)
+		is.Equal(string(last["s/kept"].Value), "2")
+	})
 	t.Run("leases", func(t *testing.T) {
 		is, backing, s := start(t)
 		lease, err := s.Grant(t.Context(), time.Minute)
--- a/internal/berylentry/credentials.go
+++ b/internal/berylentry/credentials.go
@@ -44,7 +44,7 @@
 			return value, nil
 		}
 		log.WithError(err).Warn(complaint)
-		timer := time.NewTimer(registryPause)
+		timer := time.NewTimer(tryAgainAfter())
 		select {
 		case <-ctx.Done():
 			timer.Stop()
--- a/internal/berylentry/registry.go
+++ b/internal/berylentry/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"time"
@@ -31,10 +32,15 @@
 	registryShared = 2 * time.Second
 	// registryTimeout bounds one call.
 	registryTimeout = time.Second
-	// registryPause is the time between two tries while the store is away.
+	// registryPause is the mean time between two tries while the store is away or too busy.
 	registryPause = 300 * time.Millisecond
 )
 
+// tryAgainAfter returns the time until the next try; it differs between hosts that start together.
+func tryAgainAfter() time.Duration {
+	return registryPause/2 + rand.N(registryPause)
+}
+
 // hostRecord is how a host announces itself to the others.
 type hostRecord struct {
 	Member berylhost.Member `cbor:"1,keyasint"`
@@ -82,7 +88,7 @@
 	for {
 		wait := hostRenewal
 		if !r.renew(ctx) {
-			wait = registryPause
+			wait = tryAgainAfter()
 		}
 		timer := time.NewTimer(wait)
 		select {
--- a/internal/beryletcd/store.go
+++ b/internal/beryletcd/store.go
@@ -47,6 +47,11 @@
 	return page, nil
 }
 
+// ListStale is List: a watch here may not have seen yet what a stale listing lacks.
+func (s *Store) ListStale(ctx context.Context, prefix, after string) (berylstore.Page, error) {
+	return s.List(ctx, prefix, after)
+}
+
 // Watch waits for changes under a prefix. Without one the revision to go on from stays as it was: the service's own may
 // be ahead of changes that are still on their way.
 func (s *Store) Watch(ctx context.Context, prefix string, above int64, wait time.Duration) ([]berylstore.Event, int64, error) {
--- a/internal/beryletcd/store_test.go
+++ b/internal/beryletcd/store_test.go
@@ -48,6 +48,9 @@
 	is.New(g.t).Equal(g.client.Revoke(g.t.Context(), lease).Status, beryletcd.Done)
 }
 
+// Freeze has nothing to do: no listing is stale here.
+func (g *gateway) Freeze() {}
+
 // Compact drops the history.
 func (g *gateway) Compact() {
 	is.New(g.t).NoErr(g.SetFault(berylfake.Fault{Compact: true}))
--- a/internal/berylfake/memorystore.go
+++ b/internal/berylfake/memorystore.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -20,6 +21,8 @@
 	StoreWell StoreFault = iota
 	// StoreRefuses does not carry the call out and says so.
 	StoreRefuses
+	// StoreBusy is StoreRefuses because too many calls are made.
+	StoreBusy
 	// StoreLosesAnswer carries the call out but does not answer it.
 	StoreLosesAnswer
 	// StoreLosesCall neither carries the call out nor answers it.
@@ -35,6 +38,7 @@
 type MemoryStore struct {
 	mu       sync.Mutex
 	fault    func(call, key string) StoreFault
+	frozen   *MemoryStore // what stale listings show; nil shows what there is
 	revision int64
 	items    map[string]memoryItem
 	history  []berylstore.Event
@@ -67,7 +71,7 @@
 }
 
 // SetFault says what happens to calls from now on; nil means that all goes well. The call is one of get, list, watch,
-// commit, grant and keep, and the function is called for one at a time.
+// commit, grant and keep, list-stale as well as list for a listing that may be stale, and the function is called for one at a time.
 func (s *MemoryStore) SetFault(fault func(call, key string) StoreFault) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -104,6 +108,8 @@
 		return nil
 	case StoreRefuses:
 		return errors.Mark(errAway, berylstore.ErrNotDone)
+	case StoreBusy:
+		return errors.Mark(errors.Mark(errAway, berylstore.ErrBusy), berylstore.ErrNotDone)
 	default:
 		return errors.Mark(errAway, berylstore.ErrUnknown)
 	}
@@ -121,6 +127,20 @@
 func (s *MemoryStore) List(_ context.Context, prefix, after string) (berylstore.Page, error) {
 	fault := s.begin("list", prefix)
 	defer s.mu.Unlock()
+	return s.page(prefix, after), readError(fault)
+}
+
+// ListStale returns one page as of the last Freeze, or as it is.
+func (s *MemoryStore) ListStale(_ context.Context, prefix, after string) (berylstore.Page, error) {
+	fault := s.begin("list-stale", prefix)
+	defer s.mu.Unlock()
+	if s.frozen != nil {
+		return s.frozen.page(prefix, after), readError(fault)
+	}
+	return s.page(prefix, after), readError(fault)
+}
+
+func (s *MemoryStore) page(prefix, after string) berylstore.Page {
 	page := berylstore.Page{AsOf: s.revision}
 	for key, item := range s.items {
 		if strings.HasPrefix(key, prefix) && key > after {
@@ -131,7 +151,14 @@
 	if len(page.Items) > pageItems {
 		page.Items, page.More = page.Items[:pageItems], true
 	}
-	return page, readError(fault)
+	return page
+}
+
+// Freeze makes stale listings show what there is now, until it is called again.
+func (s *MemoryStore) Freeze() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.frozen = &MemoryStore{items: maps.Clone(s.items), revision: s.revision}
 }
 
 // Watch waits for changes.
@@ -179,7 +206,7 @@
 	fault := s.begin("commit", key)
 	defer s.mu.Unlock()
 	switch fault {
-	case StoreRefuses:
+	case StoreRefuses, StoreBusy:
 		return berylstore.Result{Status: berylstore.NotDone, Err: errAway}
 	case StoreLosesCall:
 		return berylstore.Result{Status: berylstore.Unknown, Err: errAway}
--- a/internal/berylstore/detour.go
+++ b/internal/berylstore/detour.go
@@ -115,6 +115,15 @@
 	return Page{Items: reply.Items, More: reply.More, AsOf: reply.AsOf}, nil
 }
 
+// ListStale returns the items under a prefix as they may have been some seconds ago.
+func (d *Detour) ListStale(ctx context.Context, prefix, after string) (Page, error) {
+	page, err := d.Store.ListStale(ctx, prefix, after)
+	if err == nil || !d.Away() {
+		return page, err
+	}
+	return d.List(ctx, prefix, after)
+}
+
 // Commit makes a change.
 func (d *Detour) Commit(ctx context.Context, txn Txn) Result {
 	if !d.Away() {
--- a/internal/berylstore/follower.go
+++ b/internal/berylstore/follower.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +20,11 @@
 	// retryPause is the mean time between two tries at a store that is away: short beside the seconds within which a
 	// change has to be known again.
 	retryPause = 250 * time.Millisecond
+	// busyPauses is how often that time doubles, at the most, while the store refuses calls because too many are made:
+	// hundreds of hosts that start together would else keep it busy with refusals.
+	busyPauses = 3
+	// readTries is how often one page of a listing is asked for before the listing begins anew.
+	readTries = 3
 	// defaultWait is how long a watch waits for a change. A connection that has gone silent is found after it.
 	defaultWait = 2 * time.Second
 )
@@ -45,6 +52,10 @@
 	Share *Share
 
 	recent recent
+	// refusals counts the calls in a row that the store was too busy for, and current marks that listings must be current,
+	// since stale ones were older than the history; only Run's goroutine uses them.
+	refusals    int
+	listCurrent bool
 	// unanswered marks that the host which watches for this one had no answer the last time; only Run's goroutine uses it.
 	unanswered bool
 
@@ -87,17 +98,20 @@
 			continue
 		}
 		if ctx.Err() == nil {
-			f.away(ctx, err)
+			f.failed(ctx, err)
 		}
 	}
 }
 
-// away notes a failed call and waits a moment.
-func (f *Follower) away(ctx context.Context, err error) {
-	if f.lost.CompareAndSwap(false, true) {
+// failed notes a failed call and waits a moment. A store that is too busy is not away.
+func (f *Follower) failed(ctx context.Context, err error) {
+	if errors.Is(err, ErrBusy) {
+		f.refusals = min(f.refusals+1, busyPauses)
+	} else if f.lost.CompareAndSwap(false, true) {
 		f.Log.WithError(err).WithField("prefix", f.Prefix).Warn("store: lost")
 	}
-	wait(ctx, retryPause/2+rand.N(retryPause))
+	pause := retryPause << max(f.refusals-1, 0)
+	wait(ctx, pause/2+rand.N(pause))
 }
 
 // wait waits for that long or until ctx ends.
@@ -113,6 +127,7 @@
 // answered notes a call that the store has answered.
 func (f *Follower) answered() {
 	now := time.Now()
+	f.refusals = 0
 	if f.lost.CompareAndSwap(true, false) {
 		f.regained.Store(&now)
 		f.Log.WithFields(logrus.Fields{"prefix": f.Prefix, "age-ms": now.Sub(f.Current()).Milliseconds()}).Info("store: regained")
@@ -120,30 +135,107 @@
 	f.current.Store(&now)
 }
 
+// list takes all items and returns the revision as of which they stand. The pages may be stale; the changes since then
+// make them current before anybody sees them, so that what has gone is not shown again.
 func (f *Follower) list(ctx context.Context) (int64, error) {
-	var items []Item
-	first, after := int64(0), ""
-	for {
-		bounded, cancel := context.WithTimeout(ctx, listTimeout)
-		page, err := f.Store.List(bounded, f.Prefix, after)
-		cancel()
+	items, asOf, stale, err := f.pages(ctx)
+	if err != nil {
+		return 0, err
+	}
+	if stale {
+		var events []Event
+		first := asOf
+		err := f.insist(ctx, func(ctx context.Context) (err error) {
+			events, asOf, err = f.Store.Watch(ctx, f.Prefix, first, 0)
+			return err
+		})
 		if err != nil {
+			f.listCurrent = errors.Is(err, ErrCompacted)
 			return 0, err
 		}
-		if first == 0 {
-			first = page.AsOf // pages are no snapshot, so the watch repeats what changed between them
+		items = bringUpToDate(items, events)
+	}
+	f.listCurrent = false
+	f.answered()
+	f.recent.reset(asOf)
+	f.Reset(items, asOf)
+	return asOf, nil
+}
+
+// pages returns all pages of a listing and the lowest of their revisions, since they are no snapshot. While the store is
+// away from this host its pages are current, since they come by way of others and the changes since then can't be asked
+// for.
+func (f *Follower) pages(ctx context.Context) (items []Item, first int64, stale bool, err error) {
+	after := ""
+	for {
+		var page Page
+		err := f.insist(ctx, func(ctx context.Context) (err error) {
+			list := f.Store.List
+			if !f.listCurrent && !f.Away() {
+				list, stale = f.Store.ListStale, true
+			}
+			page, err = list(ctx, f.Prefix, after)
+			return err
+		})
+		if err != nil {
+			return nil, 0, false, err
+		}
+		if first == 0 || page.AsOf < first {
+			first = page.AsOf
 		}
 		items = append(items, page.Items...)
 		if !page.More || len(page.Items) == 0 {
-			f.answered()
-			f.recent.reset(first)
-			f.Reset(items, first)
-			return first, nil
+			return items, first, stale, nil
 		}
 		after = page.Items[len(page.Items)-1].Key
 	}
 }
 
+// insist makes a read again when it fails, some times, and as long as it takes at a store that is too busy: hosts that list
+// together would else begin anew again and again.
+func (f *Follower) insist(ctx context.Context, read func(ctx context.Context) error) error {
+	for try := 1; ; {
+		bounded, cancel := context.WithTimeout(ctx, listTimeout)
+		err := read(bounded)
+		cancel()
+		if err == nil {
+			f.refusals = 0
+			return nil
+		}
+		if errors.Is(err, ErrCompacted) || try == readTries || ctx.Err() != nil {
+			return err
+		}
+		if !errors.Is(err, ErrBusy) {
+			try++
+		}
+		f.failed(ctx, err)
+	}
+}
+
+// bringUpToDate applies changes to listed items.
+func bringUpToDate(items []Item, events []Event) []Item {
+	if len(events) == 0 {
+		return items
+	}
+	byKey := make(map[string]Event, len(items)+len(events))
+	for _, item := range items {
+		byKey[item.Key] = Event{Item: item}
+	}
+	for _, e := range events {
+		if known, ok := byKey[e.Key]; !ok || e.Revision > known.Revision {
+			byKey[e.Key] = e
+		}
+	}
+	current := make([]Item, 0, len(byKey))
+	for _, e := range byKey {
+		if !e.Deleted {
+			current = append(current, e.Item)
+		}
+	}
+	slices.SortFunc(current, func(a, b Item) int { return strings.Compare(a.Key, b.Key) })
+	return current
+}
+
 // watch applies changes until the history is gone or ctx ends.
 func (f *Follower) watch(ctx context.Context, above int64) error {
 	for {
@@ -152,7 +244,7 @@
 			return err
 		}
 		if err != nil {
-			f.away(ctx, err)
+			f.failed(ctx, err)
 			reply, ok := f.Share.askAny(ctx, f.Prefix, above)
 			if !ok {
 				continue
--- a/internal/berylstore/store.go
+++ b/internal/berylstore/store.go
@@ -14,6 +14,8 @@
 	ErrNotDone = errors.New("the store has not carried the call out")
 	// ErrUnknown says that the call may have been carried out, or may be later.
 	ErrUnknown = errors.New("the store's answer did not arrive")
+	// ErrBusy says that the store is up and refuses the call because too many are made; it is marked ErrNotDone too.
+	ErrBusy = errors.New("the store takes no more calls for now")
 )
 
 // Item is one key with its value.
@@ -110,6 +112,8 @@
 	Get(ctx context.Context, key string) (Item, bool, error)
 	// List returns the items under a prefix whose keys come after the given one.
 	List(ctx context.Context, prefix, after string) (Page, error)
+	// ListStale is List of what the items may have been some seconds ago, which costs the store far less.
+	ListStale(ctx context.Context, prefix, after string) (Page, error)
 	// Watch waits, no longer than the given time, for changes under a prefix above a revision and returns them with the
 	// revision to go on from.
 	Watch(ctx context.Context, prefix string, above int64, wait time.Duration) ([]Event, int64, error)
