A host keeps to few owners while they have room alike

Cause: owners with equal room were tried in random order and told apart by single slots, so that each host came to ask every owner; from 30 to 60 hosts its connections to others grew from 18 to 49 (BenchmarkEntryHosts, 6 requests a host and second). Change: room counts in quarters, within which a host has an order of its own; its own upstreams may be a quarter fuller.

Tests of load patterns: TestUnevenHashOverSmallOwners and TestCounterPeakBesideBatch, 30 hosts in five failure domains on fake time; both passed before.

--- a/internal/berylentry/fleet_bench_test.go
+++ b/internal/berylentry/fleet_bench_test.go
@@ -25,10 +25,11 @@
 
 const (
 	benchDomains = 5
-	// benchRate is how many online requests each host gets a second, benchTime how long a stream runs.
-	benchRate = 3.0
-	benchTime = 500 * time.Millisecond
-	benchSpan = 8 * time.Second
+	// benchRate is how many online requests each host gets a second, benchTime how long a stream of benchEvents runs.
+	benchRate   = 6.0
+	benchTime   = 500 * time.Millisecond
+	benchEvents = 20
+	benchSpan   = 8 * time.Second
 	// benchHeartbeat is the time between two writes of an upstream that starts and so changes its announcement each time.
 	benchHeartbeat = 1200 * time.Millisecond
 )
@@ -53,18 +54,23 @@
 
 func (benchDialect) Retirement(string) (string, []byte, bool) { return "", nil, false }
 
-// benchCaller answers each call with one event and ends the stream a while later.
+// benchCaller answers each call with a stream.
 type benchCaller struct{}
 
 func (benchCaller) Call(ctx context.Context, _ *berylrelay.Call) (*berylrelay.Reply, error) {
 	read, write := io.Pipe()
 	go func() {
-		_, _ = io.WriteString(write, "id: 1\ndata: w\n\n")
-		select {
-		case <-time.After(benchTime):
-		case <-ctx.Done():
+		defer write.Close()
+		for i := range benchEvents {
+			if _, err := fmt.Fprintf(write, "id: %d\ndata: w\n\n", i); err != nil {
+				return
+			}
+			select {
+			case <-time.After(benchTime / benchEvents):
+			case <-ctx.Done():
+				return
+			}
 		}
-		_ = write.Close()
 	}()
 	return &berylrelay.Reply{Status: http.StatusOK, Signed: true, Events: true, Body: read}, nil
 }
--- /dev/null
+++ b/internal/berylsched/peak_test.go
@@ -0,0 +1,173 @@
+package berylsched_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"berylroad.example/berylroad/internal/berylconf"
+	"berylroad.example/berylroad/internal/beryloutcome"
+	"berylroad.example/berylroad/internal/berylpermit"
+)
+
+// peak is a fleet of hosts in five regions, each upstream with an owner of its own region, under online load that the
+// balancer spreads unevenly.
+type peak struct {
+	hosts, upstreams, slots int
+	// load is the share of all slots that online work would use if none of it waited.
+	load float64
+	// batch is how many items each host has to run at any time.
+	batch int
+
+	answered, refused, late, cut atomic.Int64
+	// worked is the time that items have run, in nanoseconds.
+	worked atomic.Int64
+}
+
+const (
+	peakBusy = 500 * time.Millisecond
+	// peakPatience is how long a request may wait and still be on time.
+	peakPatience = 150 * time.Millisecond
+	peakItem     = 2 * time.Second
+)
+
+func (p *peak) document() (berylconf.Document, []string) {
+	var doc berylconf.Document
+	var names []string
+	doc.Revision = 1
+	for i := range p.hosts {
+		names = append(names, fmt.Sprintf("host-%d", i))
+		doc.Inventory.Hosts = append(doc.Inventory.Hosts, berylconf.Host{Name: names[i], Region: fmt.Sprintf("r-%d", i%5)})
+	}
+	for i := range p.upstreams {
+		doc.Inventory.Upstreams = append(doc.Inventory.Upstreams, berylconf.Upstream{
+			Name: fmt.Sprintf("u-%d", i), Region: fmt.Sprintf("r-%d", i%5), Models: []string{"m"}, Slots: p.slots,
+		})
+	}
+	return doc, names
+}
+
+func (p *peak) run(span time.Duration) {
+	doc, names := p.document()
+	f := newFleet(doc, names...)
+	ctx, cancel := context.WithTimeout(context.Background(), span)
+	defer cancel()
+	var wg sync.WaitGroup
+	perSecond := p.load * float64(p.upstreams*p.slots) / peakBusy.Seconds()
+	for i, name := range names {
+		s := f.hosts[name]
+		random := rand.New(rand.NewPCG(uint64(i), 7))
+		// The balancer's hash gives a host between a third and twice its share.
+		rate := perSecond / float64(p.hosts) * (0.33 + 1.34*random.Float64())
+		wg.Go(func() {
+			for ctx.Err() == nil {
+				time.Sleep(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
+				busy := time.Duration((0.5 + random.Float64()) * float64(peakBusy))
+				wg.Go(func() { p.online(s, busy) })
+			}
+		})
+		for range p.batch {
+			wg.Go(func() {
+				for ctx.Err() == nil {
+					p.item(ctx, s)
+				}
+			})
+		}
+	}
+	wg.Wait()
+	f.stop()
+}
+
+type acquirer interface {
+	Acquire(ctx context.Context, ask berylpermit.Ask) (*berylpermit.Permit, *beryloutcome.Refusal)
+}
+
+func (p *peak) online(s acquirer, busy time.Duration) {
+	began := time.Now()
+	permit, _ := s.Acquire(context.Background(), berylpermit.Ask{Target: "m", Remaining: 5 * time.Second, Queue: true, Patience: peakPatience})
+	if permit == nil {
+		p.refused.Add(1)
+		return
+	}
+	if time.Since(began) > peakPatience {
+		p.late.Add(1)
+	}
+	p.answered.Add(1)
+	time.Sleep(busy)
+	permit.Release(berylpermit.Report{Kind: beryloutcome.Answered, Busy: busy, FirstToken: 50 * time.Millisecond, TokenGap: 20 * time.Millisecond, Tokens: 20})
+}
+
+// item runs one item to its end, resumed after each cut.
+func (p *peak) item(ctx context.Context, s acquirer) {
+	left := peakItem
+	for left > 0 {
+		permit, _ := s.Acquire(ctx, berylpermit.Ask{Target: "m", Class: berylpermit.Batch, Remaining: 30 * time.Second, Queue: true})
+		if permit == nil {
+			if ctx.Err() != nil {
+				return
+			}
+			time.Sleep(200 * time.Millisecond)
+			continue
+		}
+		began := time.Now()
+		kind := beryloutcome.Answered
+		select {
+		case <-permit.Yield:
+			kind = beryloutcome.Yielded
+			p.cut.Add(1)
+		case <-time.After(left):
+		}
+		left -= time.Since(began)
+		p.worked.Add(int64(time.Since(began)))
+		permit.Release(berylpermit.Report{Kind: kind, Busy: time.Since(began)})
+	}
+}
+
+// UnevenHashOverSmallOwners: with one or two upstreams an owner, a request must find the free slots of the whole fleet.
+func TestUnevenHashOverSmallOwners(t *testing.T) {
+	for _, tt := range []struct {
+		load    float64
+		refused float64
+		late    float64
+	}{
+		{0.6, 0.001, 0.001},
+		{0.75, 0.005, 0.005},
+		{0.9, 0.03, 0.03},
+	} {
+		t.Run(fmt.Sprint(tt.load), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				p := peak{hosts: 30, upstreams: 30, slots: 7, load: tt.load}
+				p.run(10 * time.Second)
+				all := float64(p.answered.Load() + p.refused.Load())
+				t.Logf("%.0f requests, refused %.4f, late %.4f", all, float64(p.refused.Load())/all, float64(p.late.Load())/all)
+				is.True(float64(p.refused.Load()) <= tt.refused*all)
+				is.True(float64(p.late.Load()) <= tt.late*all)
+			})
+		})
+	}
+}
+
+// CounterPeakBesideBatch: batch work fills what online work leaves, and online work does not wait for it.
+func TestCounterPeakBesideBatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := peak{hosts: 30, upstreams: 30, slots: 7, load: 0.5, batch: 10}
+		p.run(10 * time.Second)
+		all := float64(p.answered.Load() + p.refused.Load())
+		// What online work leaves, less what each cut costs: the way to an owner and back.
+		left := 0.5 * 30 * 7 * 10
+		worked := time.Duration(p.worked.Load()).Seconds()
+		t.Logf("%.0f requests, refused %.4f, late %.4f; items ran %.0f of %.0f s, cut %d", all, float64(p.refused.Load())/all, float64(p.late.Load())/all, worked, left, p.cut.Load())
+		is.True(float64(p.refused.Load()) <= 0.001*all)
+		is.True(float64(p.late.Load()) <= 0.005*all)
+		is.True(worked >= 0.85*left)
+	})
+}
--- a/internal/berylsched/route.go
+++ b/internal/berylsched/route.go
@@ -1,7 +1,7 @@
 package berylsched
 
 import (
-	"math/rand/v2"
+	"math"
 	"slices"
 	"time"
 
@@ -13,21 +13,26 @@
 	affinityUpstreams = 2
 	// affinityBound is how much fuller than the mean an upstream may be and still be preferred for its cache.
 	affinityBound = 1.25
-	// localBonus is how much fuller this host's own upstreams may be and still go first, since asking takes no hop.
-	localBonus = 0.1
+	// roomSteps is in how many steps owners are told apart by their room; within a step a host keeps to those that come
+	// first in an order of its own, so that it needs few connections to owners and upstreams.
+	roomSteps = 4
+	// localBonus is by how many steps fuller this host's own upstreams may be and still go first, since asking takes no
+	// hop.
+	localBonus = 1
 )
 
 // candidate is an owner that may be asked.
 type candidate struct {
 	host string
-	// room is the share of its slots that are free for the class, by what is known.
-	room float64
+	// room is the share of its slots that are free for the class, by what is known, in steps; zero is none.
+	room int
 	// tier puts owners of this region that have room first, then those of other regions that have, then the rest.
 	tier int
 	// preferred marks the owner of the upstream that holds the prompt's prefix.
 	preferred bool
-	// tie orders equal candidates at random, so that hosts with the same knowledge do not all ask the same owner.
-	tie uint32
+	// tie orders equal candidates differently for each host, so that those with the same knowledge do not all ask the same
+	// owner.
+	tie uint64
 }
 
 // route lists the owners to ask, best first, and sets the upstreams that the ask prefers. It leaves out the hosts that
@@ -47,7 +52,7 @@
 		if s.peers.suspected(now, sh.host) {
 			continue
 		}
-		c := candidate{host: sh.host, tie: rand.Uint32(), room: sh.room(now, ask)}
+		c := candidate{host: sh.host, tie: sh.tie, room: int(math.Ceil(sh.room(now, ask) * roomSteps))}
 		c.preferred = sh.host == first && c.room > 0
 		c.tier = tier(sh.far, c.room)
 		if sh.host == s.Host {
@@ -65,7 +70,7 @@
 	return hosts
 }
 
-func tier(far bool, room float64) int {
+func tier(far bool, room int) int {
 	if room <= 0 {
 		return 2
 	}
--- a/internal/berylsched/table.go
+++ b/internal/berylsched/table.go
@@ -93,13 +93,16 @@
 
 // share is an owner with those of a target's upstreams that may get new work.
 type share struct {
-	host   string
-	far    bool
+	host string
+	far  bool
+	// tie is the owner's place in the order in which this host prefers owners with equal room.
+	tie    uint64
 	places []*place
 }
 
 // table is what a host believes about who owns what; it is never changed once published.
 type table struct {
+	self    string
 	places  map[string]*place
 	targets map[string][]*place
 	shares  map[string][]share
@@ -114,6 +117,7 @@
 // What is known of the upstreams is taken over from the last table. A nil owner is RendezvousOwner.
 func newTable(doc berylconf.Document, members []Member, self string, owner OwnerFunc, last *table) *table {
 	t := &table{
+		self:    self,
 		places:  make(map[string]*place, len(doc.Inventory.Upstreams)),
 		targets: make(map[string][]*place),
 		shares:  make(map[string][]share),
@@ -183,7 +187,7 @@
 	if !ok {
 		i = len(t.shares[target])
 		listed[key] = i
-		t.shares[target] = append(t.shares[target], share{host: p.owner, far: p.far})
+		t.shares[target] = append(t.shares[target], share{host: p.owner, far: p.far, tie: pairWeight(t.self, p.owner)})
 	}
 	t.shares[target][i].places = append(t.shares[target][i].places, p)
 }
