--- a/internal/berylcmd/entry/run/run.go
+++ b/internal/berylcmd/entry/run/run.go
@@ -1,6 +1,8 @@
 package run
 
 import (
+	"runtime/debug"
+
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
 
@@ -10,6 +12,14 @@
 	berylplatform "berylroad.example/berylroad/platform"
 )
 
+const (
+	// collectAt is by how many percent the heap grows between two garbage collections: a host's heap is small beside its
+	// memory, and its processor time is what limits it.
+	collectAt = 200
+	// memoryShare is the part of the process's memory from which garbage is collected more often.
+	memoryShare = 0.7
+)
+
 // Options are the command's flags.
 type Options struct {
 	nodelog.Flags
@@ -33,6 +43,10 @@
 	}
 	defer node.Lines.Close()
 	s := node.Settings
+	debug.SetGCPercent(collectAt)
+	if s.Memory > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory)))
+	}
 	set := metrics.NewSet()
 	set.NewGauge("berylroad_log_lines_dropped_total", func() float64 { return float64(node.Lines.Dropped()) })
 	store := berylplatform.NewStore(s.StoreAddress)
--- a/internal/berylentry/settings.go
+++ b/internal/berylentry/settings.go
@@ -16,6 +16,8 @@
 	OperatorAddress string
 	// StoreAddress is that of the platform's store.
 	StoreAddress string
+	// Memory is how many bytes the process may use before the platform ends it; zero is not known.
+	Memory int64
 	// DataDirectory is where a host with a disk keeps files; it is empty elsewhere.
 	DataDirectory string
 	// Grace is the time between the notice of a planned stop and the kill.
