--- a/internal/berylsched/broker.go
+++ b/internal/berylsched/broker.go
@@ -66,7 +66,7 @@
 	if t.routing != berylconf.RoutingOwner {
 		return s.acquireAlone(t, ask)
 	}
-	a := acquisition{Scheduler: s, ask: ask, deadline: start.Add(ask.Remaining), start: -1}
+	a := acquisition{Scheduler: s, ask: ask, deadline: start.Add(ask.Remaining)}
 	ctx, cancel := context.WithDeadline(ctx, a.deadline)
 	defer cancel()
 	return a.run(ctx)
@@ -80,8 +80,8 @@
 	// wait is the shortest wait that an owner has predicted, if refused is set.
 	wait    time.Duration
 	refused bool
-	// start is where in the list of owners batch work begins to wait next, below zero for anywhere.
-	start int
+	// waited names the owners at which batch work has just waited.
+	waited []string
 }
 
 // verdict is what one owner has said, or that it could not be reached.
@@ -132,25 +132,24 @@
 }
 
 // spread returns where batch work waits, and at how many of these owners from the start. Most of it waits, so no owner is
-// asked for a slot apart from the wait. One with room is asked alone at first, or two would grant one. The other place
-// differs from ask to ask and from round to round, or all would wait where one slot was seen.
+// asked for a slot apart from the wait. One with room is asked alone at first, or two would grant one. The other place is
+// anywhere but where the ask has just waited, or all would wait where one slot was seen.
 func (a *acquisition) spread(hosts []string, room bool) ([]string, int) {
-	var first []string
+	var first, others, again []string
 	if room {
 		first, hosts = hosts[:1], hosts[1:]
 	}
-	if len(hosts) > 0 {
-		if a.start < 0 {
-			a.start = rand.IntN(len(hosts))
+	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+	for _, host := range hosts {
+		if slices.Contains(a.waited, host) {
+			again = append(again, host)
+		} else {
+			others = append(others, host)
 		}
-		at := a.start % len(hosts)
-		hosts = slices.Concat(first, hosts[at:], hosts[:at])
-	} else {
-		hosts = first
 	}
-	others := waitingPlaces - len(first)
-	a.start += others
-	return hosts[:min(len(hosts), maxOwners)], max(others, 1)
+	order := slices.Concat(first, others, again)
+	a.waited = order[:min(len(order), waitingPlaces)]
+	return order[:min(len(order), maxOwners)], max(waitingPlaces-len(first), 1)
 }
 
 // next returns the ask under a new ID.
