The hosts of a failure domain record the progress of items in one call

Change: the host that watches the store for a large failure domain gathers the records of the others for 0.4 s and writes them in one change; records are made each 1.5 s in every fleet. A host that can't reach it writes itself, and an ended lease costs its own record alone. Tests: TestGatheredWrites and those beside it.

--- a/internal/berylbatch/adopt.go
+++ b/internal/berylbatch/adopt.go
@@ -149,7 +149,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
 	defer cancel()
 	d.listFinished(ctx)
-	d.recordProgress(ctx, "")
+	d.recordProgress(ctx, "", d.recordAlone)
 	for {
 		txn, ids := d.nextHandOver(all)
 		if len(ids) == 0 {
--- a/internal/berylbatch/duty.go
+++ b/internal/berylbatch/duty.go
@@ -64,6 +64,8 @@
 	Lease func() int64
 	// Share lets hosts follow the records for each other; it may be nil.
 	Share *berylstore.Share
+	// Record writes an item, maybe together with those of other hosts, and says whether it lasts; nil writes it alone.
+	Record func(ctx context.Context, put berylstore.Put) bool
 	// Retention is how long after its submission a job can be read.
 	Retention time.Duration
 	// Log takes a line for each decision on a job or an item.
@@ -98,6 +100,9 @@
 		wake:   make(chan struct{}, 1),
 		commit: make(chan struct{}, 1),
 	}
+	if d.Record == nil {
+		d.Record = d.recordAlone
+	}
 	d.follower = berylstore.Follower{
 		Store:  config.Store,
 		Prefix: RecordPrefix,
--- a/internal/berylbatch/progress.go
+++ b/internal/berylbatch/progress.go
@@ -14,12 +14,8 @@
 	// progressPrefix begins the keys under which runs of hosts keep the progress of their items.
 	progressPrefix = "berylroad/progress/"
 	// progressEvery is the time between two records of progress, and so about the work that a lost host costs an item.
-	// An item runs for some 5 s, and a record costs the store one call.
+	// An item runs for some 5 s; the records of a failure domain cost the store one call together.
 	progressEvery = 1500 * time.Millisecond
-	// progressHosts is the fleet for which that holds; a larger one records less often, up to progressSlowest times, since
-	// each of its hosts runs fewer items and the store's rate of writes does not grow with the fleet.
-	progressHosts   = 25
-	progressSlowest = 4
 	// progressBytes bounds one record, below the store's limit for a value.
 	progressBytes = 600 << 10
 	// progressMemory is for how long a record that was read serves further jobs of the same host.
@@ -55,16 +51,20 @@
 func (d *Duty) progressLoop(ctx context.Context) {
 	last := ""
 	for {
-		span := progressEvery * time.Duration(min(max(d.Members.Count()/progressHosts, 1), progressSlowest))
-		if !pause(ctx, span) {
+		if !pause(ctx, progressEvery) {
 			return
 		}
-		last = d.recordProgress(ctx, last)
+		last = d.recordProgress(ctx, last, d.Record)
 	}
 }
 
+// recordAlone writes an item at once.
+func (d *Duty) recordAlone(ctx context.Context, put berylstore.Put) bool {
+	return d.commitOnce(ctx, berylstore.Txn{Puts: []berylstore.Put{put}}).Status == berylstore.Done
+}
+
 // recordProgress writes what has arrived of unfinished items, unless it is what was written last.
-func (d *Duty) recordProgress(ctx context.Context, last string) string {
+func (d *Duty) recordProgress(ctx context.Context, last string, record func(context.Context, berylstore.Put) bool) string {
 	items, mark := d.progress()
 	if mark == last {
 		return last
@@ -73,9 +73,8 @@
 	if lease == 0 {
 		return last // without a lease the record would stay for ever
 	}
-	result := d.commitOnce(ctx, berylstore.Txn{Puts: []berylstore.Put{{Key: progressKey(d.Host, d.Boot), Value: encode(items), Lease: lease}}})
-	if result.Status != berylstore.Done {
-		d.Log.WithFields(logrus.Fields{"items": len(items), "status": result.Status.String()}).WithError(result.Err).Info("progress: not recorded")
+	if !record(ctx, berylstore.Put{Key: progressKey(d.Host, d.Boot), Value: encode(items), Lease: lease}) {
+		d.Log.WithField("items", len(items)).Info("progress: not recorded")
 		return last
 	}
 	return mark
--- a/internal/berylentry/host.go
+++ b/internal/berylentry/host.go
@@ -39,6 +39,8 @@
 	kindWatch = "store-watch"
 	// kindStore is the message by which hosts make calls to the store for each other.
 	kindStore = "store-call"
+	// kindPut is the message by which hosts write items for each other.
+	kindPut = "store-put"
 )
 
 // Dialect decodes what the platform's operators and upstreams write into the store.
@@ -97,6 +99,7 @@
 	registry  *registry
 	detour    *berylstore.Detour
 	followers map[string]*berylstore.Follower // by prefix
+	gatherer  *berylstore.Gatherer
 	wire      *berylwire.Endpoint
 	members   *berylhost.Host
 	scheduler *berylsched.Scheduler
@@ -219,6 +222,7 @@
 	h.operators.Share, h.announced.Share = share, share
 	h.detour = h.newDetour(links)
 	h.operators.Store, h.announced.Store = h.detour, h.detour
+	h.gatherer = h.newGatherer(links)
 	h.scheduler = berylsched.New(berylsched.Settings{
 		Host: h.Settings.Host, Boot: h.boot, Transport: links, Metrics: h.Metrics, Log: h.Log,
 	})
@@ -230,7 +234,7 @@
 	h.Jobs = berylbatch.New(berylbatch.Config{
 		Host: h.Settings.Host, Boot: h.boot, Store: h.detour, Permits: h.scheduler, Fleet: &h.fleet, Caller: h.Caller,
 		Routes: &h.routes, Members: (*memberView)(h), Peers: &jobPeers{links}, Share: share,
-		Lease: h.registry.currentLease, Retention: h.Settings.Retention, Log: h.Log, Metrics: h.Metrics,
+		Record: h.gatherer.Put, Lease: h.registry.currentLease, Retention: h.Settings.Retention, Log: h.Log, Metrics: h.Metrics,
 	})
 	berylwire.Handle(h.wire, kindReadJob, h.Jobs.HandleRead)
 	h.followers = map[string]*berylstore.Follower{}
@@ -241,6 +245,7 @@
 	h.gaugeSlots()
 	berylwire.Handle(h.wire, kindWatch, h.answerWatch)
 	berylwire.Handle(h.wire, kindStore, h.answerStore)
+	berylwire.Handle(h.wire, kindPut, h.answerPut)
 	h.assembled.Store(true)
 }
 
--- a/internal/berylentry/share.go
+++ b/internal/berylentry/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 
@@ -115,6 +116,36 @@
 	return append(far, near...)
 }
 
+// newGatherer lets the host that watches the store for a failure domain write for it too. What is written is long, so that
+// it would cost more on the way to another failure domain than the calls that it saves.
+func (h *Host) newGatherer(links *beryllink.Links) *berylstore.Gatherer {
+	return &berylstore.Gatherer{
+		Store: h.detour,
+		Target: func() string {
+			source, _ := h.watchSource()
+			if h.isNear(source) {
+				return source
+			}
+			return ""
+		},
+		Ask: func(ctx context.Context, host string, put berylstore.Put) (bool, error) {
+			return beryllink.Request[berylstore.Put, bool](ctx, links, host, kindPut, put)
+		},
+	}
+}
+
+// isNear says whether a live host is of this failure domain.
+func (h *Host) isNear(name string) bool {
+	return slices.ContainsFunc(h.members.Live(), func(m berylhost.Member) bool {
+		return m.Name == name && m.FailureDomain == h.Settings.FailureDomain
+	})
+}
+
+// answerPut writes an item for another host.
+func (h *Host) answerPut(ctx context.Context, _ string, put berylstore.Put) (bool, error) {
+	return h.gatherer.Add(ctx, put), nil
+}
+
 // answerStore makes a call to the store for another host.
 func (h *Host) answerStore(ctx context.Context, _ string, call berylstore.Call) (berylstore.CallReply, error) {
 	return berylstore.AnswerCall(ctx, h.Store, h.storeAway(), call), nil
--- /dev/null
+++ b/internal/berylstore/gather_test.go
@@ -0,0 +1,132 @@
+package berylstore_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"berylroad.example/berylroad/internal/berylfake"
+	"berylroad.example/berylroad/internal/berylstore"
+)
+
+// writers is a host that writes for others, and some that rely on it.
+type writers struct {
+	store  berylfake.MemoryStore
+	writer *berylstore.Gatherer
+	others []*berylstore.Gatherer
+	// lost cuts the others off from the writer.
+	lost bool
+}
+
+func newWriters(hosts int) *writers {
+	w := &writers{}
+	w.writer = &berylstore.Gatherer{Store: &w.store, Target: func() string { return "" }}
+	for range hosts {
+		w.others = append(w.others, &berylstore.Gatherer{
+			Store: &w.store, Target: func() string { return "writer" },
+			Ask: func(ctx context.Context, _ string, put berylstore.Put) (bool, error) {
+				if w.lost {
+					return false, io.EOF
+				}
+				return w.writer.Add(ctx, put), nil
+			},
+		})
+	}
+	return w
+}
+
+// putAll has each host write an item and returns how many were taken.
+func (w *writers) putAll(ctx context.Context, lease func(i int) int64) int {
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	done := 0
+	for i, g := range w.others {
+		group.Go(func() {
+			put := berylstore.Put{Key: fmt.Sprintf("progress/%02d", i), Value: []byte("v"), Lease: lease(i)}
+			if g.Put(ctx, put) {
+				mu.Lock()
+				defer mu.Unlock()
+				done++
+			}
+		})
+	}
+	group.Wait()
+	return done
+}
+
+func none(int) int64 { return 0 }
+
+func TestGatheredWrites(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWriters(40)
+		is.Equal(w.putAll(t.Context(), none), 40)
+		is.Equal(w.store.Calls()["commit"], 2) // 30 and 10
+		_, found, _ := w.store.Get(t.Context(), "progress/39")
+		is.True(found)
+	})
+}
+
+// A lease that has ended costs its own item alone.
+func TestGatheredWritesWithAnEndedLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWriters(5)
+		ended, err := w.store.Grant(t.Context(), time.Minute)
+		is.NoErr(err)
+		w.store.Revoke(ended)
+		done := w.putAll(t.Context(), func(i int) int64 {
+			if i == 3 {
+				return ended
+			}
+			return 0
+		})
+		is.Equal(done, 4)
+		_, found, _ := w.store.Get(t.Context(), "progress/03")
+		is.True(!found)
+	})
+}
+
+func TestGatheredWritesWithoutAWriter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWriters(3)
+		w.lost = true
+		is.Equal(w.putAll(t.Context(), none), 3) // each writes itself
+		is.Equal(w.store.Calls()["commit"], 3)
+	})
+}
+
+// A store that is away costs the writes, and nobody waits for long.
+func TestGatheredWritesWhileTheStoreIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWriters(3)
+		w.store.Fail(berylfake.StoreRefuses)
+		began := time.Now()
+		is.Equal(w.putAll(t.Context(), none), 0)
+		is.True(time.Since(began) < 2*time.Second)
+	})
+}
+
+func TestGatheredWritesOfLargeItems(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var store berylfake.MemoryStore
+		g := &berylstore.Gatherer{Store: &store, Target: func() string { return "" }}
+		var group sync.WaitGroup
+		for i := range 3 {
+			group.Go(func() {
+				is.True(g.Put(t.Context(), berylstore.Put{Key: fmt.Sprintf("p/%d", i), Value: make([]byte, 400<<10)}))
+			})
+		}
+		group.Wait()
+		is.Equal(store.Calls()["commit"], 3) // no change is larger than the store takes
+	})
+}
