An outage of the store is watched by few hosts, and by one follower of each

Change: while the store is away one follower looks for all of its host, each 0.3 s; a host for which another one watches asks that one and looks itself each 2 s. A follower whose host has found the store back looks at once. A lease that could not be renewed is tried again after 5 s of the 40 s that it has left.

--- a/internal/berylentry/registry.go
+++ b/internal/berylentry/registry.go
@@ -21,6 +21,8 @@
 	hostLease = time.Minute
 	// hostRenewal is the time between two renewals of the lease.
 	hostRenewal = 20 * time.Second
+	// renewAgain is the time between two tries to renew a lease, which outlasts some of them.
+	renewAgain = 5 * time.Second
 	// registryWait is how long one watch of the list waits. Newcomers show at once, whatever it is, and a connection that
 	// has gone silent delays only their discovery.
 	registryWait = 10 * time.Second
@@ -86,11 +88,7 @@
 
 func (r *registry) announce(ctx context.Context) {
 	for {
-		wait := hostRenewal
-		if !r.renew(ctx) {
-			wait = tryAgainAfter()
-		}
-		timer := time.NewTimer(wait)
+		timer := time.NewTimer(r.renew(ctx))
 		select {
 		case <-ctx.Done():
 			timer.Stop()
@@ -102,8 +100,9 @@
 	}
 }
 
-// renew keeps this host's announcement alive, and writes it where it is missing.
-func (r *registry) renew(ctx context.Context) bool {
+// renew keeps this host's announcement alive, and writes it where it is missing. It returns the time until the next
+// renewal, or until the next try.
+func (r *registry) renew(ctx context.Context) time.Duration {
 	bounded, cancel := context.WithTimeout(ctx, registryTimeout)
 	defer cancel()
 	r.mu.Lock()
@@ -114,14 +113,17 @@
 		alive, err := r.store.Keep(bounded, lease)
 		if err != nil {
 			r.log.WithError(err).Warn("host list: lease not renewed")
-			return false
+			return renewAgain
 		}
 		if alive {
-			return true
+			return hostRenewal
 		}
 		lease = 0
 	}
-	return r.write(bounded, lease, leaving)
+	if !r.write(bounded, lease, leaving) {
+		return tryAgainAfter()
+	}
+	return hostRenewal
 }
 
 func (r *registry) write(ctx context.Context, lease int64, leaving bool) bool {
--- a/internal/berylstore/follower.go
+++ b/internal/berylstore/follower.go
@@ -20,6 +20,8 @@
 	// retryPause is the mean time between two tries at a store that is away: short beside the seconds within which a
 	// change has to be known again.
 	retryPause = 250 * time.Millisecond
+	// awayPause is the time between two rounds of a follower that leaves the look at the store to others.
+	awayPause = 400 * time.Millisecond
 	// busyPauses is how often that time doubles, at the most, while the store refuses calls because too many are made:
 	// hundreds of hosts that start together would else keep it busy with refusals.
 	busyPauses = 3
@@ -56,6 +58,8 @@
 	// since stale ones were older than the history; only Run's goroutine uses them.
 	refusals    int
 	listCurrent bool
+	// lostAt is when the store was lost; only Run's goroutine uses it.
+	lostAt time.Time
 	// unanswered marks that the host which watches for this one had no answer the last time; only Run's goroutine uses it.
 	unanswered bool
 
@@ -108,6 +112,7 @@
 	if errors.Is(err, ErrBusy) {
 		f.refusals = min(f.refusals+1, busyPauses)
 	} else if f.lost.CompareAndSwap(false, true) {
+		f.lostAt = time.Now()
 		f.Log.WithError(err).WithField("prefix", f.Prefix).Warn("store: lost")
 	}
 	pause := retryPause << max(f.refusals-1, 0)
@@ -243,6 +248,10 @@
 		if errors.Is(err, ErrCompacted) || ctx.Err() != nil {
 			return err
 		}
+		if errors.Is(err, errStillAway) {
+			wait(ctx, awayPause)
+			continue
+		}
 		if err != nil {
 			f.failed(ctx, err)
 			reply, ok := f.Share.askAny(ctx, f.Prefix, above)
@@ -271,10 +280,7 @@
 		span = defaultWait
 	}
 	if f.Away() && f.Share != nil {
-		// Only a look whether the store is back: what has changed comes from other hosts meanwhile.
-		bounded, cancel := context.WithTimeout(ctx, probeTimeout)
-		defer cancel()
-		return f.Store.Watch(bounded, f.Prefix, above, 0)
+		return f.look(ctx, above)
 	}
 	if f.Share != nil {
 		source, serving := f.Share.Source()
@@ -300,6 +306,34 @@
 	return f.Store.Watch(bounded, f.Prefix, above, span)
 }
 
+// errStillAway says that the store was away and that it is not time to look again.
+var errStillAway = errors.New("the store was away a moment ago")
+
+// look asks whether the store is back, first the host that watches for this one. One follower looks for all of its host;
+// what has changed comes from other hosts meanwhile.
+func (f *Follower) look(ctx context.Context, above int64) ([]Event, int64, error) {
+	every := lookEvery
+	if source, _ := f.Share.Source(); source != "" {
+		reply, err := f.Share.request(ctx, source, WatchRequest{Prefix: f.Prefix, Above: above, Wait: f.sharedWait()})
+		if err == nil && reply.Known && reply.Age <= f.sharedWait()+sharedSlack {
+			return reply.Events, reply.AsOf, nil
+		}
+		if err == nil {
+			every = relyingLook
+		}
+	}
+	if !f.Share.mayLook(time.Now(), f.lostAt, every) {
+		return nil, 0, errStillAway
+	}
+	bounded, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	events, asOf, err := f.Store.Watch(bounded, f.Prefix, above, 0)
+	if err == nil {
+		f.Share.foundBack(time.Now())
+	}
+	return events, asOf, err
+}
+
 // sharedWait returns how long a watch waits that is made for other hosts too.
 func (f *Follower) sharedWait() time.Duration {
 	if f.Shared == 0 {
--- a/internal/berylstore/follower_test.go
+++ b/internal/berylstore/follower_test.go
@@ -171,16 +171,12 @@
 			copies = append(copies, c)
 			go c.Run(ctx)
 		}
-		time.Sleep(6 * time.Second)
-		listed := 0
+		time.Sleep(20 * time.Second)
 		for _, c := range copies {
 			is.True(!c.Away())
 			is.True(c.Regained().IsZero())
-			if c.get("p/29") == "v" {
-				listed++
-			}
+			is.Equal(c.get("p/29"), "v")
 		}
-		is.True(listed >= 18)
 	})
 }
 
@@ -299,6 +295,67 @@
 	})
 }
 
+// A store that is away is asked by one follower of each host, and seldom by hosts for which another one watches; all are
+// up to date soon after its return.
+func TestOutageCostsFewCalls(t *testing.T) {
+	for _, relying := range []bool{false, true} {
+		t.Run(fmt.Sprintf("relying %v", relying), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				store := &berylfake.MemoryStore{}
+				store.Write("p/a", "old")
+				watching := newCopy(store)
+				watching.Share = &berylstore.Share{Source: func() (string, bool) { return "", true }}
+				go watching.Run(ctx)
+				own := &berylfake.MemoryStore{} // counts the calls of the host under test alone
+				own.Write("p/a", "old")
+				share := &berylstore.Share{
+					Source: func() (string, bool) {
+						if relying {
+							return "watching", false
+						}
+						return "", false
+					},
+					Ask: func(ctx context.Context, _ string, r berylstore.WatchRequest) (berylstore.WatchReply, error) {
+						return watching.Answer(ctx, r), nil
+					},
+				}
+				var copies []*copyOf
+				for range 4 {
+					c := newCopy(own)
+					c.Share = share
+					copies = append(copies, c)
+					go c.Run(ctx)
+				}
+				time.Sleep(5 * time.Second)
+				store.Fail(berylfake.StoreRefuses)
+				own.Fail(berylfake.StoreRefuses)
+				time.Sleep(2 * time.Second)
+				before := own.Calls()["watch"]
+				time.Sleep(10 * time.Second)
+				made := own.Calls()["watch"] - before
+				most := 36 // one each 0.3 s, and a few that meet
+				if relying {
+					most = 6
+				}
+				t.Logf("%d calls", made)
+				is.True(made <= most)
+				store.Fail(berylfake.StoreWell)
+				own.Fail(berylfake.StoreWell)
+				store.Write("p/a", "new")
+				own.Write("p/a", "new")
+				time.Sleep(1200 * time.Millisecond)
+				for _, c := range copies {
+					is.True(!c.Away())
+					is.Equal(c.get("p/a"), "new")
+				}
+			})
+		})
+	}
+}
+
 // cutStore is a store whose watches fall silent when it is cut off.
 type cutStore struct {
 	berylstore.Store
--- a/internal/berylstore/share.go
+++ b/internal/berylstore/share.go
@@ -24,6 +24,10 @@
 	oldestDetour = 3 * time.Second
 	// probeTimeout bounds the look whether the store can be reached again.
 	probeTimeout = 400 * time.Millisecond
+	// lookEvery is the least time between two looks of one host, whatever it follows: each is a call, and hundreds of hosts
+	// look. relyingLook is the same while the host that watches for it answers that the store is away.
+	lookEvery   = 300 * time.Millisecond
+	relyingLook = 2 * time.Second
 	// recentEvents is how many changes a host keeps for others; who is further behind lists anew.
 	recentEvents = 2048
 )
@@ -58,14 +62,44 @@
 	Others func() []string
 	// Ask asks another host.
 	Ask func(ctx context.Context, host string, request WatchRequest) (WatchReply, error)
+
+	mu    sync.Mutex
+	asked time.Time // of the last look at a store that was away
+	found time.Time // of the last one that found it back
 }
 
 // ask returns another host's answer if it is whole and no older than the given age.
 func (s *Share) ask(ctx context.Context, source string, request WatchRequest, oldest time.Duration) (WatchReply, bool) {
+	reply, err := s.request(ctx, source, request)
+	return reply, err == nil && reply.Known && reply.Age <= oldest
+}
+
+func (s *Share) request(ctx context.Context, source string, request WatchRequest) (WatchReply, error) {
 	bounded, cancel := context.WithTimeout(ctx, request.Wait+peerSlack)
 	defer cancel()
-	reply, err := s.Ask(bounded, source, request)
-	return reply, err == nil && reply.Known && reply.Age <= oldest
+	return s.Ask(bounded, source, request)
+}
+
+// mayLook says whether it is time for this host to look whether the store is back, or another of its followers has found
+// it back since it was lost.
+func (s *Share) mayLook(now, lost time.Time, every time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.found.After(lost) {
+		return true
+	}
+	if now.Sub(s.asked) < every {
+		return false
+	}
+	s.asked = now
+	return true
+}
+
+// foundBack notes a look that has found the store back.
+func (s *Share) foundBack(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.found = now
 }
 
 // askAny returns the answer of one of the hosts that may reach the store when this one does not.
