--- a/internal/berylentry/share.go
+++ b/internal/berylentry/share.go
@@ -41,8 +41,9 @@
 }
 
 // watcher chooses the host that watches for this one: of its failure domain where that has enough hosts, else of the
-// largest one of its region, or of all there where none has. It returns an empty name where this host watches itself, and
-// whether others rely on it then.
+// largest one of its region, or of all there where none has. Where several failure domains of a region have enough, one of
+// their watching hosts watches for the others. It returns an empty name where this host watches itself, and whether others
+// rely on this host.
 func watcher(self Settings, live []berylhost.Member) (name string, serving bool) {
 	domains := make(map[string][]berylhost.Member)
 	var region []berylhost.Member
@@ -68,10 +69,29 @@
 		return "", false
 	}
 	first, ok := berylhost.First(key, among, self.Region)
-	if !ok || first.Name == self.Host {
-		return "", ok
+	if !ok || first.Name != self.Host {
+		return first.Name, false
 	}
-	return first.Name, false
+	if top := regionWatcher(self.Region, domains); top != "" && top != self.Host {
+		return top, true
+	}
+	return "", true
+}
+
+// regionWatcher chooses among the hosts that watch for a large failure domain each the one that watches for the others; it
+// returns an empty name where there are not two.
+func regionWatcher(region string, domains map[string][]berylhost.Member) string {
+	var watching []berylhost.Member
+	for domain, hosts := range domains {
+		if first, ok := berylhost.First(watchKey+domain, hosts, region); ok && len(hosts) >= sharingHosts {
+			watching = append(watching, first)
+		}
+	}
+	if len(watching) < 2 {
+		return ""
+	}
+	top, _ := berylhost.First(watchKey+region, watching, region)
+	return top.Name
 }
 
 // answerWatch answers another host that asks for changes.
--- a/internal/berylstore/follower_test.go
+++ b/internal/berylstore/follower_test.go
@@ -238,6 +238,67 @@
 	}
 }
 
+// In a large fleet the host that watches for others has what it knows from a third. A configuration is in force within 2 s
+// while one of the two or both are frozen, or the upper one is cut from the store.
+func TestSharedWatchOverTwoSteps(t *testing.T) {
+	for _, tt := range []struct {
+		name             string
+		top, middle, cut bool
+		within           time.Duration
+	}{
+		{"well", false, false, false, 100 * time.Millisecond},
+		{"top frozen", true, false, false, 1800 * time.Millisecond},
+		{"middle frozen", false, true, false, 1800 * time.Millisecond},
+		{"both frozen", true, true, false, 1800 * time.Millisecond},
+		{"top cut from the store", false, false, true, 1800 * time.Millisecond},
+		{"top cut from the store, middle frozen", false, true, true, 1800 * time.Millisecond},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				store := &berylfake.MemoryStore{}
+				store.Write("p/a", "old")
+				cut := &cutStore{Store: store}
+				top, middle, leaf := newCopy(cut), newCopy(store), newCopy(store)
+				top.Share = &berylstore.Share{Source: func() (string, bool) { return "", true }}
+				var topFrozen, middleFrozen atomic.Bool
+				middle.relyThrough(top, &topFrozen, true)
+				leaf.relyThrough(middle, &middleFrozen, false)
+				for _, c := range []*copyOf{top, middle, leaf} {
+					go c.Run(ctx)
+				}
+				time.Sleep(10 * time.Second)
+				is.True(store.Calls()["watch"] <= 28) // two a second, all from one host, and those of the start
+				topFrozen.Store(tt.top)
+				middleFrozen.Store(tt.middle)
+				cut.cut.Store(tt.cut)
+				store.Write("p/a", "new")
+				began := time.Now()
+				for leaf.get("p/a") != "new" {
+					time.Sleep(10 * time.Millisecond)
+				}
+				is.True(time.Since(began) <= tt.within)
+			})
+		})
+	}
+}
+
+// relyThrough makes another copy's host watch for this one, as long as it is not frozen.
+func (c *copyOf) relyThrough(watching *copyOf, frozen *atomic.Bool, serving bool) {
+	c.Share = &berylstore.Share{
+		Source: func() (string, bool) { return "other", serving },
+		Ask: func(ctx context.Context, _ string, r berylstore.WatchRequest) (berylstore.WatchReply, error) {
+			if frozen.Load() {
+				<-ctx.Done()
+				return berylstore.WatchReply{}, ctx.Err()
+			}
+			return watching.Answer(ctx, r), nil
+		},
+	}
+}
+
 // Of a prefix whose changes may wait longer, the watching host asks less often, and so do those that rely on it; what
 // they know is still no older than that wait, one ask and a direct watch.
 func TestSharedWatchOfSlowPrefix(t *testing.T) {
