--- /dev/null
+++ b/internal/berylcmd/disk/run/run_test.go
@@ -0,0 +1,33 @@
+package run_test
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"berylroad.example/berylroad/internal/berylcmd/disk/run"
+	"berylroad.example/berylroad/internal/berylcmd/factory"
+	"berylroad.example/berylroad/internal/berylcmd/nodelog"
+)
+
+// A host with a disk may be emptied, lost or replaced at any moment, since nothing is ever kept there.
+func TestDiskHoldsNothing(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	disk := filepath.Join(folder, "disk")
+	is.NoErr(os.Mkdir(disk, 0o700))
+	settings := filepath.Join(folder, "node.conf")
+	is.NoErr(os.WriteFile(settings, []byte("nodeName=disk-1\nserves=storage\nipAddress=127.0.0.1\nzone=z\nregion=r\n"+
+		"internalPorts=7720,7735\nplatform.address=127.0.0.1:1\ndataDirectory="+disk+"\n"), 0o600))
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	options := run.Options{Flags: nodelog.Flags{LogLevel: "error", NodeFile: settings}}
+	is.NoErr(options.Run(&factory.Factory{Context: ctx}))
+	kept, err := os.ReadDir(disk)
+	is.NoErr(err)
+	is.Equal(len(kept), 0)
+}
