A host whose own calls to the store fail makes them through others at once

Change: after a call of its own has failed, a host makes its calls through others for a second and then tries itself again. A change whose outcome is unknown is still never given on by the detour; its maker sends it again, with the checks that make that harmless. A store that is too busy has no way round it. Tests: TestDetourOfAHostWhoseOwnCallsFail, TestNoDetourAroundABusyStore.

--- a/internal/berylstore/detour.go
+++ b/internal/berylstore/detour.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -10,6 +11,10 @@
 // detourHosts bounds the hosts that are asked for one call.
 const detourHosts = 2
 
+// detourFor is how long a host makes its calls through others after one of its own has failed, though its watches, which
+// others may make for it, show no fault.
+const detourFor = time.Second
+
 // detourTimeout bounds one call made by another host: the store's own answer and two hops.
 const detourTimeout = 600 * time.Millisecond
 
@@ -58,6 +63,8 @@
 	Hosts func() []string
 	// Ask asks one of them.
 	Ask func(ctx context.Context, host string, call Call) (CallReply, error)
+
+	failed atomic.Pointer[time.Time] // when a call of this host's own last failed
 }
 
 var _ Store = (*Detour)(nil)
@@ -82,13 +89,33 @@
 	return CallReply{}, errNoDetour
 }
 
+// avoided says that calls are to be made by others first.
+func (d *Detour) avoided() bool {
+	if d.Away() {
+		return true
+	}
+	failed := d.failed.Load()
+	return failed != nil && time.Since(*failed) < detourFor
+}
+
+// note notes how a call of this host's own has ended, and says whether others may do better. A store that is too busy is
+// so for all.
+func (d *Detour) note(ctx context.Context, err error) bool {
+	if err == nil || errors.Is(err, ErrBusy) || errors.Is(ctx.Err(), context.Canceled) {
+		return false
+	}
+	now := time.Now()
+	d.failed.Store(&now)
+	return ctx.Err() == nil
+}
+
 // Get returns an item as it is now.
 func (d *Detour) Get(ctx context.Context, key string) (Item, bool, error) {
 	var err error
-	if !d.Away() {
+	if !d.avoided() {
 		var item Item
 		var found bool
-		if item, found, err = d.Store.Get(ctx, key); err == nil || !d.Away() {
+		if item, found, err = d.Store.Get(ctx, key); !d.note(ctx, err) {
 			return item, found, err
 		}
 	}
@@ -105,7 +132,7 @@
 // List returns the items under a prefix whose keys come after the given one.
 func (d *Detour) List(ctx context.Context, prefix, after string) (Page, error) {
 	page, err := d.Store.List(ctx, prefix, after)
-	if err == nil || !d.Away() {
+	if !d.note(ctx, err) {
 		return page, err
 	}
 	reply, detourErr := d.ask(ctx, Call{Kind: CallList, Key: prefix, After: after})
@@ -124,11 +151,11 @@
 	return d.List(ctx, prefix, after)
 }
 
-// Commit makes a change.
+// Commit makes a change. One of unknown outcome is not made again here; who sends it again has it made by others.
 func (d *Detour) Commit(ctx context.Context, txn Txn) Result {
-	if !d.Away() {
+	if !d.avoided() {
 		result := d.Store.Commit(ctx, txn)
-		if result.Status != NotDone {
+		if !d.note(ctx, result.Err) || result.Status != NotDone {
 			return result
 		}
 	}
@@ -136,6 +163,8 @@
 	switch {
 	case errors.Is(err, ErrUnknown):
 		return Result{Status: Unknown, Err: err}
+	case err != nil && !d.Away():
+		return d.Store.Commit(ctx, txn) // others do not reach the store either, or there are none
 	case err != nil:
 		return Result{Status: NotDone, Err: err}
 	default:
--- a/internal/berylstore/detour_test.go
+++ b/internal/berylstore/detour_test.go
@@ -81,6 +81,59 @@
 	})
 }
 
+// OwnCallsFail: a host whose calls fail while others watch for it, so that it takes the store for well. A change whose answer
+// was lost is sent again by its maker, and then goes through another host; after a moment the host tries itself again.
+func TestDetourOfAHostWhoseOwnCallsFail(t *testing.T) {
+	for name, fault := range map[string]berylfake.StoreFault{
+		"refused": berylfake.StoreRefuses, "reset": berylfake.StoreLosesCall, "answer lost": berylfake.StoreLosesAnswer,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is, w := is.New(t), newDetourWorld()
+				w.detour.Away = func() bool { return false }
+				w.detour.Store = &w.store // its answers are lost; the others have them
+				w.detour.Ask = func(ctx context.Context, host string, call berylstore.Call) (berylstore.CallReply, error) {
+					w.asked = append(w.asked, host)
+					w.store.SetFault(nil)
+					defer w.store.Fail(fault)
+					return berylstore.AnswerCall(ctx, &w.store, false, call), nil
+				}
+				w.store.Fail(fault)
+				create := berylstore.Txn{Checks: []berylstore.Check{{Key: "k"}}, Puts: []berylstore.Put{{Key: "k", Value: []byte("v")}}}
+				first := w.detour.Commit(t.Context(), create)
+				if fault == berylfake.StoreRefuses {
+					is.Equal(first.Status, berylstore.Done) // nothing was done, so another host may do it
+				} else {
+					is.Equal(first.Status, berylstore.Unknown)
+					is.Equal(len(w.asked), 0) // it may have been done
+					again := w.detour.Commit(t.Context(), create)
+					is.True(again.Status == berylstore.Done || again.Status == berylstore.Conflict && string(again.Current[0].Value) == "v")
+				}
+				_, found, err := w.detour.Get(t.Context(), "k")
+				is.NoErr(err)
+				is.True(found)
+				w.store.Fail(berylfake.StoreWell)
+				asked := len(w.asked)
+				time.Sleep(1100 * time.Millisecond)
+				w.store.SetFault(nil)
+				_, _, err = w.detour.Get(t.Context(), "k")
+				is.NoErr(err)
+				is.Equal(len(w.asked), asked)
+			})
+		})
+	}
+}
+
+// A store that refuses calls because there are too many has no way round it.
+func TestNoDetourAroundABusyStore(t *testing.T) {
+	is, w := is.New(t), newDetourWorld()
+	w.detour.Away = func() bool { return false }
+	w.cut.Fail(berylfake.StoreBusy)
+	_, _, err := w.detour.Get(t.Context(), "k")
+	is.True(err != nil)
+	is.Equal(len(w.asked), 0)
+}
+
 // A host that is cut from the store hears of changes from others, and goes on by itself once it is back.
 func TestFollowerThatIsCutOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
