What other hosts say of the store carries its age and its steps

Ruled out: compaction alone (an answer that does not reach back far enough is not used) and the pace of looks in an outage (its hosts know that they are lost). Change: a copy taken from another host is as old as that one's, and an answer counts the hosts over which it has come; more than two are not used, so that a host in a circle asks the store. TestSharedWatchInACircle with 2, 3 and 4 hosts failed before: none ever saw the change.

--- a/internal/berylstore/follower.go
+++ b/internal/berylstore/follower.go
@@ -67,6 +67,7 @@
 	current  atomic.Pointer[time.Time] // when the copy was last known to be current
 	regained atomic.Pointer[time.Time] // when the store answered again after it had been away
 	lost     atomic.Bool
+	steps    atomic.Int64 // how many hosts what is known has come over; zero is from the store itself
 }
 
 // Current returns when the copy was last known to hold all changes; zero means never.
@@ -129,15 +130,17 @@
 	}
 }
 
-// answered notes a call that the store has answered.
-func (f *Follower) answered() {
+// answered notes a call that the store has answered, or the answer of another host as old as that one's copy.
+func (f *Follower) answered(age time.Duration, steps int) {
 	now := time.Now()
 	f.refusals = 0
+	f.steps.Store(int64(steps))
 	if f.lost.CompareAndSwap(true, false) {
 		f.regained.Store(&now)
 		f.Log.WithFields(logrus.Fields{"prefix": f.Prefix, "age-ms": now.Sub(f.Current()).Milliseconds()}).Info("store: regained")
 	}
-	f.current.Store(&now)
+	asOf := now.Add(-age)
+	f.current.Store(&asOf)
 }
 
 // list takes all items and returns the revision as of which they stand. The pages may be stale; the changes since then
@@ -161,7 +164,7 @@
 		items = bringUpToDate(items, events)
 	}
 	f.listCurrent = false
-	f.answered()
+	f.answered(0, 0)
 	f.recent.reset(asOf)
 	f.Reset(items, asOf)
 	return asOf, nil
@@ -259,8 +262,6 @@
 				continue
 			}
 			events, asOf = reply.Events, reply.AsOf
-		} else {
-			f.answered()
 		}
 		f.recent.add(events, asOf)
 		if len(events) > 0 {
@@ -286,9 +287,10 @@
 		source, serving := f.Share.Source()
 		if source != "" {
 			request := WatchRequest{Prefix: f.Prefix, Above: above, Wait: f.sharedWait()}
-			reply, ok := f.Share.ask(ctx, source, request, f.sharedWait()+sharedSlack)
-			if ok {
+			reply, err := f.Share.request(ctx, source, request)
+			if err == nil && reply.fresh(f.sharedWait()) {
 				f.unanswered = false
+				f.answered(reply.Age, reply.Steps+1)
 				return reply.Events, reply.AsOf, nil
 			}
 			if !f.unanswered {
@@ -301,9 +303,18 @@
 			span = min(span, f.sharedWait())
 		}
 	}
-	bounded, cancel := context.WithTimeout(ctx, span+watchSlack)
+	return f.ask(ctx, above, span, span+watchSlack)
+}
+
+// ask asks the store itself.
+func (f *Follower) ask(ctx context.Context, above int64, wait, timeout time.Duration) ([]Event, int64, error) {
+	bounded, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return f.Store.Watch(bounded, f.Prefix, above, span)
+	events, asOf, err := f.Store.Watch(bounded, f.Prefix, above, wait)
+	if err == nil {
+		f.answered(0, 0)
+	}
+	return events, asOf, err
 }
 
 // errStillAway says that the store was away and that it is not time to look again.
@@ -315,7 +326,8 @@
 	every := lookEvery
 	if source, _ := f.Share.Source(); source != "" {
 		reply, err := f.Share.request(ctx, source, WatchRequest{Prefix: f.Prefix, Above: above, Wait: f.sharedWait()})
-		if err == nil && reply.Known && reply.Age <= f.sharedWait()+sharedSlack {
+		if err == nil && reply.fresh(f.sharedWait()) {
+			f.answered(reply.Age, reply.Steps+1)
 			return reply.Events, reply.AsOf, nil
 		}
 		if err == nil {
@@ -325,9 +337,7 @@
 	if !f.Share.mayLook(time.Now(), f.lostAt, every) {
 		return nil, 0, errStillAway
 	}
-	bounded, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	events, asOf, err := f.Store.Watch(bounded, f.Prefix, above, 0)
+	events, asOf, err := f.ask(ctx, above, 0, probeTimeout)
 	if err == nil {
 		f.Share.foundBack(time.Now())
 	}
--- a/internal/berylstore/follower_test.go
+++ b/internal/berylstore/follower_test.go
@@ -285,6 +285,38 @@
 	}
 }
 
+// Hosts whose views of the fleet differ, as after a cut, may rely on each other in a circle. They must not take each other's
+// old answers for new ones.
+func TestSharedWatchInACircle(t *testing.T) {
+	for hosts := 2; hosts <= 4; hosts++ {
+		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				store := &berylfake.MemoryStore{}
+				store.Write("p/a", "old")
+				copies := make([]*copyOf, hosts)
+				for i := range copies {
+					copies[i] = newCopy(store)
+				}
+				var frozen atomic.Bool
+				for i, c := range copies {
+					c.relyThrough(copies[(i+1)%hosts], &frozen, true)
+					go c.Run(ctx)
+				}
+				time.Sleep(10 * time.Second)
+				store.Write("p/a", "new")
+				time.Sleep(1800 * time.Millisecond)
+				for _, c := range copies {
+					is.Equal(c.get("p/a"), "new")
+					is.True(time.Since(c.Current()) <= 3*time.Second)
+				}
+			})
+		})
+	}
+}
+
 // relyThrough makes another copy's host watch for this one, as long as it is not frozen.
 func (c *copyOf) relyThrough(watching *copyOf, frozen *atomic.Bool, serving bool) {
 	c.Share = &berylstore.Share{
--- a/internal/berylstore/share.go
+++ b/internal/berylstore/share.go
@@ -13,6 +13,8 @@
 	defaultShared = 500 * time.Millisecond
 	// sharedSlack is how much older than such a wait another host's copy may be; beyond it the store is asked.
 	sharedSlack = 350 * time.Millisecond
+	// maxSteps is over how many hosts what a host knows may come from the store.
+	maxSteps = 2
 	// detourWait is how long a watch waits at another host while the store can't be reached from this one.
 	detourWait = 500 * time.Millisecond
 	// maxPeerWait bounds what a host waits for others.
@@ -52,6 +54,14 @@
 	Events []Event `cbor:"3,keyasint,omitempty"`
 	// AsOf is the revision to go on from.
 	AsOf int64 `cbor:"4,keyasint"`
+	// Steps counts the hosts between the asked one and the store: zero where that one asks the store itself.
+	Steps int `cbor:"5,keyasint,omitempty"`
+}
+
+// fresh says whether the answer is whole and no older than watches which wait that long can make it. One that has come over
+// more hosts than a fleet has steps is not used: hosts whose views of the fleet differ might rely on each other in a circle.
+func (r *WatchReply) fresh(wait time.Duration) bool {
+	return r.Known && r.Steps < maxSteps && r.Age <= time.Duration(r.Steps+1)*wait+sharedSlack
 }
 
 // Share lets hosts watch for each other.
@@ -68,12 +78,7 @@
 	found time.Time // of the last one that found it back
 }
 
-// ask returns another host's answer if it is whole and no older than the given age.
-func (s *Share) ask(ctx context.Context, source string, request WatchRequest, oldest time.Duration) (WatchReply, bool) {
-	reply, err := s.request(ctx, source, request)
-	return reply, err == nil && reply.Known && reply.Age <= oldest
-}
-
+// request asks another host and waits for its answer a little longer than that one waits for a change.
 func (s *Share) request(ctx context.Context, source string, request WatchRequest) (WatchReply, error) {
 	bounded, cancel := context.WithTimeout(ctx, request.Wait+peerSlack)
 	defer cancel()
@@ -109,7 +114,8 @@
 	}
 	hosts := s.Others()
 	for _, host := range hosts[:min(len(hosts), detourHosts)] {
-		if reply, ok := s.ask(ctx, host, WatchRequest{Prefix: prefix, Above: above, Wait: detourWait}, oldestDetour); ok {
+		reply, err := s.request(ctx, host, WatchRequest{Prefix: prefix, Above: above, Wait: detourWait})
+		if err == nil && reply.Known && reply.Age <= oldestDetour {
 			return reply, true
 		}
 	}
@@ -179,7 +185,7 @@
 	defer timer.Stop()
 	for {
 		events, asOf, known, changed := f.recent.since(request.Above)
-		reply := WatchReply{Known: known && !f.Away(), Age: time.Since(f.Current()), Events: events, AsOf: asOf}
+		reply := WatchReply{Known: known && !f.Away(), Age: time.Since(f.Current()), Events: events, AsOf: asOf, Steps: int(f.steps.Load())}
 		if !reply.Known || len(events) > 0 {
 			return reply
 		}
