Held permits are reported at once only to new owners; a host that was cut off for long lists anew at once

Each new table made every host report to every owner of the last seconds, and while hosts are cut off and come back there are tens of tables a second. Now a new table makes it report to those alone that have become owners of what it holds; the others hear each 3 s. TestReportsWhileHostsComeAndGo: 100 reports before for 100 tables that change nothing, none now.

The four followers of a host took turns at looking, 2 s apart, and a look that was answered with 'history dropped' did not count as having found the store. It does now, and a host that is well but does not reach back far enough makes one list anew at once. TestReturnAfterALongCut failed before; all are current 1.5 s after the cut now.

--- a/internal/berylsched/held.go
+++ b/internal/berylsched/held.go
@@ -117,30 +117,61 @@
 	}
 }
 
-// reportHeld reports held permits to their owners, every second and at each change of ownership, until ctx ends.
+// reportHeld reports held permits to their owners now and then, and at once to those that have become their owners, until
+// ctx ends.
 func (s *Scheduler) reportHeld(ctx context.Context) {
 	ticker := time.NewTicker(reportEvery)
 	defer ticker.Stop()
+	t := s.table.Load()
 	for {
-		t := s.table.Load()
-		s.sendHeld(t, time.Now())
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case now := <-ticker.C:
+			s.sendHeld(now, s.owners(now))
 		case <-t.stale:
+			last := t
+			t = s.table.Load()
+			s.sendHeld(time.Now(), s.newOwners(last, t))
 		}
 	}
 }
 
-func (s *Scheduler) sendHeld(t *table, now time.Time) {
-	held := berylpermit.Held{Host: s.Host, Boot: s.Boot, Permits: s.holds.snapshot(now)}
+// owners lists the hosts that own the upstreams of held permits, and those asked a moment ago, which may count permits that
+// this host does not know of.
+func (s *Scheduler) owners(now time.Time) map[string]bool {
 	owners := s.peers.askedSince(now.Add(-reportFor))
-	for _, hp := range held.Permits {
+	t := s.table.Load()
+	for _, hp := range s.holds.snapshot(now) {
 		if p := t.places[hp.Upstream]; p != nil && p.owner != "" {
 			owners[p.owner] = true
 		}
 	}
+	return owners
+}
+
+// newOwners lists the hosts that own the upstreams of held permits by one table and did not by the last. All others know of
+// them: while hosts come and go there may be tens of tables a second.
+func (s *Scheduler) newOwners(last, next *table) map[string]bool {
+	owners := make(map[string]bool)
+	for _, hp := range s.holds.snapshot(time.Now()) {
+		p := next.places[hp.Upstream]
+		if p == nil || p.owner == "" {
+			continue
+		}
+		if old := last.places[hp.Upstream]; old == nil || old.owner != p.owner {
+			owners[p.owner] = true
+		}
+	}
+	return owners
+}
+
+// sendHeld reports all held permits to each of the hosts.
+func (s *Scheduler) sendHeld(now time.Time, owners map[string]bool) {
+	if len(owners) == 0 {
+		return
+	}
+	held := berylpermit.Held{Host: s.Host, Boot: s.Boot, Permits: s.holds.snapshot(now)}
 	for host := range owners {
 		s.outbox.send(host, parcel{held: &held})
 	}
--- a/internal/berylsched/held_test.go
+++ b/internal/berylsched/held_test.go
@@ -1,13 +1,90 @@
 package berylsched
 
 import (
+	"context"
+	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
 	"berylroad.example/berylroad/internal/berylpermit"
 )
 
+// reportCounter is a transport that counts the reports to each host.
+type reportCounter struct {
+	Transport
+	mu      sync.Mutex
+	reports map[string]int
+}
+
+func (c *reportCounter) SendHeld(_ context.Context, host string, _ berylpermit.Held) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reports[host]++
+	return nil
+}
+
+func (c *reportCounter) take() map[string]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	taken := c.reports
+	c.reports = make(map[string]int)
+	return taken
+}
+
+// FlappingHosts: while hosts are cut off and come back there are many tables a second, of which only those that change the
+// owner of a held permit are worth a report.
+func TestReportsWhileHostsComeAndGo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		counter := &reportCounter{reports: make(map[string]int)}
+		s := New(Settings{Host: "host-0", Boot: 1, Transport: counter})
+		go s.Run(ctx)
+		doc, members := inventory(40, 40)
+		s.Set(doc, members)
+		time.Sleep(time.Second)
+		owner := ""
+		for name, p := range s.table.Load().places {
+			if p.owner != "host-0" {
+				owner = p.owner
+				s.hold(&berylpermit.Ask{ID: s.nextID()}, name, p.owner)
+				break
+			}
+		}
+		counter.take()
+		for range 50 {
+			for _, away := range []int{1, 2} { // by turns one of two hosts that own nothing of what is held
+				var fewer []Member
+				for i, m := range members {
+					if i != away || m.Name == owner {
+						fewer = append(fewer, m)
+					}
+				}
+				s.Set(doc, fewer)
+				time.Sleep(10 * time.Millisecond)
+			}
+		}
+		is.Equal(counter.take(), map[string]int{}) // within less than the time between two reports
+		var without []Member
+		for _, m := range members {
+			if m.Name != owner {
+				without = append(without, m)
+			}
+		}
+		s.Set(doc, without)
+		time.Sleep(10 * time.Millisecond)
+		reported := counter.take()
+		is.Equal(len(reported), 1) // the new owner has it at once
+		is.Equal(reported[owner], 0)
+		time.Sleep(4 * time.Second)
+		is.True(len(counter.take()) >= 1) // and again now and then
+	})
+}
+
 func TestYieldThatOvertakesItsPermit(t *testing.T) {
 	is := is.New(t)
 	s := New(Settings{Host: "h1", Boot: 1})
--- a/internal/berylstore/follower.go
+++ b/internal/berylstore/follower.go
@@ -330,6 +330,9 @@
 			f.answered(reply.Age, reply.Steps+1)
 			return reply.Events, reply.AsOf, nil
 		}
+		if err == nil && !reply.Known && reply.Steps < maxSteps && reply.Age <= maxAge(reply.Steps, f.sharedWait()) {
+			return nil, 0, ErrCompacted // that host is well, but does not reach back to what this one knows
+		}
 		if err == nil {
 			every = relyingLook
 		}
@@ -338,7 +341,7 @@
 		return nil, 0, errStillAway
 	}
 	events, asOf, err := f.ask(ctx, above, 0, probeTimeout)
-	if err == nil {
+	if err == nil || errors.Is(err, ErrCompacted) || errors.Is(err, ErrBusy) {
 		f.Share.foundBack(time.Now())
 	}
 	return events, asOf, err
--- a/internal/berylstore/follower_test.go
+++ b/internal/berylstore/follower_test.go
@@ -285,6 +285,54 @@
 	}
 }
 
+// LongCut: a host that is cut off from all while the store drops its history lists all that it follows anew soon after.
+func TestReturnAfterALongCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store := &berylfake.MemoryStore{}
+		store.Write("p/a", "old")
+		watching := newCopy(store)
+		watching.Share = &berylstore.Share{Source: func() (string, bool) { return "", true }}
+		go watching.Run(ctx)
+		mine := &refusingStore{Store: store}
+		share := &berylstore.Share{
+			Source: func() (string, bool) { return "watching", false },
+			Ask: func(ctx context.Context, _ string, r berylstore.WatchRequest) (berylstore.WatchReply, error) {
+				if mine.refuse.Load() {
+					return berylstore.WatchReply{}, io.EOF
+				}
+				return watching.Answer(ctx, r), nil
+			},
+		}
+		var copies []*copyOf
+		for range 4 {
+			c := newCopy(mine)
+			c.Share = share
+			copies = append(copies, c)
+			go c.Run(ctx)
+		}
+		time.Sleep(3 * time.Second)
+		mine.refuse.Store(true)
+		time.Sleep(6 * time.Second)
+		store.Compact()
+		store.Write("p/a", "new")
+		restarted := newCopy(store) // the watching host has listed anew too, and reaches no further back
+		restarted.Share = &berylstore.Share{Source: func() (string, bool) { return "", true }}
+		go restarted.Run(ctx)
+		time.Sleep(time.Millisecond)
+		watching = restarted
+		time.Sleep(6 * time.Second)
+		mine.refuse.Store(false)
+		time.Sleep(1500 * time.Millisecond)
+		for _, c := range copies {
+			is.True(!c.Away())
+			is.Equal(c.get("p/a"), "new")
+		}
+	})
+}
+
 // Hosts whose views of the fleet differ, as after a cut, may rely on each other in a circle. They must not take each other's
 // old answers for new ones.
 func TestSharedWatchInACircle(t *testing.T) {
--- a/internal/berylstore/share.go
+++ b/internal/berylstore/share.go
@@ -61,7 +61,12 @@
 // fresh says whether the answer is whole and no older than watches which wait that long can make it. One that has come over
 // more hosts than a fleet has steps is not used: hosts whose views of the fleet differ might rely on each other in a circle.
 func (r *WatchReply) fresh(wait time.Duration) bool {
-	return r.Known && r.Steps < maxSteps && r.Age <= time.Duration(r.Steps+1)*wait+sharedSlack
+	return r.Known && r.Steps < maxSteps && r.Age <= maxAge(r.Steps, wait)
+}
+
+// maxAge is how old a copy may be that has come over so many hosts whose watches wait that long each.
+func maxAge(steps int, wait time.Duration) time.Duration {
+	return time.Duration(steps+1)*wait + sharedSlack
 }
 
 // Share lets hosts watch for each other.
