A host that has just lost the store is no reason for others to list

The answer now says that the asked host reaches the store and is behind. TestOutageCostsFewCalls now demands that nothing is listed in an outage.

--- a/internal/berylstore/follower.go
+++ b/internal/berylstore/follower.go
@@ -54,8 +54,8 @@
 	Share *Share
 
 	recent recent
-	// refusals counts the calls in a row that the store was too busy for, and current marks that listings must be current,
-	// since stale ones were older than the history; only Run's goroutine uses them.
+	// refusals counts the calls in a row that the store was too busy for, and listCurrent marks that listings must be
+	// current, since stale ones were older than the history; only Run's goroutine uses them.
 	refusals    int
 	listCurrent bool
 	// lostAt is when the store was lost; only Run's goroutine uses it.
@@ -330,8 +330,8 @@
 			f.answered(reply.Age, reply.Steps+1)
 			return reply.Events, reply.AsOf, nil
 		}
-		if err == nil && !reply.Known && reply.Steps < maxSteps && reply.Age <= maxAge(reply.Steps, f.sharedWait()) {
-			return nil, 0, ErrCompacted // that host is well, but does not reach back to what this one knows
+		if err == nil && reply.Behind && reply.Age <= maxAge(reply.Steps, f.sharedWait()) {
+			return nil, 0, ErrCompacted // the store is back, but that host does not reach back to what this one knows
 		}
 		if err == nil {
 			every = relyingLook
--- a/internal/berylstore/follower_test.go
+++ b/internal/berylstore/follower_test.go
@@ -473,10 +473,12 @@
 				time.Sleep(5 * time.Second)
 				store.Fail(berylfake.StoreRefuses)
 				own.Fail(berylfake.StoreRefuses)
+				before := own.Calls()
 				time.Sleep(2 * time.Second)
-				before := own.Calls()["watch"]
+				is.True(own.Calls()["list"]+own.Calls()["list-stale"] == before["list"]+before["list-stale"]) // an outage is no reason to list
+				watches := own.Calls()["watch"]
 				time.Sleep(10 * time.Second)
-				made := own.Calls()["watch"] - before
+				made := own.Calls()["watch"] - watches
 				most := 36 // one each 0.3 s, and a few that meet
 				if relying {
 					most = 6
--- a/internal/berylstore/share.go
+++ b/internal/berylstore/share.go
@@ -56,6 +56,8 @@
 	AsOf int64 `cbor:"4,keyasint"`
 	// Steps counts the hosts between the asked one and the store: zero where that one asks the store itself.
 	Steps int `cbor:"5,keyasint,omitempty"`
+	// Behind says that the asked host reaches the store, but has no changes from as far back as the revision.
+	Behind bool `cbor:"6,keyasint,omitempty"`
 }
 
 // fresh says whether the answer is whole and no older than watches which wait that long can make it. One that has come over
@@ -190,7 +192,11 @@
 	defer timer.Stop()
 	for {
 		events, asOf, known, changed := f.recent.since(request.Above)
-		reply := WatchReply{Known: known && !f.Away(), Age: time.Since(f.Current()), Events: events, AsOf: asOf, Steps: int(f.steps.Load())}
+		away := f.Away()
+		reply := WatchReply{
+			Known: known && !away, Behind: !known && !away, Age: time.Since(f.Current()), Events: events, AsOf: asOf,
+			Steps: int(f.steps.Load()),
+		}
 		if !reply.Known || len(events) > 0 {
 			return reply
 		}
