Stand-ins refuse connections from the moment a refusal is set

Ruled out: the client's 300 ms deadline (the test took no time), and the breaker (a new client). knownred prints a package's last lines beside a failure: assertions write past the testing package, so their message was counted to another test and lost.

--- a/.ci/knownred/main.go
+++ b/.ci/knownred/main.go
@@ -24,8 +24,14 @@
 	skipped int
 	failed  []string
 	outputs map[string]*strings.Builder
+	// recent holds the last lines of each package: what assertions print past the testing package is counted to
+	// whichever test spoke last.
+	recent map[string][]string
 }
 
+// recentLines is how many lines of a package are printed beside a failure.
+const recentLines = 60
+
 func main() {
 	known, err := readKnown(os.Args[1])
 	if err != nil {
@@ -70,7 +76,7 @@
 	if err := cmd.Start(); err != nil {
 		return nil, err
 	}
-	t := &tally{outputs: map[string]*strings.Builder{}}
+	t := &tally{outputs: map[string]*strings.Builder{}, recent: map[string][]string{}}
 	lines := bufio.NewScanner(out)
 	lines.Buffer(nil, 16<<20)
 	for lines.Scan() {
@@ -92,6 +98,7 @@
 			t.outputs[name] = &strings.Builder{}
 		}
 		t.outputs[name].WriteString(e.Output)
+		t.keep(e.Package, e.Output)
 	case "pass":
 		if e.Test != "" {
 			t.passed++
@@ -108,7 +115,24 @@
 		if out := t.outputs[name]; out != nil {
 			fmt.Printf("--- FAIL %s\n%s\n", name, out)
 		}
+		if e.Test != "" && !t.failedBelow(name) {
+			fmt.Printf("--- the package's last lines\n%s\n", strings.Join(t.recent[e.Package], ""))
+		}
+	}
+}
+
+// keep notes a line of the package, but for the frames that the testing package prints.
+func (t *tally) keep(pkg, line string) {
+	if strings.HasPrefix(line, "=== ") || strings.HasPrefix(strings.TrimSpace(line), "--- PASS") {
+		return
 	}
+	lines := append(t.recent[pkg], line)
+	t.recent[pkg] = lines[max(0, len(lines)-recentLines):]
+}
+
+// failedBelow reports whether a test below this one has failed, whose lines are printed already.
+func (t *tally) failedBelow(name string) bool {
+	return slices.ContainsFunc(t.failed, func(other string) bool { return other != name && isBelow(other, name) })
 }
 
 // report prints the closing line and returns the exit code; a whole run without a test counts as failed.
--- a/internal/berylfake/engine_server.go
+++ b/internal/berylfake/engine_server.go
@@ -22,6 +22,7 @@
 	mu       sync.Mutex
 	addr     string
 	listener net.Listener
+	served   chan struct{} // closed once the listener takes no more connections
 	reopen   *time.Timer
 	closed   bool
 }
@@ -49,7 +50,12 @@
 	s.addr = l.Addr().String()
 	s.listener = l
 	s.http.SetKeepAlivesEnabled(true)
-	go s.http.Serve(l)
+	served := make(chan struct{})
+	s.served = served
+	go func() {
+		defer close(served)
+		s.http.Serve(l)
+	}()
 	return nil
 }
 
@@ -61,6 +67,7 @@
 		return
 	}
 	s.listener.Close()
+	<-s.served // until then the socket takes connections, to reset them
 	s.listener = nil
 	s.http.SetKeepAlivesEnabled(false)
 	if span > 0 {
--- a/internal/berylfake/platform.go
+++ b/internal/berylfake/platform.go
@@ -27,6 +27,7 @@
 	address  string
 	held     []func()
 	server   *http.Server
+	served   chan struct{} // closed once the server takes no more connections
 	closing  chan struct{}
 	closed   sync.Once
 	routines conc.WaitGroup
@@ -119,19 +120,26 @@
 	server := &http.Server{
 		Handler: p.handler(), ReadHeaderTimeout: 10 * time.Second, ErrorLog: log.New(io.Discard, "", 0),
 	}
-	p.server = server
-	p.routines.Go(func() { _ = server.Serve(listener) })
+	served := make(chan struct{})
+	p.server, p.served = server, served
+	p.routines.Go(func() {
+		defer close(served)
+		_ = server.Serve(listener)
+	})
 	return nil
 }
 
-// unlisten closes the listener and every connection.
+// unlisten closes the listener and every connection. The socket takes connections until Serve has returned, and one taken
+// last is unknown to the first Close.
 func (p *Platform) unlisten() {
 	p.mu.Lock()
-	server := p.server
+	server, served := p.server, p.served
 	p.server = nil
 	p.mu.Unlock()
 	if server != nil {
 		_ = server.Close()
+		<-served
+		_ = server.Close()
 	}
 }
 
