A planned stop waits 15 s at most for a store that is away

Cause of the hang of 231 s: berylonce.Flush ran under the stop's whole bound of 10 minutes while the platform stand-in was left down by the failed subtest. What is not recorded by then is counted in the line of the stop.

--- a/internal/berylprocess/badinput_test.go
+++ b/internal/berylprocess/badinput_test.go
@@ -115,6 +115,9 @@
 	is.True(bytes.Contains(answer, []byte(" 408 ")) && bytes.Contains(answer, []byte(`"code":"not-run"`)))
 }
 
+// stopBound is how long a host may take to stop once its calls have ended.
+const stopBound = 40 * time.Second
+
 // TestRefusedBeforeCall checks refusals that need no upstream: they are truthful and say when to come back.
 func TestRefusedBeforeCall(t *testing.T) {
 	t.Parallel()
@@ -156,6 +159,28 @@
 	})
 }
 
+// TestStopWhilePlatformIsDown stops a host that has ends of calls to record and nowhere to write them.
+func TestStopWhilePlatformIsDown(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := startFleet(t, plan{hosts: 2, engines: 2, services: 2, slots: 4, resume: true, engineFlags: quickEngine})
+	h := f.hosts[0]
+	long := make(chan reply, 1)
+	request := kind{keyed: true, never: true, stream: true}.request("ends while the platform is down", time.Minute)
+	request.body = chatBody("ends while the platform is down", 200, true)
+	go func() { long <- f.send(t.Context(), h, request) }()
+	f.eventually("the call runs", func() bool { return f.started(request.body) == 1 })
+	f.fault(f.platform, berylfake.Fault{Mode: berylfake.ModeDown})
+	h.signal(t, syscall.SIGTERM)
+	is.True((<-long).whole(request.body, true))
+	select {
+	case <-h.ended:
+		is.NoErr(h.err)
+	case <-time.After(stopBound):
+		t.Fatal("the host still waits for the platform")
+	}
+}
+
 // TestNoUpstreamLeft checks that calls are refused at once when every upstream is leaving, and taken again later.
 func TestNoUpstreamLeft(t *testing.T) {
 	is := is.New(t)
--- a/internal/berylserve/host.go
+++ b/internal/berylserve/host.go
@@ -28,6 +28,10 @@
 // stopTimeout bounds a planned stop after the balancer's notice; it is the longest deadline a request may have by default.
 const stopTimeout = 10 * time.Minute
 
+// lastWrites bounds the part of a planned stop that needs the store: while it is away, what it has not taken by then is
+// lost, as in a kill, and a repeat of such a call is told that its outcome is unknown.
+const lastWrites = 15 * time.Second
+
 // Config says what a host is made from.
 type Config struct {
 	// Settings are the process's settings.
@@ -237,9 +241,11 @@
 	defer cancel()
 	err := h.gate.Shutdown(ctx)
 	stopJobs()
-	h.once.Flush(ctx)
+	writing, done := context.WithTimeout(ctx, lastWrites)
+	defer done()
+	left := h.once.Flush(writing)
 	h.members.Leave(ctx)
-	h.Log.Info("stopped")
+	h.Log.WithField("ends-not-recorded", left).Info("stopped")
 	return errors.Wrap(err, "planned stop")
 }
 
