--- a/internal/berylfake/platform_test.go
+++ b/internal/berylfake/platform_test.go
@@ -1,8 +1,12 @@
 package berylfake_test
 
 import (
+	"errors"
 	"net"
+	"net/http"
+	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -41,3 +45,37 @@
 		})
 	}
 }
+
+// TestFaultIsInForceOnceAnswered makes a call directly after a fault was set over HTTP.
+func TestFaultIsInForceOnceAnswered(t *testing.T) {
+	for mode, want := range map[berylfake.Mode]string{berylfake.ModeDown: "503", berylfake.ModeRefuse: "refused", berylfake.ModeUp: "200"} {
+		t.Run("mode "+string(mode), func(t *testing.T) {
+			is := is.New(t)
+			fake, err := berylfake.StartPlatform("127.0.0.1:0")
+			is.NoErr(err)
+			defer fake.Close()
+			for range 200 {
+				is.NoErr(fake.SetFault(berylfake.Fault{}))
+				answer, err := http.Post(fake.URL()+"/standin/fault", "application/json", strings.NewReader(`{"mode":"`+string(mode)+`"}`))
+				is.NoErr(err)
+				answer.Body.Close()
+				is.Equal(answer.StatusCode, http.StatusNoContent)
+				is.Equal(rangeEnd(fake.URL()), want)
+			}
+		})
+	}
+}
+
+// rangeEnd reads a key over a new connection and returns the status, or that the connection was refused.
+func rangeEnd(url string) string {
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	answer, err := client.Post(url+"/v3/kv/range", "application/json", strings.NewReader(`{"key":"YQ=="}`))
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return "refused"
+	case err != nil:
+		return err.Error()
+	}
+	answer.Body.Close()
+	return strconv.Itoa(answer.StatusCode)
+}
--- a/internal/berylfake/platformhttp.go
+++ b/internal/berylfake/platformhttp.go
@@ -214,11 +214,19 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	w.WriteHeader(http.StatusNoContent)
-	_ = http.NewResponseController(w).Flush()
+	// A refusal cuts the server's connections, but not a hijacked one: the answer goes out once the fault is in force.
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	defer conn.Close()
+	status := http.StatusNoContent
 	if err := p.SetFault(f); err != nil {
-		panic(http.ErrAbortHandler)
+		status = http.StatusInternalServerError
 	}
+	answer := http.Response{StatusCode: status, ProtoMajor: 1, ProtoMinor: 1, Close: true}
+	_ = answer.Write(conn)
 }
 
 // serveCounts writes the counts as JSON.
