A host's followers ask the host that watches for them in one call

Asks that come within 20 ms go together, and a call beside another ends with it. TestJointWatch: two calls a second for four prefixes, each change known within 30 ms and its gathering; TestJointWatchAtABrokenHost: within 1.8 s as before.

--- a/internal/berylentry/share.go
+++ b/internal/berylentry/share.go
@@ -4,8 +4,6 @@
 	"context"
 	"slices"
 
-	"github.com/cockroachdb/errors"
-
 	"berylroad.example/berylroad/internal/berylhost"
 	"berylroad.example/berylroad/internal/beryllink"
 	"berylroad.example/berylroad/internal/berylstore"
@@ -20,13 +18,12 @@
 
 // newShare lets hosts watch the store for each other.
 func (h *Host) newShare(links *beryllink.Links) *berylstore.Share {
-	return &berylstore.Share{
-		Source: h.watchSource,
-		Others: h.others,
-		Ask: func(ctx context.Context, host string, request berylstore.WatchRequest) (berylstore.WatchReply, error) {
-			return beryllink.Request[berylstore.WatchRequest, berylstore.WatchReply](ctx, links, host, kindWatch, request)
+	joint := &berylstore.Joint{
+		Ask: func(ctx context.Context, host string, requests []berylstore.WatchRequest) ([]berylstore.WatchReply, error) {
+			return beryllink.Request[[]berylstore.WatchRequest, []berylstore.WatchReply](ctx, links, host, kindWatch, requests)
 		},
 	}
+	return &berylstore.Share{Source: h.watchSource, Others: h.others, Ask: joint.Request}
 }
 
 // watchSource returns the host that watches for this one, and whether others rely on this one.
@@ -95,12 +92,8 @@
 }
 
 // answerWatch answers another host that asks for changes.
-func (h *Host) answerWatch(ctx context.Context, _ string, request berylstore.WatchRequest) (berylstore.WatchReply, error) {
-	f := h.followers[request.Prefix]
-	if f == nil {
-		return berylstore.WatchReply{}, errors.Newf("no items under %q are followed", request.Prefix)
-	}
-	return f.Answer(ctx, request), nil
+func (h *Host) answerWatch(ctx context.Context, _ string, requests []berylstore.WatchRequest) ([]berylstore.WatchReply, error) {
+	return berylstore.AnswerAll(ctx, requests, func(prefix string) *berylstore.Follower { return h.followers[prefix] })
 }
 
 // newDetour lets other hosts make this host's calls to the store while it does not reach it.
--- /dev/null
+++ b/internal/berylstore/joint_test.go
@@ -0,0 +1,165 @@
+package berylstore_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"berylroad.example/berylroad/internal/berylfake"
+	"berylroad.example/berylroad/internal/berylstore"
+)
+
+// jointHosts is a host that watches four prefixes for another one, which asks for all of them together.
+type jointHosts struct {
+	store    berylfake.MemoryStore
+	watching map[string]*copyOf
+	relying  map[string]*copyOf
+	asked    atomic.Int64
+	// broken is how the watching host answers in place of the changes; nil answers as it should.
+	broken atomic.Pointer[func(ctx context.Context) error]
+}
+
+var jointPrefixes = []string{"a/", "b/", "c/", "d/"}
+
+func startJointHosts(ctx context.Context) *jointHosts {
+	w := &jointHosts{watching: make(map[string]*copyOf), relying: make(map[string]*copyOf)}
+	joint := &berylstore.Joint{Ask: func(ctx context.Context, _ string, requests []berylstore.WatchRequest) ([]berylstore.WatchReply, error) {
+		w.asked.Add(1)
+		if broken := w.broken.Load(); broken != nil {
+			return nil, (*broken)(ctx)
+		}
+		return berylstore.AnswerAll(ctx, requests, func(prefix string) *berylstore.Follower {
+			if c := w.watching[prefix]; c != nil {
+				return &c.Follower
+			}
+			return nil
+		})
+	}}
+	share := &berylstore.Share{Source: func() (string, bool) { return "watching", false }, Ask: joint.Request}
+	for i, prefix := range jointPrefixes {
+		w.store.Write(prefix+"x", "old")
+		watching, relying := newCopy(&w.store), newCopy(&w.store)
+		watching.Prefix, relying.Prefix = prefix, prefix
+		watching.Share = &berylstore.Share{Source: func() (string, bool) { return "", true }}
+		relying.Share = share
+		relying.Gather = time.Duration(i) * 200 * time.Millisecond
+		w.watching[prefix], w.relying[prefix] = watching, relying
+		go watching.Run(ctx)
+	}
+	time.Sleep(10 * time.Millisecond)
+	for _, prefix := range jointPrefixes {
+		go w.relying[prefix].Run(ctx)
+	}
+	return w
+}
+
+// known waits until the relying host knows a value.
+func (w *jointHosts) known(prefix, value string) time.Duration {
+	began := time.Now()
+	for w.relying[prefix].get(prefix+"x") != value {
+		time.Sleep(time.Millisecond)
+	}
+	return time.Since(began)
+}
+
+// ManyPrefixes: a host that relies on another one asks it twice a second, however many prefixes it follows, and knows each
+// change as soon as with a watch of its own.
+func TestJointWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer time.Sleep(time.Second) // a call under way ends by itself
+		defer cancel()
+		w := startJointHosts(ctx)
+		time.Sleep(time.Second)
+		before := w.asked.Load()
+		time.Sleep(10 * time.Second)
+		is.True(w.asked.Load()-before <= 20) // two a second
+		for n := range 40 {
+			prefix := jointPrefixes[n%len(jointPrefixes)]
+			value := fmt.Sprint("new ", n)
+			w.store.Write(prefix+"x", value)
+			is.True(w.known(prefix, value) <= 30*time.Millisecond+w.relying[prefix].Gather)
+			time.Sleep(time.Duration(n*7) * time.Millisecond)
+		}
+		time.Sleep(2 * time.Second)
+		before = w.asked.Load()
+		time.Sleep(10 * time.Second)
+		is.True(w.asked.Load()-before <= 20) // asks that were apart have come together again
+	})
+}
+
+// A watching host that falls silent or is gone delays no prefix beyond the time that a watch alone would take to find it.
+func TestJointWatchAtABrokenHost(t *testing.T) {
+	for name, broken := range map[string]func(ctx context.Context) error{
+		"silent": func(ctx context.Context) error {
+			<-ctx.Done()
+			return ctx.Err()
+		},
+		"gone":               func(context.Context) error { return io.EOF },
+		"answers too little": func(context.Context) error { return nil },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer time.Sleep(time.Second) // a call under way ends by itself
+				defer cancel()
+				w := startJointHosts(ctx)
+				time.Sleep(3300 * time.Millisecond)
+				w.broken.Store(&broken)
+				for _, prefix := range jointPrefixes {
+					w.store.Write(prefix+"x", "new")
+				}
+				began := time.Now()
+				for _, prefix := range jointPrefixes {
+					w.known(prefix, "new")
+				}
+				is.True(time.Since(began) <= 1800*time.Millisecond)
+			})
+		})
+	}
+}
+
+// TestAnswerAll refuses what no host asks for.
+func TestAnswerAll(t *testing.T) {
+	is := is.New(t)
+	c := newCopy(&berylfake.MemoryStore{})
+	find := func(prefix string) *berylstore.Follower {
+		if prefix == c.Prefix {
+			return &c.Follower
+		}
+		return nil
+	}
+	for _, requests := range [][]berylstore.WatchRequest{nil, make([]berylstore.WatchRequest, 100), {{Prefix: "p/"}, {Prefix: "other/"}}} {
+		_, err := berylstore.AnswerAll(t.Context(), requests, find)
+		is.True(err != nil)
+	}
+	replies, err := berylstore.AnswerAll(t.Context(), []berylstore.WatchRequest{{Prefix: "p/", Wait: -1}}, find)
+	is.NoErr(err)
+	is.Equal(replies[0].Known, false) // nothing was listed yet
+}
+
+// TestAnswerAllEnds has a host that asks and goes before anything changes.
+func TestAnswerAllEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store := &berylfake.MemoryStore{}
+		store.Write("p/a", "old")
+		c := newCopy(store)
+		go c.Run(ctx)
+		time.Sleep(time.Millisecond)
+		asking, stop := context.WithTimeout(ctx, time.Second)
+		defer stop()
+		_, err := berylstore.AnswerAll(asking, []berylstore.WatchRequest{{Prefix: "p/", Above: 1 << 40, Wait: time.Minute}}, func(string) *berylstore.Follower { return &c.Follower })
+		is.Equal(err, context.DeadlineExceeded)
+	})
+}
--- a/internal/berylstore/share.go
+++ b/internal/berylstore/share.go
@@ -188,25 +188,19 @@
 
 // Answer answers another host that asks for changes; it waits for one no longer than asked for.
 func (f *Follower) Answer(ctx context.Context, request WatchRequest) WatchReply {
-	timer := time.NewTimer(min(request.Wait, maxPeerWait))
-	defer timer.Stop()
-	for {
-		events, asOf, known, changed := f.recent.since(request.Above)
-		away := f.Away()
-		reply := WatchReply{
-			Known: known && !away, Behind: !known && !away, Age: time.Since(f.Current()), Events: events, AsOf: asOf,
-			Steps: int(f.steps.Load()),
-		}
-		if !reply.Known || len(events) > 0 {
-			return reply
-		}
-		select {
-		case <-changed:
-		case <-timer.C:
-			reply.Age = time.Since(f.Current())
-			return reply
-		case <-ctx.Done():
-			return WatchReply{}
-		}
+	replies, err := AnswerAll(ctx, []WatchRequest{request}, func(string) *Follower { return f })
+	if err != nil {
+		return WatchReply{}
 	}
+	return replies[0]
+}
+
+// reply returns what this host knows above a revision, and a channel that is closed at the next change.
+func (f *Follower) reply(above int64) (WatchReply, <-chan struct{}) {
+	events, asOf, known, changed := f.recent.since(above)
+	away := f.Away()
+	return WatchReply{
+		Known: known && !away, Behind: !known && !away, Age: time.Since(f.Current()), Events: events, AsOf: asOf,
+		Steps: int(f.steps.Load()),
+	}, changed
 }
