An upstream that refuses each call at once no longer draws the work of all hosts

A refused call counted for nothing, so the upstream looked free and was granted again and again; each cost an ask, a new connection and the item's pause. A 421 speaks against the upstream that was meant; four refusals in a row set an upstream aside for 0.5 to 4 s.

--- a/internal/berylbatch/run.go
+++ b/internal/berylbatch/run.go
@@ -42,13 +42,14 @@
 )
 
 var (
-	errJobEnded  = errors.New("the job was ended or lost")
-	errYielded   = errors.New("online work needs the slot")
-	errSilent    = errors.New("the upstream fell silent")
-	errPermanent = errors.New("the item can never be done")
-	errFailed    = errors.New("the upstream failed the item")
-	errUnrun     = errors.New("the upstream refused the item unrun")
-	errTooLong   = errors.Newf("the item's text is over %d bytes", maxItemText)
+	errJobEnded    = errors.New("the job was ended or lost")
+	errYielded     = errors.New("online work needs the slot")
+	errSilent      = errors.New("the upstream fell silent")
+	errPermanent   = errors.New("the item can never be done")
+	errFailed      = errors.New("the upstream failed the item")
+	errUnrun       = errors.New("the upstream refused the item unrun")
+	errMisdirected = errors.New("another upstream is at the address")
+	errTooLong     = errors.Newf("the item's text is over %d bytes", maxItemText)
 )
 
 // runItem makes one call for an item and notes what it has come to.
@@ -119,6 +120,8 @@
 	}
 	defer reply.Body.Close()
 	switch {
+	case reply.Misdirected:
+		return reply.Status, errors.Mark(errMisdirected, errUnrun)
 	case reply.NotRun:
 		return reply.Status, errUnrun
 	case reply.Status == http.StatusUnprocessableEntity && reply.Signed:
@@ -207,7 +210,8 @@
 		return
 	case errors.Is(err, errUnrun), errors.Is(err, berylrelay.ErrUnsent):
 		report.Kind = beryloutcome.NotRun
-		report.Fault = errors.Is(err, berylrelay.ErrUnsent)
+		report.Refused = status != 0
+		report.Fault = errors.Is(err, berylrelay.ErrUnsent) || errors.Is(err, errMisdirected)
 	case errors.Is(err, errFailed) && status == http.StatusInternalServerError:
 		report.Kind = beryloutcome.Failed
 		it.failures++
--- a/internal/berylcall/attempt.go
+++ b/internal/berylcall/attempt.go
@@ -224,6 +224,7 @@
 		Tokens:     a.tokens,
 		Busy:       busy,
 		Fault:      a.end.ending.fault(a.late(busy)),
+		Refused:    a.end.ending == endRefused,
 	}
 	if errors.Is(context.Cause(a.ctx), errLoser) && a.firstByte == 0 {
 		r.FirstToken = busy
--- a/internal/berylpermit/permit.go
+++ b/internal/berylpermit/permit.go
@@ -155,6 +155,8 @@
 	Busy time.Duration `cbor:"5,keyasint,omitempty"`
 	// Fault marks an end that speaks against the upstream: refused connection, cut answer, garbage, server error or timeout.
 	Fault bool `cbor:"6,keyasint,omitempty"`
+	// Refused marks a call that the upstream refused unrun.
+	Refused bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Yield asks the holder of a batch permit to give it back at once.
--- a/internal/berylrelay/call.go
+++ b/internal/berylrelay/call.go
@@ -44,6 +44,8 @@
 	Header []Field
 	// NotRun says that the upstream has not run the request and never will.
 	NotRun bool
+	// Misdirected says, beside that, that another upstream is at the address by now.
+	Misdirected bool
 	// Signed says that the answer bears the upstream's signature.
 	Signed bool
 	// Events says that the body is a stream of events.
--- a/internal/berylrelay/relay_test.go
+++ b/internal/berylrelay/relay_test.go
@@ -312,3 +312,32 @@
 		})
 	}
 }
+
+// A call that was refused unrun is reported as such; one at an address that another upstream has by now speaks against the
+// upstream that was meant.
+func TestRefusalsAreReported(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		reply Reply
+		want  berylpermit.Report
+	}{
+		{"full", Reply{Status: http.StatusServiceUnavailable, NotRun: true}, berylpermit.Report{Kind: beryloutcome.NotRun, Refused: true}},
+		{"misdirected", Reply{Status: http.StatusMisdirectedRequest, NotRun: true, Misdirected: true}, berylpermit.Report{Kind: beryloutcome.NotRun, Refused: true, Fault: true}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				route := berylroute.Route{Kind: berylroute.Streaming, Shares: []berylroute.Share{{Service: "svc", Weight: 1}}}
+				broker := &fakeBroker{grants: []string{"a"}}
+				caller := callerFunc(func(context.Context, *Call) (*Reply, error) {
+					reply := tt.reply
+					reply.Body = io.NopCloser(strings.NewReader(""))
+					return &reply, nil
+				})
+				r := Relay{Permits: broker, Fleet: newFleet("a"), Caller: caller, Log: quiet()}
+				r.Do(t.Context(), &Request{ID: "q", Route: &route, Deadline: time.Now().Add(time.Second)}, &fakeSink{})
+				is.Equal(broker.reports[0], tt.want)
+			})
+		})
+	}
+}
--- a/internal/berylsched/health.go
+++ b/internal/berylsched/health.go
@@ -12,6 +12,8 @@
 	meanWeight = 0.2
 	// faultsAside is how many faults in a row set an upstream aside.
 	faultsAside = 2
+	// refusalsAside is how many calls in a row that an upstream refuses unrun set it aside.
+	refusalsAside = 4
 	// faultBackoff is how long an upstream is first set aside for faults; it doubles each time.
 	faultBackoff = time.Second
 	// faultBackoffMost bounds that time.
@@ -83,6 +85,8 @@
 	fresh int
 	// faults counts faults in a row.
 	faults int
+	// refusals counts the calls in a row that it refused unrun.
+	refusals int
 	// aside marks an upstream that gets nothing but probes.
 	aside bool
 	// asideSlow marks one set aside for slowness.
@@ -147,8 +151,12 @@
 		h.fault(now, p)
 		return
 	}
+	if r.Refused {
+		h.refused(now, p)
+		return
+	}
 	if r.FirstToken > 0 || r.Kind == beryloutcome.Answered {
-		h.faults = 0
+		h.faults, h.refusals = 0, 0
 		h.probed(now, p, r, n)
 	}
 	if r.Kind == beryloutcome.Answered {
@@ -167,6 +175,16 @@
 	}
 }
 
+// refused sets aside an upstream that refuses one call after the other although it has free slots as far as is known: it
+// would draw the work of all hosts.
+func (h *health) refused(now time.Time, p *permit) {
+	h.refusals++
+	if p.probe || !h.aside && h.refusals >= refusalsAside {
+		h.setAside(now, slowBackoff, slowBackoffMost)
+		h.asideSlow, h.refusals = false, 0
+	}
+}
+
 // probed ends the time aside if the probe was answered at a normal speed.
 func (h *health) probed(now time.Time, p *permit, r berylpermit.Report, n norm) {
 	if !p.probe || !h.aside {
--- /dev/null
+++ b/internal/berylsched/refusing_test.go
@@ -0,0 +1,84 @@
+package berylsched_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"berylroad.example/berylroad/internal/beryloutcome"
+	"berylroad.example/berylroad/internal/berylpermit"
+)
+
+// UpstreamThatRefusesAll: an upstream that refuses each call at once looks free, so that it draws the work of all hosts,
+// which it costs time and messages. It gets little of it, and is in use again soon after it takes calls.
+func TestUpstreamThatRefusesAll(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		report berylpermit.Report
+	}{
+		{"not run", berylpermit.Report{Kind: beryloutcome.NotRun, Refused: true, Busy: time.Millisecond}},
+		{"another upstream at the address", berylpermit.Report{Kind: beryloutcome.NotRun, Refused: true, Fault: true, Busy: time.Millisecond}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFleet(document(6, 4), names...)
+				defer f.stop()
+				time.Sleep(2 * time.Second)
+				ctx, cancel := context.WithCancel(t.Context())
+				var mu sync.Mutex
+				calls := make(map[string]int)
+				refusing := true
+				answer := berylpermit.Report{Kind: beryloutcome.Answered, Busy: time.Second, FirstToken: 50 * time.Millisecond}
+				var wg sync.WaitGroup
+				work := func(s acquirer, class berylpermit.Class, pause time.Duration) {
+					for ctx.Err() == nil {
+						permit, _ := s.Acquire(ctx, berylpermit.Ask{Target: "m", Class: class, Remaining: 30 * time.Second, Queue: true})
+						if permit == nil {
+							time.Sleep(100 * time.Millisecond)
+							continue
+						}
+						mu.Lock()
+						calls[permit.Upstream]++
+						refused := refusing && permit.Upstream == "u1"
+						mu.Unlock()
+						if refused {
+							time.Sleep(tt.report.Busy)
+							permit.Release(tt.report)
+							continue
+						}
+						select {
+						case <-time.After(answer.Busy):
+						case <-permit.Yield:
+						}
+						permit.Release(answer)
+						time.Sleep(pause)
+					}
+				}
+				for _, name := range names {
+					for range 6 {
+						wg.Go(func() { work(f.hosts[name], berylpermit.Batch, 0) })
+					}
+					wg.Go(func() { work(f.hosts[name], berylpermit.Online, 300*time.Millisecond) })
+				}
+				time.Sleep(10 * time.Second)
+				mu.Lock()
+				is.True(calls["u1"] <= 40) // a few at once, then probes
+				is.True(calls["u2"] >= 20)
+				refusing = false
+				clear(calls)
+				mu.Unlock()
+				time.Sleep(20 * time.Second)
+				mu.Lock()
+				is.True(calls["u1"] >= calls["u2"]/4)
+				mu.Unlock()
+				cancel()
+				wg.Wait()
+			})
+		})
+	}
+}
