berylroad explain reads logs as streams

It held every line of every log: a gigabyte would have needed several. A line over 1 MB ended the whole file before; it is passed over now like other bytes that are no lines.

--- a/internal/berylcmd/explain/explain.go
+++ b/internal/berylcmd/explain/explain.go
@@ -44,16 +44,18 @@
 
 func runExplain(o *Options) error {
 	var lines []berylexplain.Line
+	total := 0
 	for _, name := range o.Files {
-		part, err := readFile(name)
+		part, read, err := readFile(name, o.ID)
 		if err != nil {
 			return err
 		}
 		lines = append(lines, part...)
+		total += read
 	}
 	steps := berylexplain.Explain(lines, o.ID)
 	if len(steps) == 0 {
-		return errors.WithHint(errors.Newf("no line of %d is about %q", len(lines), o.ID),
+		return errors.WithHint(errors.Newf("no line of %d is about %q", total, o.ID),
 			"check the id, and name the logs of all hosts: a retry may have reached another one under its own id")
 	}
 	left := 0
@@ -76,15 +78,15 @@
 	return nil
 }
 
-func readFile(name string) ([]berylexplain.Line, error) {
+func readFile(name, id string) ([]berylexplain.Line, int, error) {
 	file, err := os.Open(name)
 	if err != nil {
-		return nil, errors.WithHint(err, "name files that hold the hosts' standard output")
+		return nil, 0, errors.WithHint(err, "name files that hold the hosts' standard output")
 	}
 	defer file.Close()
-	lines, err := berylexplain.Read(file)
+	lines, read, err := berylexplain.Read(file, id)
 	if err != nil {
-		return nil, errors.WithHint(errors.Wrap(err, name), "name files that hold the hosts' standard output")
+		return nil, read, errors.WithHint(errors.Wrap(err, name), "name files that hold the hosts' standard output")
 	}
-	return lines, nil
+	return lines, read, nil
 }
--- a/internal/berylexplain/read.go
+++ b/internal/berylexplain/read.go
@@ -25,18 +25,53 @@
 	Fields map[string]any
 }
 
-// Read returns the lines of a log. Text before a line's JSON, such as a collector's prefix, and lines that are none of
-// ours are passed over.
-func Read(r io.Reader) ([]Line, error) {
-	var lines []Line
-	scanner := bufio.NewScanner(r)
-	scanner.Buffer(make([]byte, 0, bufio.MaxScanTokenSize), maxLineBytes)
-	for scanner.Scan() {
-		if line, ok := parse(scanner.Bytes()); ok {
-			lines = append(lines, line)
+// beliefMessages begin the messages that tell of a change of beliefs.
+var beliefMessages = [][]byte{[]byte("host:"), []byte("stopping"), []byte("config:"), []byte("store:"), []byte("upstream:")}
+
+// messageField comes before a line's message.
+var messageField = []byte(`"msg":"`)
+
+// Read returns the lines of a log that name the ID or tell of a change of beliefs; all others are passed over unread, so
+// that a log of any size needs little memory; read counts the lines of ours. So are text before a line's JSON, such as a collector's prefix, and lines
+// that are none of ours: cut, binary, or longer than any that a host writes.
+func Read(r io.Reader, id string) (lines []Line, read int, err error) {
+	reader := bufio.NewReaderSize(r, maxLineBytes)
+	wanted := []byte(id)
+	for {
+		text, err := reader.ReadSlice('\n')
+		long := errors.Is(err, bufio.ErrBufferFull)
+		for errors.Is(err, bufio.ErrBufferFull) {
+			_, err = reader.ReadSlice('\n')
+		}
+		if ours, relevant := classify(text, wanted); ours && !long {
+			read++
+			if relevant {
+				if line, ok := parse(text); ok {
+					lines = append(lines, line)
+				}
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return lines, read, nil
+		}
+		if err != nil {
+			return lines, read, errors.Wrap(err, "log")
+		}
+	}
+}
+
+// classify says whether a line is one of a host's, and whether it may name the ID or tells of a change of beliefs.
+func classify(text, id []byte) (ours, relevant bool) {
+	_, message, found := bytes.Cut(text, messageField)
+	if !found {
+		return false, false
+	}
+	for _, begin := range beliefMessages {
+		if bytes.HasPrefix(message, begin) {
+			return true, true
 		}
 	}
-	return lines, errors.Wrap(scanner.Err(), "log")
+	return true, bytes.Contains(text, id)
 }
 
 func parse(text []byte) (Line, bool) {
--- /dev/null
+++ b/internal/berylexplain/read_test.go
@@ -0,0 +1,83 @@
+package berylexplain_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"runtime"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"berylroad.example/berylroad/internal/berylexplain"
+)
+
+const (
+	aboutQ1 = `{"host":"h1","level":"info","msg":"request: ended","request":"q1","time":"2026-03-05T22:29:33.000Z"}`
+	belief  = `{"host":"h1","level":"info","msg":"store: lost","prefix":"op/","time":"2026-03-05T22:29:32.000Z"}`
+	aboutQ2 = `{"host":"h1","level":"info","msg":"request: ended","request":"q2","time":"2026-03-05T22:29:33.000Z"}`
+)
+
+func TestRead(t *testing.T) {
+	for _, tt := range []struct {
+		name, log  string
+		kept, read int
+	}{
+		{"the id and beliefs are kept", aboutQ1 + "\n" + belief + "\n" + aboutQ2 + "\n", 2, 3},
+		{"no line feed at the end", aboutQ1, 1, 1},
+		{"cut in the middle of a line", belief + "\n" + aboutQ1[:60], 1, 2},
+		{"cut before a message", aboutQ1[:30], 0, 0},
+		{"binary bytes", "\x00\xff{\x01\n" + aboutQ1 + "\n\xff\xfe", 1, 1},
+		{"a line without an end of ours", strings.Repeat("x", 3<<20) + "\n" + aboutQ1 + "\n", 1, 1},
+		{"a line that is too long", `{"msg":"store: ` + strings.Repeat("x", 3<<20) + "\n" + belief + "\n", 1, 1},
+		{"a collector's prefix", "  -1.2 front-1 " + aboutQ1 + "\n", 1, 1},
+		{"empty", "", 0, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			lines, read, err := berylexplain.Read(strings.NewReader(tt.log), "q1")
+			is.NoErr(err)
+			is.Equal(len(lines), tt.kept)
+			is.Equal(read, tt.read)
+		})
+	}
+}
+
+// largeLog repeats the lines of a busy host, with the id's among them once in a while.
+func largeLog(size int64) io.Reader {
+	var block bytes.Buffer
+	block.WriteString(aboutQ1 + "\n" + belief + "\n")
+	for i := 0; block.Len() < 1<<20; i++ {
+		fmt.Fprintf(&block, `{"first-ms":12,"host":"h1","level":"info","msg":"request: ended","outcome":"answered","ran":1,"request":"r-%d","route":"r","sends":1,"time":"2026-03-05T22:29:33.000Z","total-ms":400,"upstream":"i-1","waited-ms":0}`+"\n", i)
+	}
+	var parts []io.Reader
+	for n := int64(0); n < size; n += int64(block.Len()) {
+		parts = append(parts, bytes.NewReader(block.Bytes()))
+	}
+	return io.MultiReader(parts...)
+}
+
+// TestReadOfALargeLog finds an id among 256 MB of lines and holds little of them.
+func TestReadOfALargeLog(t *testing.T) {
+	is := is.New(t)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	lines, read, err := berylexplain.Read(largeLog(256<<20), "q1")
+	runtime.ReadMemStats(&after)
+	is.NoErr(err)
+	is.True(len(lines) >= 2*250)
+	is.True(read > 1_000_000)
+	is.True(after.TotalAlloc-before.TotalAlloc < 25<<20) // a quarter of what 1 GB may need
+}
+
+// BenchmarkRead is how fast an id is found; 1 GB is to take no longer than 10 s.
+func BenchmarkRead(b *testing.B) {
+	const size = 256 << 20
+	b.SetBytes(size)
+	for b.Loop() {
+		if _, _, err := berylexplain.Read(largeLog(size), "q1"); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
