--- a/internal/berylexplain/read.go
+++ b/internal/berylexplain/read.go
@@ -31,9 +31,9 @@
 // messageField comes before a line's message.
 var messageField = []byte(`"msg":"`)
 
-// Read returns the lines of a log that name the ID or tell of a change of beliefs; all others are passed over unread, so
-// that a log of any size needs little memory; read counts the lines of ours. So are text before a line's JSON, such as a collector's prefix, and lines
-// that are none of ours: cut, binary, or longer than any that a host writes.
+// Read returns the lines of a log that name the ID or tell of a change of beliefs, and counts all lines of ours. The others
+// are passed over unread, so that a log of any size needs little memory. So are text before a line's JSON, such as a
+// collector's prefix, and lines that are none of ours: cut, binary, or longer than any that a host writes.
 func Read(r io.Reader, id string) (lines []Line, read int, err error) {
 	reader := bufio.NewReaderSize(r, maxLineBytes)
 	wanted := []byte(id)
--- a/internal/berylstore/joint.go
+++ b/internal/berylstore/joint.go
@@ -124,14 +124,14 @@
 		return nil, errors.Newf("%d prefixes are asked for; ask for 1 to %d", len(requests), maxJoined)
 	}
 	followers := make([]*Follower, len(requests))
-	longest := maxPeerWait
+	wait := maxPeerWait
 	for i, request := range requests {
 		if followers[i] = follower(request.Prefix); followers[i] == nil {
 			return nil, errors.Newf("no items under %q are followed", request.Prefix)
 		}
-		longest = min(longest, request.Wait)
+		wait = min(wait, request.Wait)
 	}
-	timer := time.NewTimer(longest)
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	replies := make([]WatchReply, len(requests))
 	wakes := make([]reflect.SelectCase, len(requests)+2)
