A full upstream that refuses a few calls in a row stays in use

Cause: calls that an upstream runs report only when they end, so a few refusals in a row also happen at one that runs as much as it can; it was set aside for 0.5 to 4 s. Refusals count only while under half of the upstream's slots are in use as far as its owner knows. TestFullUpstreamStaysInUse failed before; TestUpstreamThatRefusesAll still holds.

--- a/internal/berylsched/health.go
+++ b/internal/berylsched/health.go
@@ -152,7 +152,9 @@
 		return
 	}
 	if r.Refused {
-		h.refused(now, p)
+		if 2*(p.up.held()-1) < p.up.slots {
+			h.refused(now, p)
+		}
 		return
 	}
 	if r.FirstToken > 0 || r.Kind == beryloutcome.Answered {
@@ -175,8 +177,8 @@
 	}
 }
 
-// refused sets aside an upstream that refuses one call after the other although it has free slots as far as is known: it
-// would draw the work of all hosts.
+// refused sets aside an upstream that refuses one call after the other although under half of its slots are in use as far
+// as is known: it would draw the work of all hosts. One that is full may refuse a few in a row.
 func (h *health) refused(now time.Time, p *permit) {
 	h.refusals++
 	if p.probe || !h.aside && h.refusals >= refusalsAside {
--- a/internal/berylsched/refusing_test.go
+++ b/internal/berylsched/refusing_test.go
@@ -82,3 +82,33 @@
 		})
 	}
 }
+
+// UpstreamThatIsFull: refusals of an upstream that runs as much as it can don't set it aside.
+func TestFullUpstreamStaysInUse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(document(1, 8), names...)
+		defer f.stop()
+		time.Sleep(2 * time.Second)
+		ask := berylpermit.Ask{Target: "m", Remaining: time.Minute, Queue: true}
+		var held []*berylpermit.Permit
+		for range 6 {
+			p, refusal := f.hosts["h1"].Acquire(t.Context(), ask)
+			is.Equal(refusal, nil)
+			held = append(held, p)
+		}
+		for range 20 {
+			p, refusal := f.hosts["h2"].Acquire(t.Context(), ask)
+			is.Equal(refusal, nil)
+			p.Release(berylpermit.Report{Kind: beryloutcome.NotRun, Refused: true, Busy: time.Millisecond})
+			time.Sleep(5 * time.Millisecond)
+		}
+		start := time.Now()
+		p, refusal := f.hosts["h3"].Acquire(t.Context(), ask)
+		is.Equal(refusal, nil)
+		is.True(time.Since(start) <= 10*hop)
+		for _, p := range append(held, p) {
+			p.Release(berylpermit.Report{Kind: beryloutcome.Answered, Busy: time.Second})
+		}
+	})
+}
