--- a/internal/berylcall/attempt.go
+++ b/internal/berylcall/attempt.go
@@ -11,6 +11,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"berylroad.example/berylroad/internal/beryloutcome"
 	"berylroad.example/berylroad/internal/berylpermit"
 )
 
@@ -193,11 +194,7 @@
 
 // cancelled returns why the call's context ended, or other when it did not.
 func (a *attempt) cancelled(other ending) ending {
-	// The dialer has a timer of its own, which may run before that of the context.
-	deadline, bounded := a.ctx.Deadline()
-	switch cause := context.Cause(a.ctx); {
-	case cause == nil && bounded && !time.Now().Before(deadline):
-		return endDeadline
+	switch cause := beryloutcome.Cause(a.ctx); {
 	case cause == nil:
 		return other
 	case errors.Is(cause, errYield):
--- a/internal/berylexplain/read.go
+++ b/internal/berylexplain/read.go
@@ -36,7 +36,10 @@
 // collector's prefix, and lines that are none of ours: cut, binary, or longer than any that a host writes.
 func Read(r io.Reader, id string) (lines []Line, read int, err error) {
 	reader := bufio.NewReaderSize(r, maxLineBytes)
-	wanted := []byte(id)
+	wanted, err := json.Marshal(id) // as the log's formatter writes it
+	if err != nil {
+		return nil, 0, errors.Wrap(err, "id")
+	}
 	for {
 		text, err := reader.ReadSlice('\n')
 		long := errors.Is(err, bufio.ErrBufferFull)
--- a/internal/berylexplain/read_test.go
+++ b/internal/berylexplain/read_test.go
@@ -32,6 +32,7 @@
 		{"a line without an end of ours", strings.Repeat("x", 3<<20) + "\n" + aboutQ1 + "\n", 1, 1},
 		{"a line that is too long", `{"msg":"store: ` + strings.Repeat("x", 3<<20) + "\n" + belief + "\n", 1, 1},
 		{"a collector's prefix", "  -1.2 front-1 " + aboutQ1 + "\n", 1, 1},
+		{"the id within a longer one", strings.ReplaceAll(aboutQ1, "q1", "q11"), 0, 1},
 		{"empty", "", 0, 0},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
@@ -44,6 +45,14 @@
 	}
 }
 
+// TestReadOfAnIDThatIsEscaped looks for an id that stands otherwise in a log's JSON.
+func TestReadOfAnIDThatIsEscaped(t *testing.T) {
+	is := is.New(t)
+	lines, _, err := berylexplain.Read(strings.NewReader(strings.ReplaceAll(aboutQ1, "q1", `a\u003cb\"c`)), `a<b"c`)
+	is.NoErr(err)
+	is.Equal(len(lines), 1)
+}
+
 // largeLog repeats the lines of a busy host, with the id's among them once in a while.
 func largeLog(size int64) io.Reader {
 	var block bytes.Buffer
--- a/internal/berylfake/memorystore.go
+++ b/internal/berylfake/memorystore.go
@@ -71,7 +71,7 @@
 }
 
 // SetFault says what happens to calls from now on; nil means that all goes well. The call is one of get, list, watch,
-// commit, grant and keep, list-stale as well as list for a listing that may be stale, and the function is called for one at a time.
+// commit, grant and keep, or list-stale for a listing that may be stale, and the function is called for one at a time.
 func (s *MemoryStore) SetFault(fault func(call, key string) StoreFault) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/berylrelay/relay.go
+++ b/internal/berylrelay/relay.go
@@ -266,16 +266,14 @@
 // isFault says whether a call that has failed speaks against its upstream: one that the caller or the request's deadline
 // ended does so only where the deadline came after a silence that is too long in itself.
 func (x *exchange) isFault(ctx context.Context) bool {
-	cause := context.Cause(ctx)
-	if errors.Is(cause, context.Canceled) {
+	switch cause := beryloutcome.Cause(ctx); {
+	case errors.Is(cause, context.Canceled):
 		return false
-	}
-	// The dialer has a timer of its own, which may run before that of the context.
-	deadline, _ := ctx.Deadline()
-	if errors.Is(cause, context.DeadlineExceeded) || cause == nil && !time.Now().Before(deadline) {
+	case errors.Is(cause, context.DeadlineExceeded):
 		return time.Since(x.progress) >= x.stallAfter()
+	default:
+		return true
 	}
-	return true
 }
 
 // mayRepeat says whether another upstream may run the request, from its start or from the last event.
--- a/internal/berylsched/broker_queue.go
+++ b/internal/berylsched/broker_queue.go
@@ -8,9 +8,9 @@
 	"berylroad.example/berylroad/internal/berylpermit"
 )
 
-// queue waits at that many owners at once, and a moment later at two; the first grant wins. It returns final when the owners have refused, and
-// not final when the ask must start again because owners were lost or others may have more room by now; its deadline
-// keeps its place in line.
+// queue waits at that many owners at once, and a moment later at two; the first grant wins. It returns final when the
+// owners have refused, and not final when the ask must start again because owners were lost or others may have more room by
+// now; its deadline keeps its place in line.
 func (a *acquisition) queue(ctx context.Context, t *table, hosts []string, places int) (*berylpermit.Permit, bool) {
 	ctx, cancel := context.WithCancel(ctx)
 	verdicts := make(chan *verdict, len(hosts))
--- a/internal/berylsched/scheduler.go
+++ b/internal/berylsched/scheduler.go
@@ -60,7 +60,6 @@
 	// mu guards the inputs of the table.
 	mu      sync.Mutex
 	doc     berylconf.Document
-	given   berylconf.Document // doc as Set was given it
 	members []Member
 }
 
@@ -114,9 +113,8 @@
 func (s *Scheduler) Set(doc berylconf.Document, members []Member) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	configured := !sameInventory(&doc, &s.given)
+	configured := !sameInventory(&doc, &s.doc)
 	if configured {
-		s.given = doc
 		s.setConfig(doc)
 	}
 	if s.setMembers(members) || configured {
--- a/internal/berylstore/detour_test.go
+++ b/internal/berylstore/detour_test.go
@@ -147,9 +147,7 @@
 		cut.Share = &berylstore.Share{
 			Source: func() (string, bool) { return "", false },
 			Others: func() []string { return []string{"well"} },
-			Ask: func(ctx context.Context, _ string, r berylstore.WatchRequest) (berylstore.WatchReply, error) {
-				return well.Answer(ctx, r), nil
-			},
+			Ask:    well.answer,
 		}
 		go well.Run(ctx)
 		go cut.Run(ctx)
--- a/internal/berylstore/joint_test.go
+++ b/internal/berylstore/joint_test.go
@@ -46,7 +46,7 @@
 		w.store.Write(prefix+"x", "old")
 		watching, relying := newCopy(&w.store), newCopy(&w.store)
 		watching.Prefix, relying.Prefix = prefix, prefix
-		watching.Share = &berylstore.Share{Source: func() (string, bool) { return "", true }}
+		watching.Share = watchesForOthers()
 		relying.Share = share
 		relying.Gather = time.Duration(i) * 200 * time.Millisecond
 		w.watching[prefix], w.relying[prefix] = watching, relying
--- a/internal/berylstore/share.go
+++ b/internal/berylstore/share.go
@@ -186,15 +186,6 @@
 	return events, r.asOf, true, r.changed
 }
 
-// Answer answers another host that asks for changes; it waits for one no longer than asked for.
-func (f *Follower) Answer(ctx context.Context, request WatchRequest) WatchReply {
-	replies, err := AnswerAll(ctx, []WatchRequest{request}, func(string) *Follower { return f })
-	if err != nil {
-		return WatchReply{}
-	}
-	return replies[0]
-}
-
 // reply returns what this host knows above a revision, and a channel that is closed at the next change.
 func (f *Follower) reply(above int64) (WatchReply, <-chan struct{}) {
 	events, asOf, known, changed := f.recent.since(above)
--- /dev/null
+++ b/internal/berylstore/share_test.go
@@ -0,0 +1,373 @@
+package berylstore_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"berylroad.example/berylroad/internal/berylfake"
+	"berylroad.example/berylroad/internal/berylstore"
+)
+
+// watchesForOthers returns the share of a host on which others rely.
+func watchesForOthers() *berylstore.Share {
+	return &berylstore.Share{Source: func() (string, bool) { return "", true }}
+}
+
+// inBubble plays a test on fake time, before a store with one item.
+func inBubble(t *testing.T, play func(ctx context.Context, is *is.I, store *berylfake.MemoryStore)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store := &berylfake.MemoryStore{}
+		store.Write("p/a", "old")
+		play(ctx, is.New(t), store)
+	})
+}
+
+// answer answers another host that asks for changes of what this one has copied.
+func (c *copyOf) answer(ctx context.Context, _ string, request berylstore.WatchRequest) (berylstore.WatchReply, error) {
+	replies, err := berylstore.AnswerAll(ctx, []berylstore.WatchRequest{request}, func(string) *berylstore.Follower { return &c.Follower })
+	if err != nil {
+		return berylstore.WatchReply{}, err
+	}
+	return replies[0], nil
+}
+
+// relyOn makes another copy's host watch for this one, and counts how often it is asked.
+func (c *copyOf) relyOn(watching *copyOf) *atomic.Int64 {
+	var asked atomic.Int64
+	watching.Share = watchesForOthers()
+	c.Share = &berylstore.Share{
+		Source: func() (string, bool) { return "watching", false },
+		Ask: func(ctx context.Context, host string, r berylstore.WatchRequest) (berylstore.WatchReply, error) {
+			asked.Add(1)
+			return watching.answer(ctx, host, r)
+		},
+	}
+	return &asked
+}
+
+// A configuration must be in force within 2 s on each host that reaches the store, also while the host that watches for it
+// is frozen, cut off or behind.
+func TestSharedWatch(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		// ask is how the watching host answers after the fault; nil answers as it should.
+		ask func(ctx context.Context, f *berylstore.Follower, r berylstore.WatchRequest) (berylstore.WatchReply, error)
+		// away cuts the watching host from the store.
+		away bool
+	}{
+		{name: "well"},
+		{name: "frozen", ask: func(ctx context.Context, _ *berylstore.Follower, _ berylstore.WatchRequest) (berylstore.WatchReply, error) {
+			<-ctx.Done()
+			return berylstore.WatchReply{}, ctx.Err()
+		}},
+		{name: "gone", ask: func(context.Context, *berylstore.Follower, berylstore.WatchRequest) (berylstore.WatchReply, error) {
+			return berylstore.WatchReply{}, io.EOF
+		}},
+		{name: "cut from the store", away: true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			inBubble(t, func(ctx context.Context, is *is.I, store *berylfake.MemoryStore) {
+				cut := &cutStore{Store: store}
+				watching, relying := newCopy(cut), newCopy(store)
+				watching.Share = watchesForOthers()
+				var broken atomic.Bool
+				relying.Share = &berylstore.Share{
+					Source: func() (string, bool) { return "watching", false },
+					Ask: func(ctx context.Context, host string, r berylstore.WatchRequest) (berylstore.WatchReply, error) {
+						if broken.Load() && tt.ask != nil {
+							return tt.ask(ctx, &watching.Follower, r)
+						}
+						return watching.answer(ctx, host, r)
+					},
+				}
+				go watching.Run(ctx)
+				go relying.Run(ctx)
+				time.Sleep(10 * time.Second)
+				calls := store.Calls()["watch"]
+				is.True(calls <= 25) // two a second, all from one host
+				broken.Store(true)
+				cut.cut.Store(tt.away)
+				store.Write("p/a", "new")
+				began := time.Now()
+				for relying.get("p/a") != "new" {
+					time.Sleep(10 * time.Millisecond)
+				}
+				is.True(time.Since(began) <= 1800*time.Millisecond) // 2 s but for the asking
+			})
+		})
+	}
+}
+
+// In a large fleet the host that watches for others has what it knows from a third. A configuration is in force within 2 s
+// while one of the two or both are frozen, or the upper one is cut from the store.
+func TestSharedWatchOverTwoSteps(t *testing.T) {
+	for _, tt := range []struct {
+		name             string
+		top, middle, cut bool
+		within           time.Duration
+	}{
+		{"well", false, false, false, 100 * time.Millisecond},
+		{"top frozen", true, false, false, 1800 * time.Millisecond},
+		{"middle frozen", false, true, false, 1800 * time.Millisecond},
+		{"both frozen", true, true, false, 1800 * time.Millisecond},
+		{"top cut from the store", false, false, true, 1800 * time.Millisecond},
+		{"top cut from the store, middle frozen", false, true, true, 1800 * time.Millisecond},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			inBubble(t, func(ctx context.Context, is *is.I, store *berylfake.MemoryStore) {
+				cut := &cutStore{Store: store}
+				top, middle, leaf := newCopy(cut), newCopy(store), newCopy(store)
+				top.Share = watchesForOthers()
+				var topFrozen, middleFrozen atomic.Bool
+				middle.relyThrough(top, &topFrozen, true)
+				leaf.relyThrough(middle, &middleFrozen, false)
+				for _, c := range []*copyOf{top, middle, leaf} {
+					go c.Run(ctx)
+				}
+				time.Sleep(10 * time.Second)
+				is.True(store.Calls()["watch"] <= 28) // two a second, all from one host, and those of the start
+				topFrozen.Store(tt.top)
+				middleFrozen.Store(tt.middle)
+				cut.cut.Store(tt.cut)
+				store.Write("p/a", "new")
+				began := time.Now()
+				for leaf.get("p/a") != "new" {
+					time.Sleep(10 * time.Millisecond)
+				}
+				is.True(time.Since(began) <= tt.within)
+			})
+		})
+	}
+}
+
+// LongCut: a host that is cut off from all while the store drops its history lists all that it follows anew soon after.
+func TestReturnAfterALongCut(t *testing.T) {
+	inBubble(t, func(ctx context.Context, is *is.I, store *berylfake.MemoryStore) {
+		watching := newCopy(store)
+		watching.Share = watchesForOthers()
+		go watching.Run(ctx)
+		mine := &refusingStore{Store: store}
+		share := &berylstore.Share{
+			Source: func() (string, bool) { return "watching", false },
+			Ask: func(ctx context.Context, host string, r berylstore.WatchRequest) (berylstore.WatchReply, error) {
+				if mine.refuse.Load() {
+					return berylstore.WatchReply{}, io.EOF
+				}
+				return watching.answer(ctx, host, r)
+			},
+		}
+		var copies []*copyOf
+		for range 4 {
+			c := newCopy(mine)
+			c.Share = share
+			copies = append(copies, c)
+			go c.Run(ctx)
+		}
+		time.Sleep(3 * time.Second)
+		mine.refuse.Store(true)
+		time.Sleep(6 * time.Second)
+		store.Compact()
+		store.Write("p/a", "new")
+		restarted := newCopy(store) // the watching host has listed anew too, and reaches no further back
+		restarted.Share = watchesForOthers()
+		go restarted.Run(ctx)
+		time.Sleep(time.Millisecond)
+		watching = restarted
+		time.Sleep(6 * time.Second)
+		mine.refuse.Store(false)
+		time.Sleep(1500 * time.Millisecond)
+		for _, c := range copies {
+			is.True(!c.Away())
+			is.Equal(c.get("p/a"), "new")
+		}
+	})
+}
+
+// Hosts whose views of the fleet differ, as after a cut, may rely on each other in a circle. They must not take each other's
+// old answers for new ones.
+func TestSharedWatchInACircle(t *testing.T) {
+	for hosts := 2; hosts <= 4; hosts++ {
+		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
+			inBubble(t, func(ctx context.Context, is *is.I, store *berylfake.MemoryStore) {
+				copies := make([]*copyOf, hosts)
+				for i := range copies {
+					copies[i] = newCopy(store)
+				}
+				var frozen atomic.Bool
+				for i, c := range copies {
+					c.relyThrough(copies[(i+1)%hosts], &frozen, true)
+					go c.Run(ctx)
+				}
+				time.Sleep(10 * time.Second)
+				store.Write("p/a", "new")
+				time.Sleep(1800 * time.Millisecond)
+				for _, c := range copies {
+					is.Equal(c.get("p/a"), "new")
+					is.True(time.Since(c.Current()) <= 3*time.Second)
+				}
+			})
+		})
+	}
+}
+
+// relyThrough makes another copy's host watch for this one, as long as it is not frozen.
+func (c *copyOf) relyThrough(watching *copyOf, frozen *atomic.Bool, serving bool) {
+	c.Share = &berylstore.Share{
+		Source: func() (string, bool) { return "other", serving },
+		Ask: func(ctx context.Context, host string, r berylstore.WatchRequest) (berylstore.WatchReply, error) {
+			if frozen.Load() {
+				<-ctx.Done()
+				return berylstore.WatchReply{}, ctx.Err()
+			}
+			return watching.answer(ctx, host, r)
+		},
+	}
+}
+
+// Of a prefix whose changes may wait longer, the watching host asks less often, and so do those that rely on it; what
+// they know is still no older than that wait, one ask and a direct watch.
+func TestSharedWatchOfSlowPrefix(t *testing.T) {
+	inBubble(t, func(ctx context.Context, is *is.I, store *berylfake.MemoryStore) {
+		cut := &cutStore{Store: store}
+		watching, relying := newCopy(cut), newCopy(store)
+		watching.Shared, relying.Shared = time.Second, time.Second
+		asked := relying.relyOn(watching)
+		go watching.Run(ctx)
+		go relying.Run(ctx)
+		time.Sleep(10 * time.Millisecond)
+		listed := store.Calls()["watch"] // with which their listings were brought up to date, and the first ones that wait
+		time.Sleep(10 * time.Second)
+		is.True(store.Calls()["watch"]-listed <= 11)
+		is.True(asked.Load() <= 13)
+		store.Write("p/a", "soon")
+		time.Sleep(10 * time.Millisecond)
+		is.Equal(relying.get("p/a"), "soon") // changes are passed on at once, whatever the wait
+		cut.cut.Store(true)
+		store.Write("p/a", "new")
+		began := time.Now()
+		for relying.get("p/a") != "new" {
+			time.Sleep(10 * time.Millisecond)
+		}
+		is.True(time.Since(began) <= 2800*time.Millisecond) // the end of a job is owed within 3 s
+	})
+}
+
+// SilentOutage: a store that falls silent for all is noticed by those that rely on a watching host about as soon as by that
+// one; until then calls on jobs wait in vain instead of being refused.
+func TestSharedWatchOfSilentStore(t *testing.T) {
+	inBubble(t, func(ctx context.Context, is *is.I, store *berylfake.MemoryStore) {
+		cut := &cutStore{Store: store}
+		watching, relying := newCopy(cut), newCopy(cut)
+		relying.relyOn(watching)
+		go watching.Run(ctx)
+		go relying.Run(ctx)
+		time.Sleep(10 * time.Second)
+		cut.cut.Store(true)
+		began := time.Now()
+		for !relying.Away() {
+			time.Sleep(10 * time.Millisecond)
+		}
+		is.True(time.Since(began) <= 2100*time.Millisecond)
+	})
+}
+
+// A store that is away is asked by one follower of each host, and seldom by hosts for which another one watches; all are
+// up to date soon after its return.
+func TestOutageCostsFewCalls(t *testing.T) {
+	for _, relying := range []bool{false, true} {
+		t.Run(fmt.Sprintf("relying %v", relying), func(t *testing.T) {
+			inBubble(t, func(ctx context.Context, is *is.I, store *berylfake.MemoryStore) {
+				watching := newCopy(store)
+				watching.Share = watchesForOthers()
+				go watching.Run(ctx)
+				own := &berylfake.MemoryStore{} // counts the calls of the host under test alone
+				own.Write("p/a", "old")
+				share := &berylstore.Share{
+					Source: func() (string, bool) {
+						if relying {
+							return "watching", false
+						}
+						return "", false
+					},
+					Ask: watching.answer,
+				}
+				var copies []*copyOf
+				for range 4 {
+					c := newCopy(own)
+					c.Share = share
+					copies = append(copies, c)
+					go c.Run(ctx)
+				}
+				time.Sleep(5 * time.Second)
+				store.Fail(berylfake.StoreRefuses)
+				own.Fail(berylfake.StoreRefuses)
+				before := own.Calls()
+				time.Sleep(2 * time.Second)
+				is.True(own.Calls()["list"]+own.Calls()["list-stale"] == before["list"]+before["list-stale"]) // an outage is no reason to list
+				watches := own.Calls()["watch"]
+				time.Sleep(10 * time.Second)
+				made := own.Calls()["watch"] - watches
+				most := 36 // one each 0.3 s, and a few that meet
+				if relying {
+					most = 6
+				}
+				t.Logf("%d calls", made)
+				is.True(made <= most)
+				store.Fail(berylfake.StoreWell)
+				own.Fail(berylfake.StoreWell)
+				store.Write("p/a", "new")
+				own.Write("p/a", "new")
+				time.Sleep(1200 * time.Millisecond)
+				for _, c := range copies {
+					is.True(!c.Away())
+					is.Equal(c.get("p/a"), "new")
+				}
+			})
+		})
+	}
+}
+
+// cutStore is a store whose watches fall silent when it is cut off.
+type cutStore struct {
+	berylstore.Store
+	cut atomic.Bool
+}
+
+func (s *cutStore) Watch(ctx context.Context, prefix string, above int64, wait time.Duration) ([]berylstore.Event, int64, error) {
+	events, asOf, err := s.Store.Watch(ctx, prefix, above, wait)
+	if s.cut.Load() {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
+	return events, asOf, err
+}
+
+// refusingStore refuses watches and listings while it is told to.
+type refusingStore struct {
+	berylstore.Store
+	refuse atomic.Bool
+}
+
+func (s *refusingStore) Watch(ctx context.Context, prefix string, above int64, wait time.Duration) ([]berylstore.Event, int64, error) {
+	if s.refuse.Load() {
+		return nil, 0, berylstore.ErrNotDone
+	}
+	return s.Store.Watch(ctx, prefix, above, wait)
+}
+
+func (s *refusingStore) List(ctx context.Context, prefix, after string) (berylstore.Page, error) {
+	if s.refuse.Load() {
+		return berylstore.Page{}, berylstore.ErrNotDone
+	}
+	return s.Store.List(ctx, prefix, after)
+}
