--- a/internal/berylbatch/record.go
+++ b/internal/berylbatch/record.go
@@ -83,6 +83,8 @@
 	Body []byte `cbor:"4,keyasint,omitempty"`
 	// Tokens is the length of the prompt plus the maximum length of the answer.
 	Tokens int64 `cbor:"5,keyasint,omitempty"`
+	// PromptParts names the parts of the prompt that other prompts may hold too, in order.
+	PromptParts []string `cbor:"6,keyasint,omitempty"`
 }
 
 // Spec is a job as its caller submitted it.
--- a/internal/berylbatch/run.go
+++ b/internal/berylbatch/run.go
@@ -5,6 +5,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -92,6 +93,10 @@
 	if err != nil {
 		fields["cause"] = err.Error()
 	}
+	if report.Fault && report.Tokens == 0 && report.Kind == beryloutcome.Unknown {
+		fields["broke-unanswered"] = true
+		fields["prompt-parts"] = strings.Join(it.PromptParts, ",")
+	}
 	m.Log.WithFields(fields).Info("item: call ended")
 }
 
--- a/internal/berylrelay/relay.go
+++ b/internal/berylrelay/relay.go
@@ -78,6 +78,8 @@
 	Tokens int
 	// PrefixHash is equal for prompts that begin alike; zero means unknown.
 	PrefixHash uint64
+	// PromptParts names the parts of the prompt that other prompts may hold too, in order.
+	PromptParts []string
 }
 
 // Relay carries requests to upstreams.
@@ -129,7 +131,9 @@
 	// lastProgress is when the current call began or, if later, last received a new event.
 	lastProgress time.Time
 	upstream     string
-	cause        error
+	// brokeUnanswered marks that a call broke off before the upstream had begun to answer.
+	brokeUnanswered bool
+	cause           error
 }
 
 // step says whether the request ends after a call, is sent to another upstream, or fails.
@@ -258,6 +262,7 @@
 	if errors.Is(err, ErrUnsent) {
 		return stepRetry
 	}
+	x.brokeUnanswered = x.brokeUnanswered || report.Fault && report.TimeToFirstToken == 0
 	report.Kind = beryloutcome.Unknown
 	if errors.Is(context.Cause(ctx), context.Canceled) {
 		report.Kind = beryloutcome.Cancelled
--- a/internal/berylrelay/report.go
+++ b/internal/berylrelay/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -56,5 +57,9 @@
 	if x.cause != nil {
 		fields["cause"] = x.cause.Error()
 	}
+	if x.brokeUnanswered {
+		fields["broke-unanswered"] = true
+		fields["prompt-parts"] = strings.Join(x.request.PromptParts, ",")
+	}
 	x.Log.WithFields(fields).Info("request: ended")
 }
