--- a/internal/berylbatch/job.go
+++ b/internal/berylbatch/job.go
@@ -4,6 +4,8 @@
 	"context"
 	"slices"
 	"time"
+
+	"berylroad.example/berylroad/internal/berylquarantine"
 )
 
 // job is this host's view of one job. Its fields are guarded by Manager.mu.
@@ -45,6 +47,11 @@
 	ended bool
 }
 
+// prompt returns what the quarantine knows of the item.
+func (it *item) prompt() berylquarantine.Prompt {
+	return berylquarantine.Prompt{Parts: it.PromptParts, Request: it.job.id + "/" + it.ID}
+}
+
 // isRunningHere reports whether this host has loaded the job's items and runs them.
 func (j *job) isRunningHere() bool {
 	return j.items != nil
--- a/internal/berylbatch/manager.go
+++ b/internal/berylbatch/manager.go
@@ -12,6 +12,7 @@
 
 	"berylroad.example/berylroad/internal/beryloutcome"
 	"berylroad.example/berylroad/internal/berylpermit"
+	"berylroad.example/berylroad/internal/berylquarantine"
 	"berylroad.example/berylroad/internal/berylrelay"
 	"berylroad.example/berylroad/internal/berylroute"
 	"berylroad.example/berylroad/internal/berylstore"
@@ -55,6 +56,8 @@
 	Upstreams *berylroute.Registry
 	// Client sends items to upstreams.
 	Client berylrelay.UpstreamClient
+	// Quarantine holds back items with prompt parts that crash upstreams; nil holds back none.
+	Quarantine *berylquarantine.Quarantine
 	// Routes holds the configuration in force.
 	Routes *berylroute.CurrentConfig
 	// Members tells which hosts are up.
--- a/internal/berylbatch/manager_test.go
+++ b/internal/berylbatch/manager_test.go
@@ -175,6 +175,8 @@
 type fakeUpstream struct {
 	events int
 	status func(id string) int
+	// body, if set, returns the body of an item's answer, or nil for the usual one.
+	body func(id string) io.Reader
 	// firstBody, if set, returns the body of each item's first call.
 	firstBody func(ctx context.Context) io.Reader
 
@@ -205,6 +207,11 @@
 	if status != http.StatusOK {
 		return &berylrelay.Reply{Status: status, Signed: true, Body: io.NopCloser(strings.NewReader(""))}, nil
 	}
+	if u.body != nil {
+		if body := u.body(call.ID); body != nil {
+			return &berylrelay.Reply{Status: status, Signed: true, EventStream: true, Body: io.NopCloser(body)}, nil
+		}
+	}
 	if u.firstBody != nil && u.callsByItem[call.ID] == 1 {
 		return &berylrelay.Reply{Status: status, Signed: true, EventStream: true, Body: io.NopCloser(u.firstBody(ctx))}, nil
 	}
--- a/internal/berylbatch/run.go
+++ b/internal/berylbatch/run.go
@@ -67,7 +67,11 @@
 		}
 	}()
 	from := it.events
-	status, err := m.callItem(ctx, cancel, it, permit, &report)
+	upstream, known := m.Upstreams.Get(permit.Upstream)
+	status, err := 0, errNotRun
+	if known && !upstream.Leaving {
+		status, err = m.callItem(ctx, cancel, it, upstream, &report)
+	}
 	if cause := context.Cause(ctx); err != nil && cause != nil {
 		err = cause
 	}
@@ -93,7 +97,8 @@
 	if err != nil {
 		fields["cause"] = err.Error()
 	}
-	if report.Fault && report.Tokens == 0 && report.Kind == beryloutcome.Unknown {
+	if report.Fault && report.Tokens == 0 && report.Kind == beryloutcome.Unknown && !errors.Is(err, errStalled) {
+		m.Quarantine.RecordBreak(upstream, it.prompt(), began)
 		fields["broke-unanswered"] = true
 		fields["prompt-parts"] = strings.Join(it.PromptParts, ",")
 	}
@@ -102,10 +107,9 @@
 
 // callItem makes one call and appends the events it receives to the item's text. It returns the HTTP status, or zero if
 // there is none.
-func (m *Manager) callItem(ctx context.Context, cancel context.CancelCauseFunc, it *item, permit *berylpermit.Permit, report *berylpermit.Report) (int, error) {
-	upstream, known := m.Upstreams.Get(permit.Upstream)
-	if !known || upstream.Leaving {
-		return 0, errNotRun
+func (m *Manager) callItem(ctx context.Context, cancel context.CancelCauseFunc, it *item, upstream berylroute.Upstream, report *berylpermit.Report) (int, error) {
+	if refusal := m.Quarantine.Admit(ctx, it.prompt()); refusal != nil {
+		return 0, errors.Mark(refusal, errNotRun)
 	}
 	began := time.Now()
 	stall := time.AfterFunc(itemStallTimeout, func() { cancel(errStalled) })
@@ -160,8 +164,9 @@
 			continue // without resetting the stall timer: an upstream that sends no new events has stalled
 		}
 		stall.Reset(itemStallTimeout)
-		if report.TimeToFirstToken == 0 {
+		if report.Tokens == 0 {
 			report.TimeToFirstToken = time.Since(began)
+			m.Quarantine.RecordBegin(upstream.Service, it.prompt())
 		}
 		report.Tokens++
 	}
--- a/internal/berylentry/fleet_bench_test.go
+++ b/internal/berylentry/fleet_bench_test.go
@@ -76,6 +76,8 @@
 	return &berylrelay.Reply{Status: http.StatusOK, Signed: true, EventStream: true, Body: read}, nil
 }
 
+func (benchClient) HasEnded(context.Context, berylroute.Upstream) bool { return false }
+
 func (benchClient) CloseStale(func(string) bool) {}
 func (benchClient) Close()                       {}
 
--- a/internal/berylentry/follow.go
+++ b/internal/berylentry/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -13,6 +14,7 @@
 	"berylroad.example/berylroad/internal/berylconf"
 	"berylroad.example/berylroad/internal/berylhost"
 	"berylroad.example/berylroad/internal/beryllink"
+	"berylroad.example/berylroad/internal/berylquarantine"
 	"berylroad.example/berylroad/internal/berylroute"
 	"berylroad.example/berylroad/internal/berylsched"
 	"berylroad.example/berylroad/internal/berylstore"
@@ -223,3 +225,27 @@
 func (p *jobPeers) ReadJob(ctx context.Context, host string, read berylbatch.ReadRequest) (berylbatch.ReadReply, error) {
 	return beryllink.Request[berylbatch.ReadRequest, berylbatch.ReadReply](ctx, p.links, host, kindJobRead, read)
 }
+
+// quarantinePeers reaches the other hosts for the quarantine of prompt parts.
+type quarantinePeers struct {
+	host  *Host
+	links *beryllink.Transport
+}
+
+// Others returns the other live hosts, those of a failure domain beside each other.
+func (p *quarantinePeers) Others() []string {
+	members := slices.Clone(p.host.members.Live())
+	slices.SortStableFunc(members, func(a, b berylhost.Member) int { return strings.Compare(a.FailureDomain, b.FailureDomain) })
+	var names []string
+	for _, m := range members {
+		if m.Name != p.host.Settings.Host {
+			names = append(names, m.Name)
+		}
+	}
+	return names
+}
+
+// Ask sends a message to a host.
+func (p *quarantinePeers) Ask(ctx context.Context, host string, message berylquarantine.Message) (berylquarantine.Evidence, error) {
+	return beryllink.Request[berylquarantine.Message, berylquarantine.Evidence](ctx, p.links, host, kindQuarantine, message)
+}
--- a/internal/berylentry/host.go
+++ b/internal/berylentry/host.go
@@ -15,6 +15,7 @@
 	"berylroad.example/berylroad/internal/berylhost"
 	"berylroad.example/berylroad/internal/beryllink"
 	"berylroad.example/berylroad/internal/berylpermit"
+	"berylroad.example/berylroad/internal/berylquarantine"
 	"berylroad.example/berylroad/internal/berylrelay"
 	"berylroad.example/berylroad/internal/berylroute"
 	"berylroad.example/berylroad/internal/berylsched"
@@ -43,6 +44,8 @@
 	kindStoreWatch = "store-watch"
 	// kindStoreCall is the kind of message that makes a call to the store for another host.
 	kindStoreCall = "store-call"
+	// kindQuarantine is the kind of message about prompt parts that crash upstreams.
+	kindQuarantine = "quarantine"
 	// kindStorePut is the kind of message that writes an item for another host.
 	kindStorePut = "store-put"
 )
@@ -66,6 +69,9 @@
 // UpstreamClient makes calls to upstreams and keeps idle connections to them.
 type UpstreamClient interface {
 	berylrelay.UpstreamClient
+	// HasEnded reports whether the run of an upstream has ended: nothing listens at its address. It returns false if that
+	// can't be told.
+	HasEnded(ctx context.Context, upstream berylroute.Upstream) bool
 	// CloseStale closes the idle connections to upstreams that are no longer known.
 	CloseStale(known func(id string) bool)
 	// Close closes all idle connections.
@@ -109,6 +115,7 @@
 	endpoint              *berylwire.Endpoint
 	members               *berylhost.Membership
 	scheduler             *berylsched.Scheduler
+	quarantine            *berylquarantine.Quarantine
 	assembled             atomic.Bool // true once assemble has returned
 	schedulerHasUpstreams atomic.Bool // true once the scheduler knows at least one upstream
 	serving               atomic.Bool
@@ -191,7 +198,7 @@
 	defer stop()
 	var components, jobs conc.WaitGroup
 	for _, run := range []func(context.Context){
-		h.endpoint.Serve, h.members.Run, h.scheduler.Run, h.operatorItems.Run, h.announcements.Run, h.hostRegistry.run, h.forwardChanges, h.expire,
+		h.endpoint.Serve, h.members.Run, h.scheduler.Run, h.operatorItems.Run, h.announcements.Run, h.hostRegistry.run, h.quarantine.Run, h.forwardChanges, h.expire,
 	} {
 		components.Go(func() { run(runCtx) })
 	}
@@ -238,10 +245,17 @@
 	h.hostRegistry = newRegistry(h.Store, self, h.Log, sharing, func(members []berylhost.Member) {
 		h.members.SetCandidates(context.Background(), members)
 	})
-	h.Relay = &berylrelay.Relay{Permits: h.scheduler, Upstreams: &h.upstreamRegistry, Client: h.Upstreams, Log: h.Log, Metrics: h.Metrics}
+	h.quarantine = berylquarantine.New(berylquarantine.Config{
+		Host: h.Settings.Host, Store: h.fallbackStore, Peers: &quarantinePeers{host: h, links: links}, HasCrashed: h.Upstreams.HasEnded,
+		Rank: (*memberView)(h).Rank, Sharing: sharing, Log: h.Log, Metrics: h.Metrics,
+	})
+	berylwire.Handle(h.endpoint, kindQuarantine, h.quarantine.HandleMessage)
+	h.Relay = &berylrelay.Relay{
+		Permits: h.scheduler, Upstreams: &h.upstreamRegistry, Client: h.Upstreams, Quarantine: h.quarantine, Log: h.Log, Metrics: h.Metrics,
+	}
 	h.Jobs = berylbatch.New(berylbatch.Config{
 		Host: h.Settings.Host, Boot: h.boot, Store: h.fallbackStore, Permits: h.scheduler, Upstreams: &h.upstreamRegistry, Client: h.Upstreams,
-		Routes: &h.routes, Members: (*memberView)(h), Peers: &jobPeers{links}, Sharing: sharing,
+		Quarantine: h.quarantine, Routes: &h.routes, Members: (*memberView)(h), Peers: &jobPeers{links}, Sharing: sharing,
 		WriteProgress: h.writeBatcher.Put, Lease: h.hostRegistry.currentLease, Retention: h.Settings.Retention, Log: h.Log, Metrics: h.Metrics,
 	})
 	berylwire.Handle(h.endpoint, kindJobRead, h.Jobs.HandleRead)
@@ -275,7 +289,7 @@
 
 // allFollowers returns the followers of all parts of the store that this host keeps a copy of.
 func (h *Host) allFollowers() []*berylstore.Follower {
-	return []*berylstore.Follower{&h.operatorItems, &h.announcements, &h.hostRegistry.follower, h.Jobs.Records()}
+	return []*berylstore.Follower{&h.operatorItems, &h.announcements, &h.hostRegistry.follower, h.Jobs.Records(), h.quarantine.Follower()}
 }
 
 // awaitReady waits until this host can serve online requests, and then until it is ready.
@@ -283,7 +297,7 @@
 	ticker := time.NewTicker(readyCheckInterval)
 	defer ticker.Stop()
 	for {
-		if !h.serving.Load() && h.routes.Get() != nil && h.schedulerHasUpstreams.Load() {
+		if !h.serving.Load() && h.routes.Get() != nil && h.schedulerHasUpstreams.Load() && !h.quarantine.Follower().LastCurrent().IsZero() {
 			h.serving.Store(true)
 			h.Log.WithFields(logrus.Fields{"version": h.routes.Get().Version, "upstreams": len(h.upstreamRegistry.All())}).Info("host: serving")
 		}
--- a/internal/berylentry/status.go
+++ b/internal/berylentry/status.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"berylroad.example/berylroad/internal/berylbatch"
+	"berylroad.example/berylroad/internal/berylquarantine"
 )
 
 // Status is a snapshot of one host's view. Ages are in milliseconds; -1 means never.
@@ -28,6 +29,8 @@
 	Members []MemberStatus `json:"members"`
 	// Upstreams lists the upstreams that this host knows, sorted by ID.
 	Upstreams []UpstreamStatus `json:"upstreams"`
+	// Quarantine lists the prompt parts that are kept away from upstreams, sorted by key.
+	Quarantine []berylquarantine.Status `json:"quarantine"`
 	// Jobs lists the open batch jobs in the order of their acceptance.
 	Jobs []berylbatch.JobStatus `json:"jobs"`
 }
@@ -97,6 +100,7 @@
 		})
 	}
 	s.Upstreams = h.upstreamStatus()
+	s.Quarantine = h.quarantine.Status()
 	s.Jobs = h.Jobs.Status()
 	return s
 }
--- /dev/null
+++ b/internal/berylquarantine/verdict.go
@@ -0,0 +1,141 @@
+package berylquarantine
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// maxVerdicts bounds the verdicts in force. Further ones are not passed until operators have looked at these.
+	maxVerdicts = 256
+	// verdictLifetime is how long a verdict holds after it was passed or last tried. Evidence is gathered anew then.
+	verdictLifetime = 24 * time.Hour
+)
+
+// trialDelays are the times from the verdict to the first trial and from one trial to the next. A trial sends one request with
+// the parts; if an upstream begins to answer it, the verdict is lifted. After the last one only operators lift it.
+var trialDelays = []time.Duration{30 * time.Second, 5 * time.Minute}
+
+// Verdict is the decision that prompts which hold all of the given parts are not sent to upstreams.
+type Verdict struct {
+	// Parts are IDs of prompt parts, and the key of a request if it is quarantined by itself or together with parts; sorted.
+	Parts []string `cbor:"1,keyasint" json:"parts"`
+	// Host is the host that decided.
+	Host string `cbor:"2,keyasint" json:"host"`
+	// DecidedAtMillis is when the verdict was passed or last tried, in milliseconds of Unix time.
+	DecidedAtMillis int64 `cbor:"3,keyasint" json:"decided-at-ms"`
+	// Crashes are the upstreams whose crashes decided it.
+	Crashes []string `cbor:"4,keyasint,omitempty" json:"crashes"`
+	// Trials counts the trials so far.
+	Trials int `cbor:"5,keyasint,omitempty" json:"trials"`
+}
+
+// Key returns a short name that is the same for the same parts.
+func (v *Verdict) Key() string {
+	return strconv.FormatUint(xxhash.Sum64String(strings.Join(v.Parts, ",")), 16)
+}
+
+func (v *Verdict) expired(now time.Time) bool {
+	return now.Sub(time.UnixMilli(v.DecidedAtMillis)) > verdictLifetime
+}
+
+// covers reports whether a prompt with these parts holds all parts of the verdict.
+func (v *Verdict) covers(parts []string) bool {
+	return !slices.ContainsFunc(v.Parts, func(p string) bool { return !slices.Contains(parts, p) })
+}
+
+// heldVerdict is a verdict in force on this host.
+type heldVerdict struct {
+	Verdict
+	// revision is the revision of its item in the store, or zero if this host has not seen it there.
+	revision int64
+	// knownSince is when this host learned of the verdict, or of its last trial.
+	knownSince time.Time
+	// claimedAt is when this host last tried to claim a trial.
+	claimedAt time.Time
+}
+
+// trialDue returns when a request may be sent as a trial, and false if there are no more trials. The store must hold the
+// verdict, since it decides which host sends the trial.
+func (v *heldVerdict) trialDue() (time.Time, bool) {
+	if v.Trials >= len(trialDelays) {
+		return time.Time{}, false
+	}
+	return v.knownSince.Add(trialDelays[v.Trials]), true
+}
+
+// verdicts holds the verdicts in force by their keys, and by the first of their parts.
+type verdicts struct {
+	byKey       map[string]*heldVerdict
+	byFirstPart map[string][]*heldVerdict
+}
+
+// match returns a verdict that covers a prompt with these parts, or nil.
+func (s *verdicts) match(parts []string) *heldVerdict {
+	if len(s.byKey) == 0 {
+		return nil
+	}
+	for _, part := range parts {
+		for _, v := range s.byFirstPart[part] {
+			if v.covers(parts) {
+				return v
+			}
+		}
+	}
+	return nil
+}
+
+// put adds a verdict, or brings the known one up to date, and reports whether it was added. A verdict without parts or above
+// maxVerdicts is left out.
+func (s *verdicts) put(v Verdict, revision int64, now time.Time) bool {
+	key := v.Key()
+	if held := s.byKey[key]; held != nil {
+		held.update(v, revision, now)
+		return false
+	}
+	if len(v.Parts) == 0 || len(s.byKey) >= maxVerdicts {
+		return false
+	}
+	if s.byKey == nil {
+		s.byKey, s.byFirstPart = make(map[string]*heldVerdict), make(map[string][]*heldVerdict)
+	}
+	held := &heldVerdict{Verdict: v, revision: revision, knownSince: now}
+	s.byKey[key] = held
+	s.byFirstPart[v.Parts[0]] = append(s.byFirstPart[v.Parts[0]], held)
+	return true
+}
+
+// update takes over a later state of the verdict. Messages may be older than what the store holds.
+func (v *heldVerdict) update(newer Verdict, revision int64, now time.Time) {
+	v.revision = max(v.revision, revision)
+	if newer.Trials > v.Trials {
+		v.Verdict, v.knownSince = newer, now
+	}
+}
+
+// remove removes a verdict and reports whether it was there.
+func (s *verdicts) remove(key string) bool {
+	held := s.byKey[key]
+	if held == nil {
+		return false
+	}
+	delete(s.byKey, key)
+	first := held.Parts[0]
+	s.byFirstPart[first] = slices.DeleteFunc(s.byFirstPart[first], func(v *heldVerdict) bool { return v == held })
+	if len(s.byFirstPart[first]) == 0 {
+		delete(s.byFirstPart, first)
+	}
+	return true
+}
+
+// list returns the verdicts sorted by key.
+func (s *verdicts) list() []*heldVerdict {
+	list := slices.Collect(maps.Values(s.byKey))
+	slices.SortFunc(list, func(a, b *heldVerdict) int { return strings.Compare(a.Key(), b.Key()) })
+	return list
+}
--- a/internal/berylrelay/relay.go
+++ b/internal/berylrelay/relay.go
@@ -14,6 +14,7 @@
 
 	"berylroad.example/berylroad/internal/beryloutcome"
 	"berylroad.example/berylroad/internal/berylpermit"
+	"berylroad.example/berylroad/internal/berylquarantine"
 	"berylroad.example/berylroad/internal/berylroute"
 )
 
@@ -90,6 +91,8 @@
 	Upstreams *berylroute.Registry
 	// Client sends requests to upstreams.
 	Client UpstreamClient
+	// Quarantine refuses prompts with parts that crash upstreams; nil refuses none.
+	Quarantine *berylquarantine.Quarantine
 	// Log receives one line for each request.
 	Log logrus.FieldLogger
 	// Metrics receives counts and times; nil records none.
@@ -99,6 +102,10 @@
 // Do carries one request to its end. ctx ends when the caller disconnects.
 func (r *Relay) Do(ctx context.Context, request *Request, sink Sink) beryloutcome.Result {
 	x := exchange{Relay: r, request: request, sink: sink, startedAt: time.Now(), service: request.Route.Service(request.ID)}
+	x.prompt.Parts = request.PromptParts
+	if request.Route.Repeatable() {
+		x.prompt.Request = request.ID
+	}
 	requestCtx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
 	result := x.run(requestCtx)
@@ -116,6 +123,8 @@
 	sink      Sink
 	startedAt time.Time
 	service   string
+	// prompt is what the quarantine knows of the request.
+	prompt berylquarantine.Prompt
 	// triedUpstreams names the upstreams that were granted so far. None of them is granted to the request again.
 	triedUpstreams []string
 	// sends counts the upstreams that the request was sent to, possibleRuns those that may have run it.
@@ -131,6 +140,9 @@
 	// lastProgress is when the current call began or, if later, last received a new event.
 	lastProgress time.Time
 	upstream     string
+	// calledUpstream is the upstream of the current call, sentAt when the call was sent.
+	calledUpstream berylroute.Upstream
+	sentAt         time.Time
 	// brokeUnanswered marks that a call broke off before the upstream had begun to answer.
 	brokeUnanswered bool
 	cause           error
@@ -147,6 +159,9 @@
 
 func (x *exchange) run(ctx context.Context) beryloutcome.Result {
 	for {
+		if refusal := x.Quarantine.Refusal(x.prompt); refusal != nil {
+			return x.resultQuarantined(ctx, refusal)
+		}
 		permit, refusal := x.acquire(ctx)
 		if refusal != nil {
 			return x.resultWithoutPermit(ctx, refusal)
@@ -212,9 +227,15 @@
 		x.cause = errors.New("the granted upstream is leaving or gone")
 		return stepRetry
 	}
+	// A verdict may have been passed while the request waited for its permit.
+	if refusal := x.Quarantine.Admit(ctx, x.prompt); refusal != nil {
+		x.cause = refusal
+		return stepRetry
+	}
 	callCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	x.sends++
+	x.calledUpstream, x.sentAt = upstream, time.Now()
 	stall := x.watchStall(cancel)
 	defer stall.Stop()
 	reply, err := x.Client.Call(callCtx, x.newCall(upstream))
@@ -262,7 +283,10 @@
 	if errors.Is(err, ErrUnsent) {
 		return stepRetry
 	}
-	x.brokeUnanswered = x.brokeUnanswered || report.Fault && report.TimeToFirstToken == 0
+	if report.Fault && report.Tokens == 0 && !errors.Is(err, errStalled) {
+		x.brokeUnanswered = true
+		x.Quarantine.RecordBreak(x.calledUpstream, x.prompt, x.sentAt)
+	}
 	report.Kind = beryloutcome.Unknown
 	if errors.Is(context.Cause(ctx), context.Canceled) {
 		report.Kind = beryloutcome.Cancelled
@@ -307,6 +331,9 @@
 		return stepFail
 	}
 	report.Kind = beryloutcome.Answered
+	if reply.Status == http.StatusOK {
+		x.Quarantine.RecordBegin(x.service, x.prompt)
+	}
 	if reply.Status >= http.StatusInternalServerError {
 		report.Kind = beryloutcome.Failed
 	}
@@ -378,6 +405,7 @@
 			x.lastProgress = time.Now()
 			if report.Tokens == 0 {
 				report.TimeToFirstToken = time.Since(began)
+				x.Quarantine.RecordBegin(x.service, x.prompt)
 			}
 			report.Tokens++
 		}
@@ -426,6 +454,15 @@
 	return x.result(beryloutcome.NotRun, x.notRunRefusal(refusal.RetryAfter))
 }
 
+// resultQuarantined ends a request whose prompt is quarantined.
+func (x *exchange) resultQuarantined(ctx context.Context, refusal *beryloutcome.Refusal) beryloutcome.Result {
+	x.cause = refusal
+	if x.possibleRuns > 0 {
+		return x.failedResult(ctx)
+	}
+	return x.result(beryloutcome.NotRun, refusal)
+}
+
 // failedResult ends a request whose calls have failed.
 func (x *exchange) failedResult(ctx context.Context) beryloutcome.Result {
 	if x.possibleRuns == 0 {
