Pass the verdict on a prompt part sooner where it crashes many upstreams a second

On the grown ribdesk site 31 upstreams ended between 4.17 and 5.19 s before the verdict at 5.14 s. Prompts with the part come 15 times a second there, so most were sent before the crash of another one was known and did not count as in a row; and only the last 8 crashes were kept, which reach back 0.25 s.

Six crashes now suffice if two of them are in a row, and 32 are kept. Ruled out: messages between the 88 hosts (none unanswered, the verdict was known everywhere 20 ms later).

--- a/internal/berylquarantine/table.go
+++ b/internal/berylquarantine/table.go
@@ -9,6 +9,9 @@
 	// crashesForVerdict is how many crashes in a row a part must have been part of. A part that upstreams can answer would
 	// have to be in the wrong place as often, without one answer in between.
 	crashesForVerdict = 3
+	// overlappingCrashesForVerdict is how many crashes are enough if only two of them are in a row: where prompts with the part
+	// come at a high rate, most of them are sent before the crash of another one is known.
+	overlappingCrashesForVerdict = 6
 	// beginsForVerdict is how many other prompts upstreams must have begun to answer since the first of these crashes.
 	// Without it, a service whose upstreams all crash would have every part of its prompts quarantined.
 	beginsForVerdict = 3
@@ -19,8 +22,9 @@
 	minCrashShare = 8
 	// maxCrashes bounds the crashes that are remembered.
 	maxCrashes = 256
-	// maxAccusations bounds the crashes that are kept for one part.
-	maxAccusations = 8
+	// maxAccusations bounds the crashes that are kept for one part. The last ones must reach back over crashesForVerdict in a
+	// row, also at tens of crashes a second.
+	maxAccusations = 32
 	// maxSuspects bounds the parts that have accusations. The one that was accused least recently is dropped first.
 	maxSuspects = 1024
 	// maxBegun bounds the parts in each of the two generations of the record of begun answers.
@@ -164,7 +168,9 @@
 
 func (t *Table) isGuilty(now time.Time, part string, begins []time.Time) bool {
 	first, inARow := t.crashesInARow(now, part)
-	if inARow < crashesForVerdict || len(t.suspects[part])*minCrashShare < t.crashesSince(first) {
+	crashes := len(t.suspects[part])
+	isEnough := inARow >= crashesForVerdict || inARow >= 2 && crashes >= overlappingCrashesForVerdict
+	if !isEnough || crashes*minCrashShare < t.crashesSince(first) {
 		return false
 	}
 	answered := 0
