Name the cause when a peer refuses a host's certificate

Cause: where the peer's refusal arrives as its TLS alert, quic-go's error lists a nil error among its causes, and formatting a wrapped error walks that list. The endpoint now wraps QUIC errors in a type that hides the list from formatting and keeps errors.Is and errors.As.

--- a/internal/berylwire/call.go
+++ b/internal/berylwire/call.go
@@ -86,7 +86,7 @@
 	case <-c.ready:
 	}
 	if c.err != nil {
-		return nil, Unreachable, false, errors.Wrap(c.err, "connect")
+		return nil, Unreachable, false, errors.Wrap(opaque(c.err), "connect")
 	}
 	body, fault, err = e.transfer(ctx, c.conn, frame)
 	stale = connectionLost(err)
@@ -100,7 +100,7 @@
 func (e *Endpoint) transfer(ctx context.Context, conn *quic.Conn, frame []byte) ([]byte, Fault, error) {
 	stream, err := conn.OpenStreamSync(ctx)
 	if err != nil {
-		return nil, Unreachable, errors.Wrap(err, "open a stream")
+		return nil, Unreachable, errors.Wrap(opaque(err), "open a stream")
 	}
 	stop := context.AfterFunc(ctx, func() {
 		stream.CancelRead(cancelCode)
@@ -113,7 +113,7 @@
 	received, err := readFrame(stream, e.config.MaxFrameBytes)
 	if err != nil {
 		stream.CancelRead(cancelCode)
-		return nil, faultWithoutAnswer(err), errors.CombineErrors(ctx.Err(), err)
+		return nil, faultWithoutAnswer(err), errors.CombineErrors(ctx.Err(), opaque(err))
 	}
 	var answer reply
 	if err := e.codec.dec.Unmarshal(received, &answer); err != nil {
--- a/internal/berylwire/error.go
+++ b/internal/berylwire/error.go
@@ -88,3 +88,24 @@
 		return err != nil
 	}
 }
+
+// opaque hides the list of causes of a QUIC error, which may hold a nil error and then can't be formatted once it is wrapped.
+// errors.Is and errors.As still see the error and its causes.
+func opaque(err error) error {
+	if err == nil {
+		return nil
+	}
+	return &opaqueError{err: err}
+}
+
+type opaqueError struct {
+	err error
+}
+
+func (e *opaqueError) Error() string { return e.err.Error() }
+
+// Is implements the test of errors.Is.
+func (e *opaqueError) Is(target error) bool { return errors.Is(e.err, target) }
+
+// As implements the test of errors.As.
+func (e *opaqueError) As(target any) bool { return errors.As(e.err, target) }
