Count the trials of overlapping quarantines together

Two parts that only came together are quarantined together; a crash of a prompt with one of them alone makes a second, narrower verdict. Each had two trials of its own, so that with the prompt that decided the second one five prompts with the part could reach upstreams where three are allowed.

The narrower verdict now takes over the trials of the wider ones, a prompt that both cover is tried by the narrower one alone, and an answer lifts all verdicts that cover its prompt.

--- a/internal/berylquarantine/quarantine.go
+++ b/internal/berylquarantine/quarantine.go
@@ -227,7 +227,7 @@
 	}
 }
 
-// RecordBegin records that an upstream of the service has begun to answer a prompt. It lifts a verdict on its parts.
+// RecordBegin records that an upstream of the service has begun to answer a prompt. It lifts the verdicts on its parts.
 func (q *Quarantine) RecordBegin(service string, prompt Prompt) {
 	if q == nil || prompt.IsEmpty() {
 		return
@@ -235,7 +235,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.table.RecordBegin(time.Now(), service, prompt)
-	if v := q.verdicts.match(prompt.keys()); v != nil {
+	for v := q.verdicts.match(prompt.keys()); v != nil; v = q.verdicts.match(prompt.keys()) {
 		q.lift(v, "an upstream has begun to answer them")
 	}
 }
@@ -361,7 +361,7 @@
 		if len(guilty) == 0 || q.verdicts.match(b.Prompt.keys()) != nil {
 			continue
 		}
-		v := Verdict{Parts: guilty, Host: q.Host, DecidedAtMillis: now.UnixMilli(), Crashes: q.table.crashesOf(guilty)}
+		v := Verdict{Parts: guilty, Host: q.Host, DecidedAtMillis: now.UnixMilli(), Crashes: q.table.crashesOf(guilty), Trials: q.verdicts.trialsOf(guilty)}
 		if !q.verdicts.put(v, 0, now) {
 			q.Log.WithField("prompt-parts", strings.Join(guilty, ",")).Error("quarantine: too many verdicts, this one is not passed")
 			continue
--- a/internal/berylquarantine/verdict.go
+++ b/internal/berylquarantine/verdict.go
@@ -75,19 +75,33 @@
 	byFirstPart map[string][]*heldVerdict
 }
 
-// match returns a verdict that covers a prompt with these parts, or nil.
+// match returns the verdict that covers a prompt with these parts, or nil. Of several it returns the one with the fewest parts:
+// its trials count for the others, too.
 func (s *verdicts) match(parts []string) *heldVerdict {
 	if len(s.byKey) == 0 {
 		return nil
 	}
+	var best *heldVerdict
 	for _, part := range parts {
 		for _, v := range s.byFirstPart[part] {
-			if v.covers(parts) {
-				return v
+			if v.covers(parts) && (best == nil || len(v.Parts) < len(best.Parts)) {
+				best = v
 			}
 		}
 	}
-	return nil
+	return best
+}
+
+// trialsOf returns how many trials there were of verdicts that hold all of these parts.
+func (s *verdicts) trialsOf(parts []string) int {
+	trials := 0
+	narrower := Verdict{Parts: parts}
+	for _, v := range s.byKey {
+		if narrower.covers(v.Parts) {
+			trials = max(trials, v.Trials)
+		}
+	}
+	return trials
 }
 
 // put adds a verdict, or brings the known one up to date, and reports whether it was added. A verdict without parts or above
