Check verdicts of other hosts and of the store before they are used

A record in the store with a negative number of trials would have ended the process of each host that reads it (index out of range in trialDue), and an accusation with a negative age lay in the future and could not be cleared.

--- a/internal/berylquarantine/fanout.go
+++ b/internal/berylquarantine/fanout.go
@@ -108,6 +108,10 @@
 	now := time.Now()
 	q.table.Merge(now, message.Evidence)
 	for _, v := range message.Verdicts {
+		if err := v.check(); err != nil {
+			q.Log.WithError(err).Error("quarantine: verdict of another host can't be used")
+			continue
+		}
 		if q.verdicts.put(v, 0, now) {
 			q.logInstalled(&v, 0)
 		}
--- a/internal/berylquarantine/persist.go
+++ b/internal/berylquarantine/persist.go
@@ -171,6 +171,9 @@
 	var v Verdict
 	err := cbor.Unmarshal(item.Value, &v)
 	key := strings.TrimPrefix(item.Key, Prefix)
+	if err == nil {
+		err = v.check()
+	}
 	if err == nil && v.Key() != key {
 		err = errors.Newf("the verdict belongs to the key %s", v.Key())
 	}
--- a/internal/berylquarantine/table.go
+++ b/internal/berylquarantine/table.go
@@ -225,10 +225,10 @@
 func (t *Table) Merge(now time.Time, e Evidence) {
 	for _, p := range e.Parts {
 		if p.Begun {
-			t.clear(p.Part, now.Add(-p.SinceBegun))
+			t.clear(p.Part, now.Add(-max(p.SinceBegun, 0)))
 		}
 		for _, a := range p.Accusations {
-			t.accuse(p.Part, accusation{crash: a.Crash, sentAt: now.Add(-a.SinceSent), brokeAt: now.Add(-a.SinceBroke)})
+			t.accuse(p.Part, accusation{crash: a.Crash, sentAt: now.Add(-max(a.SinceSent, 0)), brokeAt: now.Add(-max(a.SinceBroke, 0))})
 		}
 	}
 }
--- a/internal/berylquarantine/verdict.go
+++ b/internal/berylquarantine/verdict.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -40,6 +41,14 @@
 	return strconv.FormatUint(xxhash.Sum64String(strings.Join(v.Parts, ",")), 16)
 }
 
+// check returns an error for a verdict that no host can have passed.
+func (v *Verdict) check() error {
+	if len(v.Parts) == 0 || v.Trials < 0 || !slices.IsSorted(v.Parts) {
+		return errors.Newf("a verdict has sorted parts and a number of trials, not %q and %d", v.Parts, v.Trials)
+	}
+	return nil
+}
+
 func (v *Verdict) expired(now time.Time) bool {
 	return now.Sub(time.UnixMilli(v.DecidedAtMillis)) > verdictLifetime
 }
@@ -104,15 +113,15 @@
 	return trials
 }
 
-// put adds a verdict, or brings the known one up to date, and reports whether it was added. A verdict without parts or above
-// maxVerdicts is left out.
+// put adds a verdict, or brings the known one up to date, and reports whether it was added. A verdict above maxVerdicts is
+// left out.
 func (s *verdicts) put(v Verdict, revision int64, now time.Time) bool {
 	key := v.Key()
 	if held := s.byKey[key]; held != nil {
 		held.update(v, revision, now)
 		return false
 	}
-	if len(v.Parts) == 0 || len(s.byKey) >= maxVerdicts {
+	if len(s.byKey) >= maxVerdicts {
 		return false
 	}
 	if s.byKey == nil {
