Look up quarantines without a lock while there are none

The dispatch of items asked for the refusal of each waiting item at each turn, which counted refusals that nobody got and took the lock for nothing on a fleet without verdicts (found by reading; not measured). HoldsBack only answers the question, and both return at once while no verdict is in force. A panic in a crash check ends the process at once instead of at its stop, and a host without peers needs no stand-in for them. No decision is changed.

--- a/internal/berylbatch/dispatch.go
+++ b/internal/berylbatch/dispatch.go
@@ -66,7 +66,7 @@
 			continue
 		}
 		for _, it := range j.items {
-			if it.isRunnable(now) && m.Quarantine.Refusal(it.prompt()) == nil {
+			if it.isRunnable(now) && !m.Quarantine.HoldsBack(it.prompt()) {
 				visit(it, route)
 			}
 		}
--- a/internal/berylbatch/quarantine_test.go
+++ b/internal/berylbatch/quarantine_test.go
@@ -13,19 +13,10 @@
 	"berylroad.example/berylroad/internal/berylroute"
 )
 
-// noPeers is a fleet of one host.
-type noPeers struct{}
-
-func (noPeers) Others() []string { return nil }
-
-func (noPeers) Ask(context.Context, string, berylquarantine.Message) (berylquarantine.Evidence, error) {
-	return berylquarantine.Evidence{}, nil
-}
-
 // startQuarantine gives a manager a quarantine for which every broken call is a crash.
 func (cluster *testCluster) startQuarantine(m *Manager) {
 	m.Quarantine = berylquarantine.New(berylquarantine.Config{
-		Host: m.Host, Store: &cluster.store, Peers: noPeers{}, Rank: func(string) int { return 0 }, Log: discardLog(),
+		Host: m.Host, Store: &cluster.store, Rank: func(string) int { return 0 }, Log: discardLog(),
 		HasCrashed: func(context.Context, berylroute.Upstream) bool { return true },
 	})
 }
--- a/internal/berylquarantine/fanout.go
+++ b/internal/berylquarantine/fanout.go
@@ -23,6 +23,9 @@
 // broadcast sends a message to all other live hosts and returns their evidence, without that of hosts that don't reply in
 // time.
 func (q *Quarantine) broadcast(ctx context.Context, message Message) Evidence {
+	if q.Peers == nil {
+		return Evidence{}
+	}
 	var all collector
 	var group conc.WaitGroup
 	for _, hosts := range groupHosts(q.Peers.Others()) {
@@ -90,7 +93,9 @@
 	forwarded := message
 	forwarded.Forward = nil
 	var all collector
-	q.askAll(ctx, forwardTimeout, message.Forward, forwarded, &all)
+	if q.Peers != nil {
+		q.askAll(ctx, forwardTimeout, message.Forward, forwarded, &all)
+	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := time.Now()
--- a/internal/berylquarantine/fuzz_test.go
+++ b/internal/berylquarantine/fuzz_test.go
@@ -1,7 +1,6 @@
 package berylquarantine
 
 import (
-	"context"
 	"io"
 	"testing"
 	"time"
@@ -13,16 +12,10 @@
 	"berylroad.example/berylroad/internal/berylstore"
 )
 
-type fuzzPeers struct{}
-
-func (fuzzPeers) Others() []string { return nil }
-
-func (fuzzPeers) Ask(context.Context, string, Message) (Evidence, error) { return Evidence{}, nil }
-
 func newFuzzQuarantine() *Quarantine {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	return New(Config{Host: "h", Store: &berylfake.MemoryStore{}, Peers: fuzzPeers{}, Rank: func(string) int { return 0 }, Log: log})
+	return New(Config{Host: "h", Store: &berylfake.MemoryStore{}, Rank: func(string) int { return 0 }, Log: log})
 }
 
 // use does with a quarantine what a host does.
--- a/internal/berylquarantine/quarantine.go
+++ b/internal/berylquarantine/quarantine.go
@@ -53,7 +53,7 @@
 	Host string
 	// Store keeps the verdicts.
 	Store berylstore.Store
-	// Peers reaches the other hosts.
+	// Peers reaches the other hosts; it may be nil if there are none.
 	Peers Peers
 	// HasCrashed looks at an upstream that has broken a call off. It returns true if that run of the upstream has ended, and
 	// false if it has not or that can't be told.
@@ -86,7 +86,7 @@
 	changed chan struct{}
 
 	inquiries chan struct{}
-	tasks     conc.WaitGroup
+	tasks     sync.WaitGroup  // not a conc.WaitGroup, which would hold a panic back until Wait
 	context   context.Context // set by New, cancelled when Run ends
 	cancel    context.CancelFunc
 }
@@ -143,23 +143,38 @@
 
 // Refusal returns the refusal of a prompt with quarantined parts, or nil if it may be sent, maybe as a trial.
 func (q *Quarantine) Refusal(prompt Prompt) *beryloutcome.Refusal {
-	if q == nil || prompt.IsEmpty() {
+	if q.isInactive(prompt) {
 		return nil
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := time.Now()
-	v := q.verdicts.match(prompt.keys())
-	if v == nil || v.mayClaim(now) {
-		return nil
+	if v := q.verdicts.match(prompt.keys()); v != nil && !v.mayClaim(now) {
+		return q.refuse(v, now)
 	}
-	return q.refuse(v, now)
+	return nil
+}
+
+// HoldsBack reports whether Refusal would refuse a prompt.
+func (q *Quarantine) HoldsBack(prompt Prompt) bool {
+	if q.isInactive(prompt) {
+		return false
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	v := q.verdicts.match(prompt.keys())
+	return v != nil && !v.mayClaim(time.Now())
+}
+
+// isInactive reports whether there is nothing to look for in a prompt.
+func (q *Quarantine) isInactive(prompt Prompt) bool {
+	return q == nil || q.verdicts.count.Load() == 0 || prompt.IsEmpty()
 }
 
 // Admit returns nil if a prompt may be sent to an upstream now. If it holds quarantined parts and a trial of them is due, Admit
 // claims the trial: the fleet sends one request as a trial.
 func (q *Quarantine) Admit(ctx context.Context, prompt Prompt) *beryloutcome.Refusal {
-	if q == nil || prompt.IsEmpty() {
+	if q.isInactive(prompt) {
 		return nil
 	}
 	q.mu.Lock()
--- a/internal/berylquarantine/verdict.go
+++ b/internal/berylquarantine/verdict.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -82,14 +83,13 @@
 type verdicts struct {
 	byKey       map[string]*heldVerdict
 	byFirstPart map[string][]*heldVerdict
+	// count is the number of verdicts; it may be read without the lock that guards the maps.
+	count atomic.Int64
 }
 
 // match returns the verdict that covers a prompt with these parts, or nil. Of several it returns the one with the fewest parts:
 // its trials count for the others, too.
 func (s *verdicts) match(parts []string) *heldVerdict {
-	if len(s.byKey) == 0 {
-		return nil
-	}
 	var best *heldVerdict
 	for _, part := range parts {
 		for _, v := range s.byFirstPart[part] {
@@ -130,6 +130,7 @@
 	held := &heldVerdict{Verdict: v, revision: revision, knownSince: now}
 	s.byKey[key] = held
 	s.byFirstPart[v.Parts[0]] = append(s.byFirstPart[v.Parts[0]], held)
+	s.count.Store(int64(len(s.byKey)))
 	return true
 }
 
@@ -148,6 +149,7 @@
 		return false
 	}
 	delete(s.byKey, key)
+	s.count.Store(int64(len(s.byKey)))
 	first := held.Parts[0]
 	s.byFirstPart[first] = slices.DeleteFunc(s.byFirstPart[first], func(v *heldVerdict) bool { return v == held })
 	if len(s.byFirstPart[first]) == 0 {
--- a/internal/berylrelay/quarantine_test.go
+++ b/internal/berylrelay/quarantine_test.go
@@ -18,15 +18,6 @@
 	"berylroad.example/berylroad/internal/berylroute"
 )
 
-// noPeers is a fleet of one host.
-type noPeers struct{}
-
-func (noPeers) Others() []string { return nil }
-
-func (noPeers) Ask(context.Context, string, berylquarantine.Message) (berylquarantine.Evidence, error) {
-	return berylquarantine.Evidence{}, nil
-}
-
 // quarantineTest relays prompts to upstreams that crash on the part "bad".
 type quarantineTest struct {
 	*is.I
@@ -62,7 +53,7 @@
 	s := &quarantineTest{I: is.New(t), route: route, client: &crashingClient{}}
 	s.relay = Relay{Upstreams: newRegistry(ids...), Client: s.client, Log: discardLogger()}
 	s.relay.Quarantine = berylquarantine.New(berylquarantine.Config{
-		Host: "h", Store: &berylfake.MemoryStore{}, Peers: noPeers{}, Rank: func(string) int { return 0 }, Log: discardLogger(),
+		Host: "h", Store: &berylfake.MemoryStore{}, Rank: func(string) int { return 0 }, Log: discardLogger(),
 		HasCrashed: func(context.Context, berylroute.Upstream) bool { return true },
 	})
 	return s
