--- a/internal/berylfake/memorystore.go
+++ b/internal/berylfake/memorystore.go
@@ -188,7 +188,7 @@
 		}
 		asOf, changed := s.revision, s.changed
 		s.mu.Unlock()
-		if len(events) > 0 {
+		if len(events) > 0 || wait <= 0 {
 			return events, asOf, nil
 		}
 		select {
--- a/internal/berylquarantine/quarantine.go
+++ b/internal/berylquarantine/quarantine.go
@@ -334,7 +334,7 @@
 func (q *Quarantine) inquire(check *crashCheck) {
 	message := q.accuse(check)
 	replies := q.broadcast(q.context, message)
-	verdicts := q.judge(check, replies)
+	verdicts := q.decide(check, replies)
 	if len(verdicts) > 0 {
 		q.signal()
 		q.broadcast(q.context, Message{Verdicts: verdicts})
@@ -359,8 +359,8 @@
 	return Message{Service: check.upstream.Service, Parts: parts, Evidence: q.table.Evidence(time.Now(), check.upstream.Service, parts)}
 }
 
-// judge weighs the calls that broke off in a crash with the evidence of all hosts.
-func (q *Quarantine) judge(check *crashCheck, replies Evidence) []Verdict {
+// decide weighs the calls that broke off in a crash with the evidence of all hosts.
+func (q *Quarantine) decide(check *crashCheck, replies Evidence) []Verdict {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := time.Now()
@@ -372,19 +372,19 @@
 	}
 	var passed []Verdict
 	for _, b := range check.breaks {
-		guilty := q.table.Judge(now, b, times)
-		if len(guilty) == 0 || q.verdicts.match(b.Prompt.keys()) != nil {
+		crashing := q.table.CrashingParts(now, b, times)
+		if len(crashing) == 0 || q.verdicts.match(b.Prompt.keys()) != nil {
 			continue
 		}
-		v := Verdict{Parts: guilty, Host: q.Host, DecidedAtMillis: now.UnixMilli(), Crashes: q.table.crashesOf(guilty), Trials: q.verdicts.trialsOf(guilty)}
+		v := Verdict{Parts: crashing, Host: q.Host, DecidedAtMillis: now.UnixMilli(), Crashes: q.table.crashesOf(crashing), Trials: q.verdicts.trialsOf(crashing)}
 		if !q.verdicts.put(v, 0, now) {
-			q.Log.WithField("prompt-parts", strings.Join(guilty, ",")).Error("quarantine: too many verdicts, this one is not passed")
+			q.Log.WithField("prompt-parts", strings.Join(crashing, ",")).Error("quarantine: too many verdicts, this one is not passed")
 			continue
 		}
 		q.own[v.Key()] = true
 		q.count("verdicts_passed")
 		q.Log.WithFields(logrus.Fields{
-			"quarantine": v.Key(), "prompt-parts": strings.Join(guilty, ","), "crashes": strings.Join(v.Crashes, ","),
+			"quarantine": v.Key(), "prompt-parts": strings.Join(crashing, ","), "crashes": strings.Join(v.Crashes, ","),
 		}).Warn("quarantine: verdict passed")
 		passed = append(passed, v)
 	}
--- a/internal/berylquarantine/table.go
+++ b/internal/berylquarantine/table.go
@@ -150,23 +150,23 @@
 	delete(t.suspects, oldest)
 }
 
-// Judge returns the keys of a broken call's prompt that must not be sent together again, sorted, or nil if the evidence is
+// CrashingParts returns the keys of a broken call's prompt that must not be sent together again, sorted, or nil if the evidence is
 // not enough. begins are the times of begun answers of the same service on all hosts.
 //
-// If the evidence holds against several parts, none of them alone is guilty: prompts that hold only some of them may be sent,
+// If the evidence holds against several parts, it does not hold against one of them alone: prompts that hold only some of them may be sent,
 // and either clear these parts or accuse them further.
-func (t *Table) Judge(now time.Time, b Break, begins []time.Time) []string {
-	var guilty []string
+func (t *Table) CrashingParts(now time.Time, b Break, begins []time.Time) []string {
+	var crashing []string
 	for _, part := range b.Prompt.keys() {
-		if !slices.Contains(guilty, part) && t.isGuilty(now, part, begins) {
-			guilty = append(guilty, part)
+		if !slices.Contains(crashing, part) && t.isCrashing(now, part, begins) {
+			crashing = append(crashing, part)
 		}
 	}
-	slices.Sort(guilty)
-	return guilty
+	slices.Sort(crashing)
+	return crashing
 }
 
-func (t *Table) isGuilty(now time.Time, part string, begins []time.Time) bool {
+func (t *Table) isCrashing(now time.Time, part string, begins []time.Time) bool {
 	first, inARow := t.crashesInARow(now, part)
 	crashes := len(t.suspects[part])
 	isEnough := inARow >= crashesForVerdict || inARow >= 2 && crashes >= overlappingCrashesForVerdict
--- a/internal/berylquarantine/table_test.go
+++ b/internal/berylquarantine/table_test.go
@@ -13,8 +13,8 @@
 
 const service = "svc"
 
-// TestTable runs the scripts in testdata/table, which list the evidence of one or several hosts and the parts that are judged
-// guilty by it.
+// TestTable runs the scripts in testdata/table, which list the evidence of one or several hosts and the parts that are found
+// to crash upstreams.
 func TestTable(t *testing.T) {
 	datadriven.Walk(t, "testdata/table", func(t *testing.T, path string) {
 		s := &tableScript{now: time.Unix(1000, 0), tables: make(map[string]*berylquarantine.Table)}
@@ -38,13 +38,13 @@
 	case "break":
 		sent := scanDuration(t, d, "sent", 50*time.Millisecond)
 		table.RecordBreak(berylquarantine.Break{Crash: scanString(t, d, "crash", ""), Prompt: prompt, SentAt: s.now.Add(-sent), BrokeAt: s.now})
-	case "judge":
+	case "crashing":
 		var begins []time.Time
 		for _, age := range table.Evidence(s.now, service, nil).SinceBegins {
 			begins = append(begins, s.now.Add(-age))
 		}
-		if guilty := table.Judge(s.now, berylquarantine.Break{Prompt: prompt}, begins); len(guilty) > 0 {
-			return strings.Join(guilty, " ") + "\n"
+		if crashing := table.CrashingParts(s.now, berylquarantine.Break{Prompt: prompt}, begins); len(crashing) > 0 {
+			return strings.Join(crashing, " ") + "\n"
 		}
 		return "none\n"
 	case "merge":
