--- a/internal/berylquarantine/quarantine.go
+++ b/internal/berylquarantine/quarantine.go
@@ -312,7 +312,7 @@
 
 // checkCrash finds out whether an upstream has crashed and, if so, weighs the calls that broke off.
 func (q *Quarantine) checkCrash(crash string) {
-	sleep(q.context, gatherTime)
+	time.Sleep(gatherTime)
 	ctx, cancel := context.WithTimeout(q.context, crashCheckTimeout)
 	defer cancel()
 	q.mu.Lock()
@@ -398,12 +398,3 @@
 	default:
 	}
 }
-
-func sleep(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/berylquarantine/table.go
+++ b/internal/berylquarantine/table.go
@@ -17,9 +17,10 @@
 	beginsForVerdict = 3
 	// evidenceLifetime is how long a crash counts against a part.
 	evidenceLifetime = 5 * time.Minute
-	// minCrashShare is one part in how many of the crashes since then the part must have been part of. Where upstreams also end
-	// for other causes, a part that is in some of the crashes is not the cause. It leaves room for several parts at once.
-	minCrashShare = 8
+	// crashShareDivisor is the inverse of the share of all crashes since then that the part must have been part of. Where
+	// upstreams also end for other causes, a part that is in some of the crashes is not the cause. One in eight leaves room for
+	// several parts at once.
+	crashShareDivisor = 8
 	// maxCrashes bounds the crashes that are remembered.
 	maxCrashes = 256
 	// maxAccusations bounds the crashes that are kept for one part. The last ones must reach back over crashesForVerdict in a
@@ -170,7 +171,7 @@
 	first, inARow := t.crashesInARow(now, part)
 	crashes := len(t.suspects[part])
 	isEnough := inARow >= crashesForVerdict || inARow >= 2 && crashes >= overlappingCrashesForVerdict
-	if !isEnough || crashes*minCrashShare < t.crashesSince(first) {
+	if !isEnough || crashes*crashShareDivisor < t.crashesSince(first) {
 		return false
 	}
 	answered := 0
