Split the expiry of verdicts from the list of those to delete

undeleted read like a getter and dropped verdicts on the way, and the revisions that it returned served a log line only. expireVerdicts does the first, and the line now names the revision of the deletion. No decision is changed.

--- a/internal/berylquarantine/fuzz_test.go
+++ b/internal/berylquarantine/fuzz_test.go
@@ -28,7 +28,8 @@
 		q.RecordBegin("svc", prompt)
 	}
 	q.unwritten(time.Now())
-	q.undeleted(time.Now())
+	q.expireVerdicts(time.Now())
+	q.undeleted()
 }
 
 // FuzzVerdictRecord reads arbitrary bytes as a verdict in the store.
--- a/internal/berylquarantine/persist.go
+++ b/internal/berylquarantine/persist.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -50,8 +52,9 @@
 		for _, v := range q.unwritten(now) {
 			q.write(ctx, v)
 		}
-		for key, revision := range q.undeleted(now) {
-			q.delete(ctx, key, revision)
+		q.expireVerdicts(now)
+		for _, key := range q.undeleted() {
+			q.delete(ctx, key)
 		}
 	}
 }
@@ -97,9 +100,8 @@
 	}
 }
 
-// undeleted returns the keys and revisions of the verdicts to delete from the store: those that were lifted, and those whose
-// time is over if this host ranks first.
-func (q *Quarantine) undeleted(now time.Time) map[string]int64 {
+// expireVerdicts drops the verdicts whose time is over. The host that ranks first deletes them from the store.
+func (q *Quarantine) expireVerdicts(now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, v := range q.verdicts.list() {
@@ -110,18 +112,20 @@
 		q.remove(key)
 		q.Log.WithField("quarantine", key).Info("quarantine: verdict expired")
 		if q.Rank(Prefix+key) == 0 {
-			q.lifted[key] = v.revision
+			q.lifted[key] = true
 		}
 	}
-	due := make(map[string]int64, len(q.lifted))
-	for key, revision := range q.lifted {
-		due[key] = revision
-	}
-	return due
+}
+
+// undeleted returns the keys of the verdicts that this host has to delete from the store.
+func (q *Quarantine) undeleted() []string {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return slices.Collect(maps.Keys(q.lifted))
 }
 
 // delete deletes a lifted verdict from the store.
-func (q *Quarantine) delete(ctx context.Context, key string, revision int64) {
+func (q *Quarantine) delete(ctx context.Context, key string) {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	result := q.Store.Commit(ctx, berylstore.Txn{Deletes: []string{Prefix + key}})
@@ -132,7 +136,7 @@
 		return
 	}
 	delete(q.lifted, key)
-	q.Log.WithFields(logrus.Fields{"quarantine": key, "revision": revision}).Info("quarantine: verdict deleted")
+	q.Log.WithFields(logrus.Fields{"quarantine": key, "revision": result.Revision}).Info("quarantine: verdict deleted")
 }
 
 // reset takes in all verdicts in the store. Those that were there and are not any more have been lifted.
@@ -181,7 +185,7 @@
 		q.Log.WithError(err).WithField("key", item.Key).Error("quarantine: verdict can't be read")
 		return
 	}
-	if _, lifted := q.lifted[key]; lifted || v.expired(now) {
+	if q.lifted[key] || v.expired(now) {
 		return
 	}
 	if q.verdicts.put(v, item.Revision, now) {
--- a/internal/berylquarantine/quarantine.go
+++ b/internal/berylquarantine/quarantine.go
@@ -79,8 +79,8 @@
 	verdicts verdicts
 	// checks holds the crashes that are being looked at, by the run of the upstream.
 	checks map[string]*crashCheck
-	// lifted holds the revisions of the lifted verdicts that are still to be deleted from the store, by key.
-	lifted map[string]int64
+	// lifted marks the lifted verdicts that are still to be deleted from the store, by key.
+	lifted map[string]bool
 	// own marks the verdicts that this host has passed, by key.
 	own     map[string]bool
 	changed chan struct{}
@@ -100,7 +100,7 @@
 // New returns a quarantine without verdicts. Run brings in those of the store.
 func New(config Config) *Quarantine {
 	q := &Quarantine{
-		Config: config, checks: make(map[string]*crashCheck), lifted: make(map[string]int64), own: make(map[string]bool),
+		Config: config, checks: make(map[string]*crashCheck), lifted: make(map[string]bool), own: make(map[string]bool),
 		changed: make(chan struct{}, 1), inquiries: make(chan struct{}, maxInquiries),
 	}
 	q.context, q.cancel = context.WithCancel(context.Background())
@@ -271,7 +271,7 @@
 func (q *Quarantine) lift(v *heldVerdict, why string) {
 	key := v.Key()
 	q.remove(key)
-	q.lifted[key] = v.revision
+	q.lifted[key] = true
 	q.signal()
 	q.Log.WithFields(logrus.Fields{"quarantine": key, "prompt-parts": strings.Join(v.Parts, ","), "trials": v.Trials, "reason": why}).Warn("quarantine: lifted")
 	q.start(func() { q.broadcast(q.context, Message{Lifted: []string{key}}) })
