--- a/internal/berylbatch/manager_test.go
+++ b/internal/berylbatch/manager_test.go
@@ -507,6 +507,20 @@
 	}
 }
 
+// Guards against an item whose stream ends with its connection within an event being listed as whole.
+func TestItemStreamThatEndsWithinAnEvent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, ctx, cluster := setUp(t, 4)
+		cluster.upstream.firstBody = func(context.Context) io.Reader { return strings.NewReader("id: 1\ndata: j-0 1\n\nid: 2\ndata: j-") }
+		m, _ := cluster.startHost(ctx, "a", 1)
+		time.Sleep(time.Second)
+		is.Equal(m.Submit(ctx, cluster.submission("j", 1)), nil)
+		results := readAll(t, m, "j", 1, 10*time.Second)
+		is.Equal(string(results["j-0"].Text), eventText("j-0", 20))
+		is.Equal(cluster.upstream.resumed["j-0"], []int64{1})
+	})
+}
+
 func TestCancelledJobStopsEverywhere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is, ctx, cluster := setUp(t, 1)
--- a/internal/berylcmd/entry/status/status.go
+++ b/internal/berylcmd/entry/status/status.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -14,6 +15,7 @@
 
 	"berylroad.example/berylroad/internal/berylcmd/factory"
 	"berylroad.example/berylroad/internal/berylentry"
+	"berylroad.example/berylroad/internal/berylquarantine"
 )
 
 const (
@@ -41,7 +43,8 @@
 // Help returns the detailed help text of the command.
 func (o *Options) Help() string {
 	return `Shows the status of an entry host: its state, the configuration in force, the age of its copies of the
-store's data, the other hosts, the upstreams with their owners, and the open jobs.
+store's data, the other hosts, the upstreams with their owners, the open jobs, and the prompt parts that are kept away
+from upstreams.
 
 Examples:
   berylroad entry status 10.1.0.10:9464
@@ -118,6 +121,11 @@
 		lines = append(lines, fmt.Sprintf("%s\t%s\t%s\t%d of %d\t%d", j.ID, j.Route, choose(j.Owner == "", "nobody", j.Owner), j.Listed, j.Items, j.Running))
 	}
 	printTable(t, "JOB\tROUTE\tOWNER\tLISTED\tRUNNING HERE", limit, lines, func(line string) string { return line })
+	if len(s.Quarantine) > 0 {
+		printTable(t, "QUARANTINE\tPROMPT PARTS\tPASSED BY\tCRASHES\tTRIALS\tNEXT TRIAL IN", limit, s.Quarantine, func(q berylquarantine.Status) string {
+			return fmt.Sprintf("%s\t%s\t%s\t%d\t%d\t%s", q.Key, strings.Join(q.Parts, ","), q.Host, len(q.Crashes), q.Trials, formatAge(q.NextTrialMS))
+		})
+	}
 	return t.Flush()
 }
 
--- a/internal/berylcmd/root/root.go
+++ b/internal/berylcmd/root/root.go
@@ -11,6 +11,7 @@
 	"berylroad.example/berylroad/internal/berylcmd/config/view"
 	"berylroad.example/berylroad/internal/berylcmd/demo"
 	diskrun "berylroad.example/berylroad/internal/berylcmd/disk/run"
+	entrylift "berylroad.example/berylroad/internal/berylcmd/entry/lift"
 	entryrun "berylroad.example/berylroad/internal/berylcmd/entry/run"
 	entrystatus "berylroad.example/berylroad/internal/berylcmd/entry/status"
 	"berylroad.example/berylroad/internal/berylcmd/explain"
@@ -39,6 +40,7 @@
 	Entry struct {
 		Run    entryrun.Options    `cmd:"" help:"Run one entry host."`
 		Status entrystatus.Options `cmd:"" help:"Show the status of an entry host."`
+		Lift   entrylift.Options   `cmd:"" help:"Lift a quarantine of prompt parts."`
 	} `cmd:"" help:"Work with entry hosts on the users' platform."`
 	// Disk groups the commands on hosts with a disk on the users' platform.
 	Disk struct {
--- a/internal/berylentry/status.go
+++ b/internal/berylentry/status.go
@@ -125,3 +125,12 @@
 	}
 	return list
 }
+
+// LiftQuarantine lifts the quarantine of the prompt parts with the given key. It returns berylquarantine.ErrUnknownVerdict if
+// this host knows none.
+func (h *Host) LiftQuarantine(key string) error {
+	if !h.assembled.Load() {
+		return berylquarantine.ErrUnknownVerdict
+	}
+	return h.quarantine.Lift(key)
+}
--- a/internal/berylexplain/explain.go
+++ b/internal/berylexplain/explain.go
@@ -9,7 +9,7 @@
 )
 
 // idFields are the log fields whose values can be the ID that is looked for.
-var idFields = []string{"request", "job", "item"}
+var idFields = []string{"request", "job", "item", "quarantine"}
 
 // messageHostStarted is the message of the first line of a run of a host.
 const messageHostStarted = "host: started"
