Log the limits that upstreams name and who granted each call

'request: ended' and 'item: call ended' now carry granted-by (the owner, empty for a permit that a host granted itself), limit (requests a second, from the answer) and tried (all upstreams of a request that was sent more than once). No decision changes.

--- a/internal/berylbatch/run.go
+++ b/internal/berylbatch/run.go
@@ -89,11 +89,14 @@
 	permit.Release(report)
 	fields := logrus.Fields{
 		"job": it.job.id, "item": it.ID, "upstream": permit.Upstream, "from-event": from, "events": it.events,
-		"busy-ms": report.HeldFor.Milliseconds(), "outcome": report.Kind.String(),
+		"busy-ms": report.HeldFor.Milliseconds(), "outcome": report.Kind.String(), "granted-by": permit.GrantedBy,
 	}
 	if status != 0 {
 		fields["status"] = status
 	}
+	if report.Limit.Limited {
+		fields["limit"] = report.Limit.PerSecond
+	}
 	if err != nil {
 		fields["cause"] = err.Error()
 	}
@@ -129,6 +132,7 @@
 		return 0, err
 	}
 	defer reply.Body.Close()
+	report.Limit = reply.Limit
 	switch {
 	case reply.Misdirected:
 		return reply.Status, errors.Mark(errMisdirected, errNotRun)
--- a/internal/berylpermit/permit.go
+++ b/internal/berylpermit/permit.go
@@ -161,6 +161,8 @@
 	Fault bool `cbor:"6,keyasint,omitempty"`
 	// Refused marks a call that the upstream refused without running it.
 	Refused bool `cbor:"7,keyasint,omitempty"`
+	// Limit is what the call's answer says about the upstream's limit.
+	Limit Limit `cbor:"8,keyasint,omitzero"`
 }
 
 // Yield asks the holder of a batch permit to release it at once.
@@ -196,10 +198,23 @@
 	Long bool `cbor:"5,keyasint,omitempty"`
 }
 
+// Limit is what an answer of an upstream says about the rate of requests that the upstream accepts from all hosts
+// together. The zero value says nothing.
+type Limit struct {
+	// Known says that the answer either names a limit or, by naming none, says that there is none.
+	Known bool `cbor:"1,keyasint,omitempty"`
+	// Limited says that PerSecond holds.
+	Limited bool `cbor:"2,keyasint,omitempty"`
+	// PerSecond is the number of requests a second; it is neither negative nor infinite.
+	PerSecond float64 `cbor:"3,keyasint,omitempty"`
+}
+
 // Permit is a held slot of one upstream.
 type Permit struct {
 	// ID identifies the permit.
 	ID ID
+	// GrantedBy names the owner that granted the permit. It is empty if the holder granted it itself.
+	GrantedBy string
 	// Upstream names the upstream to call.
 	Upstream string
 	// Class is the priority class that the permit was granted for.
--- a/internal/berylrelay/call.go
+++ b/internal/berylrelay/call.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"berylroad.example/berylroad/internal/berylpermit"
 	"berylroad.example/berylroad/internal/berylroute"
 )
 
@@ -48,6 +49,8 @@
 	Misdirected bool
 	// Signed says that the answer carries the upstream's signature.
 	Signed bool
+	// Limit is what the answer says about the rate of requests that the upstream accepts.
+	Limit berylpermit.Limit
 	// EventStream says that the body is a stream of events.
 	EventStream bool
 	// Body is the answer's body. It ends with io.EOF only if it is complete.
--- a/internal/berylrelay/relay.go
+++ b/internal/berylrelay/relay.go
@@ -140,6 +140,9 @@
 	// lastProgress is when the current call began or, if later, last received a new event.
 	lastProgress time.Time
 	upstream     string
+	// grantedBy is the owner that granted the current call, limit what its answer says about the upstream's limit.
+	grantedBy string
+	limit     berylpermit.Limit
 	// calledUpstream is the upstream of the current call, sentAt when the call was sent.
 	calledUpstream berylroute.Upstream
 	sentAt         time.Time
@@ -220,7 +223,7 @@
 		report.HeldFor = time.Since(began)
 		permit.Release(report)
 	}()
-	x.upstream = permit.Upstream
+	x.upstream, x.grantedBy = permit.Upstream, permit.GrantedBy
 	x.triedUpstreams = append(x.triedUpstreams, permit.Upstream)
 	upstream, known := x.Upstreams.Get(permit.Upstream)
 	if !known || upstream.Leaving || upstream.Service != x.service {
@@ -246,6 +249,7 @@
 		return x.handleFailure(callCtx, &report, err)
 	}
 	defer reply.Body.Close()
+	x.limit, report.Limit = reply.Limit, reply.Limit
 	if reply.NotRun {
 		report.Refused, report.Fault = true, reply.Misdirected
 		x.cause = errors.Newf("the upstream refused it unrun with status %d", reply.Status)
--- a/internal/berylrelay/report.go
+++ b/internal/berylrelay/report.go
@@ -47,6 +47,15 @@
 		"first-ms":  x.timeToFirstEvent.Milliseconds(),
 		"total-ms":  time.Since(x.startedAt).Milliseconds(),
 	}
+	if x.sends > 0 {
+		fields["granted-by"] = x.grantedBy
+	}
+	if x.sends > 1 {
+		fields["tried"] = strings.Join(x.triedUpstreams, ",")
+	}
+	if x.limit.Limited {
+		fields["limit"] = x.limit.PerSecond
+	}
 	if x.hasEvent {
 		fields["last-event"] = x.lastEvent
 	}
--- a/internal/berylsched/held.go
+++ b/internal/berylsched/held.go
@@ -97,11 +97,12 @@
 	h.view = s.table.Load().viewOf(upstream)
 	h.view.ownPermits.Add(1)
 	return &berylpermit.Permit{
-		ID:       req.ID,
-		Upstream: upstream,
-		Class:    req.Class,
-		Yield:    h.yield,
-		Release:  func(r berylpermit.Report) { s.release(h, r) },
+		ID:        req.ID,
+		GrantedBy: owner,
+		Upstream:  upstream,
+		Class:     req.Class,
+		Yield:     h.yield,
+		Release:   func(r berylpermit.Report) { s.release(h, r) },
 	}
 }
 
