--- a/internal/berylbatch/run.go
+++ b/internal/berylbatch/run.go
@@ -70,7 +70,7 @@
 	upstream, known := m.Upstreams.Get(permit.Upstream)
 	status, err := 0, errNotRun
 	if known && !upstream.Leaving {
-		status, err = m.callItem(ctx, cancel, it, upstream, &report)
+		status, err = m.callItem(ctx, cancel, it, upstream, permit, &report)
 	}
 	if cause := context.Cause(ctx); err != nil && cause != nil {
 		err = cause
@@ -110,7 +110,7 @@
 
 // callItem makes one call and appends the events it receives to the item's text. It returns the HTTP status, or zero if
 // there is none.
-func (m *Manager) callItem(ctx context.Context, cancel context.CancelCauseFunc, it *item, upstream berylroute.Upstream, report *berylpermit.Report) (int, error) {
+func (m *Manager) callItem(ctx context.Context, cancel context.CancelCauseFunc, it *item, upstream berylroute.Upstream, permit *berylpermit.Permit, report *berylpermit.Report) (int, error) {
 	if refusal := m.Quarantine.Admit(ctx, it.prompt()); refusal != nil {
 		return 0, errors.Mark(refusal, errNotRun)
 	}
@@ -133,6 +133,7 @@
 	}
 	defer reply.Body.Close()
 	report.Limit = reply.Limit
+	permit.ReportLimit(reply.Limit)
 	switch {
 	case reply.Misdirected:
 		return reply.Status, errors.Mark(errMisdirected, errNotRun)
--- a/internal/berylcmd/entry/status/status.go
+++ b/internal/berylcmd/entry/status/status.go
@@ -114,6 +114,9 @@
 			online, batch = fmt.Sprint(u.Online), fmt.Sprint(u.Batch)
 		}
 		status := choose(u.Leaving, "leaving", choose(u.Straggler, "set aside", "in use"))
+		if u.Limit != nil {
+			status += fmt.Sprintf(", limit %g/s", *u.Limit)
+		}
 		return fmt.Sprintf("%s\t%s\t%s\t%s\t%d\t%s\t%s", u.ID, u.FailureDomain, u.Owner, status, u.Slots, online, batch)
 	})
 	var lines []string
--- a/internal/berylentry/host.go
+++ b/internal/berylentry/host.go
@@ -285,6 +285,12 @@
 	gauge("berylroad_owner_slots", func(l berylpermit.Load) int { return l.Slots })
 	gauge(`berylroad_owner_slots_used{class="online"}`, func(l berylpermit.Load) int { return l.Online })
 	gauge(`berylroad_owner_slots_used{class="batch"}`, func(l berylpermit.Load) int { return l.Batch })
+	gauge("berylroad_owner_limited_upstreams", func(l berylpermit.Load) int {
+		if l.Limit.Limited {
+			return 1
+		}
+		return 0
+	})
 }
 
 // allFollowers returns the followers of all parts of the store that this host keeps a copy of.
--- a/internal/berylentry/status.go
+++ b/internal/berylentry/status.go
@@ -73,6 +73,9 @@
 	Batch  int `json:"batch"`
 	// Straggler is true when this host owns the upstream and has ejected it for slowness, faults or refusals.
 	Straggler bool `json:"straggler"`
+	// Limit is the number of requests a second to which this host, as the owner, holds the upstream because the upstream
+	// names that limit. It is nil without a limit.
+	Limit *float64 `json:"limit"`
 }
 
 // Status returns this host's current view. Before Run has assembled the host it contains only the name and failure
@@ -121,6 +124,9 @@
 	for _, l := range h.scheduler.Loads() {
 		if i, known := index[l.Upstream]; known {
 			list[i].Online, list[i].Batch, list[i].Straggler = l.Online, l.Batch, l.Straggler
+			if l.Limit.Limited {
+				list[i].Limit = &l.Limit.PerSecond
+			}
 		}
 	}
 	return list
--- a/internal/beryllink/transport.go
+++ b/internal/beryllink/transport.go
@@ -15,6 +15,7 @@
 	kindRelease       = "permit-release"
 	kindYield         = "permit-yield"
 	kindHeldReport    = "permits-held"
+	kindLimit         = "upstream-limit"
 )
 
 // Ack is the empty reply that acknowledges a message.
@@ -55,6 +56,11 @@
 	return sendForAck(ctx, l, host, kindHeldReport, held)
 }
 
+// SendLimit tells an owner what an upstream's answer says about its limit.
+func (l *Transport) SendLimit(ctx context.Context, host string, limit berylpermit.LimitReport) error {
+	return sendForAck(ctx, l, host, kindLimit, limit)
+}
+
 // Request sends an idempotent message to a host and waits for the reply. The message may be delivered twice.
 func Request[M, A any](ctx context.Context, l *Transport, host, kind string, message M) (A, error) {
 	peer, err := l.ResolvePeer(host)
@@ -78,6 +84,7 @@
 	handleWithAck(wire, kindRelease, s.HandleRelease)
 	handleWithAck(wire, kindYield, s.HandleYield)
 	handleWithAck(wire, kindHeldReport, s.HandleHeldReport)
+	handleWithAck(wire, kindLimit, s.HandleLimit)
 }
 
 // handleWithAck registers a handler whose reply is an Ack.
--- a/internal/berylpermit/permit.go
+++ b/internal/berylpermit/permit.go
@@ -125,6 +125,10 @@
 	TimeToFirstToken time.Duration `cbor:"8,keyasint,omitempty"`
 	// InterTokenLatency is the moving mean of the time between streamed events, or zero when unknown.
 	InterTokenLatency time.Duration `cbor:"9,keyasint,omitempty"`
+	// Limit is the limit to which the owner holds the upstream.
+	Limit Limit `cbor:"10,keyasint,omitzero"`
+	// Admitted is how many requests the limit admits now; it means nothing without a limit.
+	Admitted int `cbor:"11,keyasint,omitempty"`
 }
 
 // Withdraw tells an owner that a request is no longer wanted. A permit already granted for it is released.
@@ -161,8 +165,8 @@
 	Fault bool `cbor:"6,keyasint,omitempty"`
 	// Refused marks a call that the upstream refused without running it.
 	Refused bool `cbor:"7,keyasint,omitempty"`
-	// Limit is what the call's answer says about the upstream's limit.
-	Limit Limit `cbor:"8,keyasint,omitzero"`
+	// Limit is what the call's answer says about the upstream's limit. It is reported when the answer begins, not here.
+	Limit Limit `cbor:"-"`
 }
 
 // Yield asks the holder of a batch permit to release it at once.
@@ -173,6 +177,16 @@
 	Upstream string `cbor:"2,keyasint"`
 }
 
+// LimitReport tells an owner what an answer of an upstream says about its limit.
+type LimitReport struct {
+	// Upstream names the upstream.
+	Upstream string `cbor:"1,keyasint"`
+	// Limit is what the answer says.
+	Limit Limit `cbor:"2,keyasint"`
+	// SentAge is how long ago the call was sent.
+	SentAge time.Duration `cbor:"3,keyasint"`
+}
+
 // HeldReport tells the owner of upstreams which of their permits a host holds.
 type HeldReport struct {
 	// Host is the reporting host's name.
@@ -223,6 +237,15 @@
 	Yield <-chan struct{}
 	// Release releases the permit. It never blocks, and only its first call has an effect.
 	Release func(Report)
+	// OnLimit receives what the call's answer says about the upstream's limit; it may be nil.
+	OnLimit func(Limit)
+}
+
+// ReportLimit reports what the call's answer says about the upstream's limit. It never blocks.
+func (p *Permit) ReportLimit(l Limit) {
+	if p.OnLimit != nil && l.Known {
+		p.OnLimit(l)
+	}
 }
 
 // Broker acquires permits from the owners of upstreams, on this host or others.
--- a/internal/berylrelay/relay.go
+++ b/internal/berylrelay/relay.go
@@ -249,7 +249,8 @@
 		return x.handleFailure(callCtx, &report, err)
 	}
 	defer reply.Body.Close()
-	x.limit, report.Limit = reply.Limit, reply.Limit
+	x.limit = reply.Limit
+	permit.ReportLimit(reply.Limit)
 	if reply.NotRun {
 		report.Refused, report.Fault = true, reply.Misdirected
 		x.cause = errors.Newf("the upstream refused it unrun with status %d", reply.Status)
--- a/internal/berylsched/action.go
+++ b/internal/berylsched/action.go
@@ -30,8 +30,18 @@
 	ActionReply ActionKind = iota
 	// ActionYield tells the holder of a batch permit to give it back.
 	ActionYield
+	// ActionLimit announces that an owned upstream's limit has changed.
+	ActionLimit
 )
 
+// LimitChange is a new limit of an upstream.
+type LimitChange struct {
+	// Upstream is the upstream's name.
+	Upstream string
+	// Limit is the limit to which it is held from now on.
+	Limit berylpermit.Limit
+}
+
 // Action is an output of the Owner, which its caller carries out.
 type Action struct {
 	// Kind determines which of the fields below is set.
@@ -40,4 +50,6 @@
 	Reply berylpermit.Reply
 	// Yield is for the host named in its ID.
 	Yield berylpermit.Yield
+	// Limit is for the log.
+	Limit LimitChange
 }
--- a/internal/berylsched/broker.go
+++ b/internal/berylsched/broker.go
@@ -225,7 +225,7 @@
 	first := rand.IntN(len(placements) + 1)
 	for i := range placements {
 		p := placements[(first+i)%len(placements)]
-		if !isEligible(p, &a.req) || p.view.ownPermits.Load() >= maxUnownedPermits {
+		if !isEligible(p, &a.req) || p.view.ownPermits.Load() >= maxUnownedPermits || !p.view.limit.mayGrantUnowned(time.Now(), len(t.members)) {
 			continue
 		}
 		req := a.newRequest(false)
--- a/internal/berylsched/fleet_test.go
+++ b/internal/berylsched/fleet_test.go
@@ -109,6 +109,12 @@
 	f.frozen[name] = frozen
 }
 
+func (f *fleet) isUnreachable(name string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.down[name] || f.frozen[name]
+}
+
 // reach returns the host that a message arrives at, or the error that the network would give.
 func (f *fleet) reach(ctx context.Context, from, to string) (*berylsched.Scheduler, error) {
 	time.Sleep(hop)
@@ -163,6 +169,10 @@
 	return l.fleet.deliver(ctx, l.from, host, func(s *berylsched.Scheduler) error { return s.HandleHeldReport(l.from, m) })
 }
 
+func (l fleetTransport) SendLimit(ctx context.Context, host string, m berylpermit.LimitReport) error {
+	return l.fleet.deliver(ctx, l.from, host, func(s *berylsched.Scheduler) error { return s.HandleLimit(l.from, m) })
+}
+
 // document returns a configuration with that many upstreams, all of which serve the target "m".
 func document(upstreams, slots int) berylconf.Document {
 	var doc berylconf.Document
--- a/internal/berylsched/health.go
+++ b/internal/berylsched/health.go
@@ -153,14 +153,14 @@
 }
 
 // observe updates the health with the report of an ended call. A refused call counts only while less than half of the
-// slots are in use by other calls, since a full upstream refuses some calls.
+// slots are in use by other calls, since a full upstream refuses some calls, and only without a limit.
 func (h *health) observe(now time.Time, p *permit, r berylpermit.Report, m latencyMedians) {
 	if r.Fault {
 		h.recordFault(now, p)
 		return
 	}
 	if r.Refused {
-		if 2*(p.upstream.inFlight()-1) < p.upstream.slots {
+		if !p.upstream.limit.Limited && 2*(p.upstream.inFlight()-1) < p.upstream.slots {
 			h.recordRefusal(now, p)
 		}
 		return
--- a/internal/berylsched/held.go
+++ b/internal/berylsched/held.go
@@ -103,6 +103,7 @@
 		Class:     req.Class,
 		Yield:     h.yield,
 		Release:   func(r berylpermit.Report) { s.release(h, r) },
+		OnLimit:   func(l berylpermit.Limit) { s.reportLimit(h, l) },
 	}
 }
 
@@ -138,6 +139,7 @@
 			last := t
 			t = s.table.Load()
 			s.sendHeldReports(time.Now(), s.changedOwners(last, t))
+			s.sendLimits(last, t)
 		}
 	}
 }
--- a/internal/berylsched/outbox.go
+++ b/internal/berylsched/outbox.go
@@ -26,6 +26,7 @@
 	release  *berylpermit.Release
 	yield    *berylpermit.Yield
 	held     *berylpermit.HeldReport
+	limit    *berylpermit.LimitReport
 }
 
 // hostQueue holds the messages to one host, so that a host that does not answer does not delay messages to others.
@@ -129,6 +130,8 @@
 		return t.Release(ctx, host, *m.release)
 	case m.yield != nil:
 		return t.SendYield(ctx, host, *m.yield)
+	case m.limit != nil:
+		return t.SendLimit(ctx, host, *m.limit)
 	default:
 		return t.SendHeldReport(ctx, host, *m.held)
 	}
@@ -144,6 +147,8 @@
 		_ = s.HandleRelease(s.Host, *m.release)
 	case m.yield != nil:
 		_ = s.HandleYield(s.Host, *m.yield)
+	case m.limit != nil:
+		_ = s.HandleLimit(s.Host, *m.limit)
 	default:
 		_ = s.HandleHeldReport(s.Host, *m.held)
 	}
--- a/internal/berylsched/outliers.go
+++ b/internal/berylsched/outliers.go
@@ -29,6 +29,7 @@
 	for _, l := range loads {
 		if u := o.upstreams[l.Upstream]; u != nil && !u.owned {
 			u.peerLoad = peerLoad{Load: l, receivedAt: now}
+			u.limit.state(now, l.Limit, now.Add(-loadLimitDelay))
 		}
 	}
 	return o.actions
--- a/internal/berylsched/owner.go
+++ b/internal/berylsched/owner.go
@@ -118,6 +118,10 @@
 	if k != batchWork && !req.Hedge {
 		t.arrivals.add(now)
 	}
+	if t.throughput.limited {
+		// A limit may have admitted a request since the last event, which is for those who wait already.
+		o.dispatchOnline(now, []*target{t})
+	}
 	if u := o.findSlot(now, t, req, k); u != nil {
 		o.grant(now, t, u, req)
 		return
@@ -165,7 +169,7 @@
 	var score float64
 	idle := 0
 	for _, u := range t.owned {
-		free := u.freeSlots()
+		free := u.grantable(now)
 		if free <= 0 || !o.mayGrant(now, t, u, req, k) {
 			continue
 		}
@@ -173,7 +177,7 @@
 			return u
 		}
 		idle += free
-		if s := u.score(); best == nil || s < score {
+		if s := u.score(now, k); best == nil || s < score {
 			best, score = u, s
 		}
 	}
@@ -182,7 +186,7 @@
 	}
 	for _, name := range req.Prefer {
 		u := o.upstreams[name]
-		if u != nil && u.freeSlots() > 0 && u.health.loadFactor() < slowRatio && slices.Contains(t.owned, u) && o.mayGrant(now, t, u, req, k) {
+		if u != nil && u.grantable(now) > 0 && u.health.loadFactor() < slowRatio && slices.Contains(t.owned, u) && o.mayGrant(now, t, u, req, k) {
 			return u
 		}
 	}
@@ -201,10 +205,11 @@
 	if k == batchWork && now.Before(u.batchAllowedAt) {
 		return false
 	}
-	return !avoids(req, u.name)
+	return t.mayTakeToken(now, u, k) && !avoids(req, u.name)
 }
 
-// findPreemptable returns the upstream with the youngest batch permit, whose preemption loses the least work, or nil.
+// findPreemptable returns the upstream with the youngest batch permit, whose preemption loses the least work, or nil. An
+// upstream with a limit comes last, since the preempted work needs another request there.
 func (o *Owner) findPreemptable(now time.Time, t *target, req *berylpermit.Request, k workKind) *upstream {
 	var best *upstream
 	for _, u := range t.owned {
@@ -212,7 +217,7 @@
 		if p == nil || u.health.ejected || u.freeSlots()+len(u.batch) <= 0 {
 			continue
 		}
-		if best != nil && !p.grantedAt.After(best.youngestBatch().grantedAt) {
+		if best != nil && !isPreemptedFirst(u, best) {
 			continue
 		}
 		if o.mayGrant(now, t, u, req, k) {
@@ -222,6 +227,14 @@
 	return best
 }
 
+// isPreemptedFirst reports whether the youngest batch permit of a is preempted before that of b.
+func isPreemptedFirst(a, b *upstream) bool {
+	if a.limit.Limited != b.limit.Limited {
+		return !a.limit.Limited
+	}
+	return a.youngestBatch().grantedAt.After(b.youngestBatch().grantedAt)
+}
+
 // preempt tells the holder of a batch permit to give it back; its slot counts as free from now on.
 func (o *Owner) preempt(now time.Time, u *upstream, p *permit) {
 	u.startYield(p, now)
@@ -236,6 +249,7 @@
 	p := o.newPermit()
 	*p = permit{id: req.ID, upstream: u, class: req.Class, long: req.Long, grantedAt: now, confirmedAt: now}
 	o.addPermit(p)
+	u.limit.take(now)
 	u.health.markProbe(p)
 	o.replyGranted(p, t.replyLoads(now))
 }
--- a/internal/berylsched/owner_config.go
+++ b/internal/berylsched/owner_config.go
@@ -68,6 +68,7 @@
 			u.term = uint64(now.UnixNano())
 			u.batchAllowedAt = now.Add(takeoverGrace)
 			u.inheritHealth(now)
+			u.limit.restart(now)
 		}
 		if !owned[u.name] && u.owned {
 			o.dropOwnedState(u)
--- a/internal/berylsched/owner_dispatch.go
+++ b/internal/berylsched/owner_dispatch.go
@@ -24,7 +24,7 @@
 
 // dispatchUpstream grants the free slots of one upstream to waiters.
 func (o *Owner) dispatchUpstream(now time.Time, u *upstream) {
-	for u.freeSlots() > 0 && u.usable() {
+	for u.grantable(now) > 0 && u.usable() {
 		w := o.nextWaiter(now, u)
 		if w == nil {
 			return
@@ -63,7 +63,7 @@
 		if !o.mayGrant(now, t, u, &w.req, k) {
 			continue
 		}
-		if k == batchWork && !u.health.ejected && t.idleSlots() <= t.reservedSlots(now) {
+		if k == batchWork && !u.health.ejected && t.idleSlots(now) <= t.reservedSlots(now) {
 			return nil
 		}
 		return w
--- a/internal/berylsched/owner_loop.go
+++ b/internal/berylsched/owner_loop.go
@@ -132,6 +132,8 @@
 			l.sched.counters.yields.Inc()
 			y := a.Yield // a copy, since the Owner reuses its list of actions
 			l.sched.outbox.send(y.ID.Host, message{yield: &y})
+		case ActionLimit:
+			l.sched.logLimit(a.Limit)
 		}
 	}
 }
@@ -222,6 +224,13 @@
 	return nil
 }
 
+// HandleLimit applies what the host peer reports about an upstream's limit.
+func (s *Scheduler) HandleLimit(_ string, r berylpermit.LimitReport) error {
+	r.SentAge = max(r.SentAge, 0)
+	s.loop.tryPost(func(o *Owner, now time.Time) []Action { return o.ReportLimit(now, r) })
+	return nil
+}
+
 // HandleYield tells the local holder of a batch permit to give it back.
 func (s *Scheduler) HandleYield(_ string, y berylpermit.Yield) error {
 	s.held.yield(y.ID)
--- a/internal/berylsched/owner_permits.go
+++ b/internal/berylsched/owner_permits.go
@@ -154,6 +154,7 @@
 	o.beginEvent(now)
 	for _, u := range o.sortedUpstreams {
 		u.batchAllowedAt = now.Add(takeoverGrace)
+		u.limit.restart(now)
 	}
 	for _, p := range o.permits {
 		p.confirmedAt = now
--- a/internal/berylsched/owner_test.go
+++ b/internal/berylsched/owner_test.go
@@ -54,6 +54,8 @@
 	case "wait":
 		s.now = s.now.Add(duration(t, d.CmdArgs[0].Key))
 		return s.show(s.owner.Tick(s.now))
+	case "limit":
+		return s.show(s.owner.ReportLimit(s.now, s.limit(t, d)))
 	case "loads":
 		return showLoads(s.owner.Loads())
 	default:
@@ -133,6 +135,9 @@
 		case "fault":
 			r.Report.Kind = beryloutcome.Failed
 			r.Report.Fault = true
+		case "refused":
+			r.Report.Kind = beryloutcome.NotRun
+			r.Report.Refused = true
 		}
 	}
 	return r
@@ -176,6 +181,8 @@
 				l.InterTokenLatency = duration(t, value)
 			case "straggler":
 				l.Straggler = true
+			case "limit":
+				l.Limit = parseLimit(t, value)
 			default:
 				l.Upstream = field
 			}
@@ -185,6 +192,38 @@
 	return loads
 }
 
+// limit reads "u1 per-second=2.5 age=100ms", where the limit is "none" for an answer that names none.
+func (s *ownerScript) limit(t *testing.T, d *datadriven.TestData) berylpermit.LimitReport {
+	r := berylpermit.LimitReport{Upstream: d.CmdArgs[0].Key}
+	for _, a := range d.CmdArgs[1:] {
+		switch a.Key {
+		case "per-second":
+			r.Limit = parseLimit(t, a.Vals[0])
+		case "age":
+			r.SentAge = duration(t, a.Vals[0])
+		}
+	}
+	return r
+}
+
+func parseLimit(t *testing.T, text string) berylpermit.Limit {
+	if text == "none" {
+		return berylpermit.Limit{Known: true}
+	}
+	perSecond, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return berylpermit.Limit{Known: true, Limited: true, PerSecond: perSecond}
+}
+
+func showLimit(l berylpermit.Limit) string {
+	if !l.Limited {
+		return "none"
+	}
+	return fmt.Sprintf("%g", l.PerSecond)
+}
+
 func (s *ownerScript) show(actions []berylsched.Action) string {
 	var b strings.Builder
 	for _, a := range actions {
@@ -192,6 +231,10 @@
 			fmt.Fprintf(&b, "yield %s on %s\n", showID(a.Yield.ID), a.Yield.Upstream)
 			continue
 		}
+		if a.Kind == berylsched.ActionLimit {
+			fmt.Fprintf(&b, "limit of %s: %s\n", a.Limit.Upstream, showLimit(a.Limit.Limit))
+			continue
+		}
 		switch r := a.Reply; r.Verdict {
 		case berylpermit.Granted:
 			fmt.Fprintf(&b, "grant %s on %s\n", showID(r.ID), r.Upstream)
@@ -211,6 +254,9 @@
 		if l.Straggler {
 			b.WriteString(" straggler")
 		}
+		if l.Limit.Limited {
+			fmt.Fprintf(&b, " limit=%g", l.Limit.PerSecond)
+		}
 		b.WriteString("\n")
 	}
 	return b.String()
--- a/internal/berylsched/route.go
+++ b/internal/berylsched/route.go
@@ -100,15 +100,20 @@
 	return 1 - float64(used)/float64(slots)
 }
 
-// usedSlots counts the slots that work of the class can't use. Online work can use slots with batch work by preemption.
+// usedSlots counts the slots that work of the class can't use. Online work can use slots with batch work by preemption. No
+// work can use more slots than the upstream's limit admits requests.
 func usedSlots(l *berylpermit.Load, class berylpermit.Class) int {
 	if l.Straggler {
 		return l.Slots
 	}
+	used := l.Online
 	if class == berylpermit.Batch {
-		return l.Online + l.Batch
+		used += l.Batch
 	}
-	return l.Online
+	if l.Limit.Limited {
+		used = max(used, l.Slots-l.Admitted)
+	}
+	return used
 }
 
 // compareCandidates orders by tier, then affinity, then capacity.
--- a/internal/berylsched/scheduler.go
+++ b/internal/berylsched/scheduler.go
@@ -28,6 +28,8 @@
 	SendYield(ctx context.Context, host string, yield berylpermit.Yield) error
 	// SendHeldReport reports held permits to an owner.
 	SendHeldReport(ctx context.Context, host string, held berylpermit.HeldReport) error
+	// SendLimit reports an upstream's limit to its owner.
+	SendLimit(ctx context.Context, host string, limit berylpermit.LimitReport) error
 }
 
 // Settings are the parameters and dependencies of a Scheduler.
--- a/internal/berylsched/throughput.go
+++ b/internal/berylsched/throughput.go
@@ -49,10 +49,10 @@
 }
 
 // idleSlots counts the free slots of the target's upstreams that get ordinary work: usable and not ejected.
-func (t *target) idleSlots() int {
+func (t *target) idleSlots(now time.Time) int {
 	idle := 0
 	for _, u := range t.owned {
-		if free := u.freeSlots(); free > 0 && u.usable() && !u.health.ejected {
+		if free := u.grantable(now); free > 0 && u.usable() && !u.health.ejected {
 			idle += free
 		}
 	}
@@ -75,6 +75,10 @@
 	slots int
 	// perSecond is how many slots per second become free for each kind of work.
 	perSecond [kindCount]float64
+	// limited is set if any upstream has a limit.
+	limited bool
+	// unlimitedPerSecond is perSecond for short online requests of the upstreams without a limit.
+	unlimitedPerSecond float64
 	// heldFor is the mean time for which a permit is held, by kind of work.
 	heldFor [kindCount]time.Duration
 	// nextProbeAt is when the first probe of an ejected upstream is due; it is used only when slots is zero.
@@ -120,9 +124,15 @@
 		slots := u.health.effectiveSlots(u.slots)
 		long := min(u.long, slots)
 		p.slots += slots
-		p.perSecond[shortOnline] += float64(slots-long)/p.heldFor[shortOnline].Seconds() + float64(long)/p.heldFor[longOnline].Seconds()
-		p.perSecond[longOnline] += math.Max(float64(slots)*o.longShare, 1) / p.heldFor[longOnline].Seconds()
-		p.perSecond[batchWork] += float64(slots) / p.heldFor[batchWork].Seconds()
+		most := u.limit.most()
+		p.perSecond[shortOnline] += min(float64(slots-long)/p.heldFor[shortOnline].Seconds()+float64(long)/p.heldFor[longOnline].Seconds(), most)
+		p.perSecond[longOnline] += min(max(float64(slots)*o.longShare, 1)/p.heldFor[longOnline].Seconds(), most)
+		p.perSecond[batchWork] += min(float64(slots)/p.heldFor[batchWork].Seconds(), most)
+		if u.limit.Limited {
+			p.limited = true
+		} else {
+			p.unlimitedPerSecond += float64(slots-long) / p.heldFor[shortOnline].Seconds()
+		}
 	}
 	t.throughput = p
 }
@@ -175,17 +185,27 @@
 		Straggler:         u.health.ejected,
 		TimeToFirstToken:  u.health.timeToFirstToken.mean,
 		InterTokenLatency: u.health.interTokenLatency.mean,
+		Limit:             u.limit.Limit,
+	}
+	if u.limit.Limited {
+		l.Admitted = int(u.limit.tokens(now))
 	}
 	if u.leaving {
 		l.Slots = 0
 	}
-	if u.freeSlots()+len(u.batch) <= 0 {
+	if u.freeSlots()+len(u.batch) <= 0 || u.limit.tokens(now) < 1 {
 		l.PredictedWait = t.throughput.predictWait(now, shortOnline, t.queues[shortOnline].len()+1)
 	}
 	return l
 }
 
-// score ranks upstreams with free slots by their share of used slots and their slowness; lower is better.
-func (u *upstream) score() float64 {
-	return float64(u.inFlight()+1) / float64(u.health.effectiveSlots(u.slots)) * u.health.loadFactor()
+// score ranks upstreams with free slots by their share of used slots and their slowness; lower is better. For online work
+// it is at least the used share of the limit. Batch calls last long and need few requests, so they go to limited upstreams
+// as to others.
+func (u *upstream) score(now time.Time, k workKind) float64 {
+	score := float64(u.inFlight()+1) / float64(u.health.effectiveSlots(u.slots)) * u.health.loadFactor()
+	if k == batchWork {
+		return score
+	}
+	return max(score, u.limit.usedShare(now))
 }
--- a/internal/berylsched/upstream.go
+++ b/internal/berylsched/upstream.go
@@ -52,6 +52,7 @@
 	overdue int
 	targets []*target
 	health  health
+	limit   rateLimit
 	// peerLoad is the last load reported by another host that owns the upstream.
 	peerLoad peerLoad
 }
