Log software versions and take-ups of streams

Announcements' version is decoded; 'upstream: seen', 'request: ended' and 'item: call ended' carry it, and takes-up names the first attempt of a stream that a caller takes up. No decision changes.

--- a/internal/berylbatch/run.go
+++ b/internal/berylbatch/run.go
@@ -89,7 +89,7 @@
 	permit.Release(report)
 	fields := logrus.Fields{
 		"job": it.job.id, "item": it.ID, "upstream": permit.Upstream, "from-event": from, "events": it.events,
-		"busy-ms": report.HeldFor.Milliseconds(), "outcome": report.Kind.String(), "granted-by": permit.GrantedBy,
+		"busy-ms": report.HeldFor.Milliseconds(), "outcome": report.Kind.String(), "granted-by": permit.GrantedBy, "version": upstream.Version,
 	}
 	if status != 0 {
 		fields["status"] = status
--- a/internal/berylrelay/relay.go
+++ b/internal/berylrelay/relay.go
@@ -79,6 +79,11 @@
 	Tokens int
 	// PrefixHash is equal for prompts that begin alike; zero means unknown.
 	PrefixHash uint64
+	// TakesUp says that the caller has events of the stream already and asks for the rest.
+	TakesUp bool
+	// FirstAttempt is the ID of the caller's attempt that brought the first event of the stream, or empty if the caller
+	// does not name it.
+	FirstAttempt string
 	// PromptParts names the parts of the prompt that other prompts may hold too, in order.
 	PromptParts []string
 }
--- a/internal/berylrelay/report.go
+++ b/internal/berylrelay/report.go
@@ -48,7 +48,10 @@
 		"total-ms":  time.Since(x.startedAt).Milliseconds(),
 	}
 	if x.sends > 0 {
-		fields["granted-by"] = x.grantedBy
+		fields["granted-by"], fields["version"] = x.grantedBy, x.calledUpstream.Version
+	}
+	if x.request.TakesUp {
+		fields["takes-up"] = x.request.FirstAttempt
 	}
 	if x.sends > 1 {
 		fields["tried"] = strings.Join(x.triedUpstreams, ",")
--- a/internal/berylroute/registry.go
+++ b/internal/berylroute/registry.go
@@ -32,6 +32,8 @@
 	Slots int
 	// Leaving marks a replica that gets no new work.
 	Leaving bool
+	// Version is the version of its software, or empty if it announces none. Streams do not go on at another version.
+	Version string
 	// StartedAtMillis is when it started, in milliseconds of Unix time. It distinguishes runs that use the same ID.
 	StartedAtMillis int64
 }
@@ -163,7 +165,7 @@
 	}
 	r.upstreams[u.ID] = u
 	r.dirty = true
-	log := r.Log.WithFields(logrus.Fields{"upstream": u.ID, "service": u.Service, "failure-domain": u.FailureDomain, "address": u.Address, "slots": u.Slots})
+	log := r.Log.WithFields(logrus.Fields{"upstream": u.ID, "service": u.Service, "failure-domain": u.FailureDomain, "address": u.Address, "slots": u.Slots, "version": u.Version})
 	switch {
 	case u.Leaving && !old.Leaving:
 		log.Info("upstream: leaving")
