--- a/internal/berylbatch/dispatch.go
+++ b/internal/berylbatch/dispatch.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"berylroad.example/berylroad/internal/berylconf"
 	"berylroad.example/berylroad/internal/beryloutcome"
 	"berylroad.example/berylroad/internal/berylpermit"
 	"berylroad.example/berylroad/internal/berylroute"
@@ -36,21 +37,56 @@
 		return
 	}
 	limit := min(max(fleetPendingPermits/max(m.Members.Count(), 1), minPendingPermits), maxPendingPermits)
-	for service, runnable := range m.countRunnable(now) {
-		for m.pendingPermits[service] < min(runnable, limit) {
-			m.pendingPermits[service]++
-			m.items.Go(func() { m.runNext(m.itemContext, service) })
+	for target, runnable := range m.countRunnable(now) {
+		for m.pendingPermits[target] < min(runnable, limit) {
+			m.pendingPermits[target]++
+			m.items.Go(func() { m.runNext(m.itemContext, target) })
 		}
 	}
 }
 
-// countRunnable returns the number of runnable items by service; the caller holds mu.
-func (m *Manager) countRunnable(now time.Time) map[string]int {
-	counts := make(map[string]int)
-	m.forEachRunnable(now, func(it *item, route *berylroute.Route) { counts[route.Service(it.ID)]++ })
+// permitTarget says which upstreams a permit is requested for: those of a service or, if pinned is set, those of them that
+// are of one software version.
+type permitTarget struct {
+	service, version string
+	pinned           bool
+}
+
+// name returns the scheduler's name of the target.
+func (t permitTarget) name() string {
+	if !t.pinned {
+		return t.service
+	}
+	return berylconf.VersionTarget(t.service, t.version)
+}
+
+// countRunnable returns the number of runnable items by target; the caller holds mu.
+func (m *Manager) countRunnable(now time.Time) map[permitTarget]int {
+	counts := make(map[permitTarget]int)
+	slots := make(map[string]map[string]int)
+	m.forEachRunnable(now, func(it *item, route *berylroute.Route) {
+		service := route.Service(it.ID)
+		if slots[service] == nil {
+			slots[service] = m.Upstreams.VersionSlots(service)
+		}
+		counts[it.target(service, slots[service])]++
+	})
 	return counts
 }
 
+// target returns the target of the item's next call. slots holds the slots of the service by software version. Text of a
+// version that has left is dropped, since nothing can go on with it. The caller holds mu.
+func (it *item) target(service string, slots map[string]int) permitTarget {
+	if it.events == 0 || len(slots) == 0 {
+		return permitTarget{service: service}
+	}
+	if slots[it.version] == 0 {
+		it.discardText()
+		return permitTarget{service: service}
+	}
+	return permitTarget{service: service, version: it.version, pinned: len(slots) > 1}
+}
+
 // forEachRunnable calls visit with each item that could start now; the caller holds mu.
 func (m *Manager) forEachRunnable(now time.Time, visit func(it *item, route *berylroute.Route)) {
 	config := m.Routes.Get()
@@ -78,10 +114,10 @@
 }
 
 // runNext waits for one permit and then runs the item that is most urgent at that time.
-func (m *Manager) runNext(ctx context.Context, service string) {
+func (m *Manager) runNext(ctx context.Context, target permitTarget) {
 	permit, refusal := m.Permits.Acquire(ctx, berylpermit.Request{
-		Target:    service,
-		Avoid:     m.Upstreams.LeavingIDs(service),
+		Target:    target.name(),
+		Avoid:     m.Upstreams.LeavingIDs(target.service),
 		Class:     berylpermit.Batch,
 		Remaining: permitTimeout,
 		Queue:     true,
@@ -89,11 +125,12 @@
 	if refusal != nil {
 		pause(ctx, itemBackoff)
 		m.mu.Lock()
-		m.pendingPermits[service]--
+		m.pendingPermits[target]--
 		m.mu.Unlock()
 		return
 	}
-	it, callCtx, cancel := m.pickItem(ctx, service)
+	upstream, _ := m.Upstreams.Get(permit.Upstream) // runItem checks whether it is known
+	it, callCtx, cancel := m.pickItem(ctx, target, upstream.Version)
 	if it == nil {
 		permit.Release(berylpermit.Report{Kind: beryloutcome.NotRun})
 		return
@@ -104,19 +141,20 @@
 	m.signal(m.wakeDispatch)
 }
 
-// pickItem selects the most urgent runnable item of a service and marks it as running. It returns the context of the
+// pickItem selects the most urgent runnable item that an upstream of the given software version can run or go on with, and
+// marks it as running. It returns the context of the
 // item's call and the function that cancels it, or a nil item if there is nothing to run.
-func (m *Manager) pickItem(ctx context.Context, service string) (*item, context.Context, context.CancelCauseFunc) {
+func (m *Manager) pickItem(ctx context.Context, target permitTarget, version string) (*item, context.Context, context.CancelCauseFunc) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.pendingPermits[service]--
+	m.pendingPermits[target]--
 	if m.stopping {
 		return nil, nil, nil
 	}
 	var best candidate
 	now := time.Now()
 	m.forEachRunnable(now, func(it *item, route *berylroute.Route) {
-		if route.Service(it.ID) != service {
+		if route.Service(it.ID) != target.service || it.events > 0 && it.version != version {
 			return
 		}
 		due := it.job.record.submitted().Add(route.CompletionTarget)
--- a/internal/berylbatch/job.go
+++ b/internal/berylbatch/job.go
@@ -35,6 +35,8 @@
 	text   []byte
 	events int
 	last   int64
+	// version is the software version of the upstream that sent the text. No other version goes on with it.
+	version string
 	// running is set while a call is in flight; cancel cancels that call.
 	running bool
 	cancel  context.CancelCauseFunc
--- a/internal/berylbatch/manager.go
+++ b/internal/berylbatch/manager.go
@@ -85,8 +85,8 @@
 	follower berylstore.Follower
 
 	mu             sync.Mutex
-	jobs           map[string]*job // all jobs whose records this host has seen, by ID
-	pendingPermits map[string]int  // permit requests in flight, by service
+	jobs           map[string]*job      // all jobs whose records this host has seen, by ID
+	pendingPermits map[permitTarget]int // permit requests in flight
 	estimator      durationEstimator
 	lastProgress   progressCache
 	wakeDispatch   chan struct{} // signals dispatchLoop
@@ -101,7 +101,7 @@
 	m := &Manager{
 		Config:         config,
 		jobs:           make(map[string]*job),
-		pendingPermits: make(map[string]int),
+		pendingPermits: make(map[permitTarget]int),
 		wakeDispatch:   make(chan struct{}, 1),
 		wakeCommit:     make(chan struct{}, 1),
 	}
--- a/internal/berylbatch/manager_test.go
+++ b/internal/berylbatch/manager_test.go
@@ -41,6 +41,8 @@
 	hosts map[string]*Manager
 	// permits holds the permits in use, each with the channel that asks its holder to yield.
 	permits map[*berylpermit.Permit]chan struct{}
+	// target is that of the last permit request.
+	target string
 }
 
 func newTestCluster(slots int) *testCluster {
@@ -69,6 +71,9 @@
 
 // Acquire waits for a free slot and grants a permit for it.
 func (cluster *testCluster) Acquire(ctx context.Context, request berylpermit.Request) (*berylpermit.Permit, *beryloutcome.Refusal) {
+	cluster.mu.Lock()
+	cluster.target = request.Target
+	cluster.mu.Unlock()
 	select {
 	case cluster.slots <- struct{}{}:
 	case <-ctx.Done():
@@ -91,6 +96,13 @@
 	return p, nil
 }
 
+// lastTarget returns the target of the last permit request.
+func (cluster *testCluster) lastTarget() string {
+	cluster.mu.Lock()
+	defer cluster.mu.Unlock()
+	return cluster.target
+}
+
 // yieldAll asks the holders of all permits to yield.
 func (cluster *testCluster) yieldAll() {
 	cluster.mu.Lock()
--- a/internal/berylbatch/run.go
+++ b/internal/berylbatch/run.go
@@ -114,6 +114,9 @@
 	if refusal := m.Quarantine.Admit(ctx, it.prompt()); refusal != nil {
 		return 0, errors.Mark(refusal, errNotRun)
 	}
+	m.mu.Lock()
+	it.beginAt(upstream.Version)
+	m.mu.Unlock()
 	began := time.Now()
 	stall := time.AfterFunc(itemStallTimeout, func() { cancel(errStalled) })
 	defer stall.Stop()
@@ -201,6 +204,15 @@
 	return true, nil
 }
 
+// beginAt prepares the item for a call to an upstream of the given version: text of another version is dropped. The caller
+// holds mu.
+func (it *item) beginAt(version string) {
+	if it.version != version {
+		it.discardText()
+	}
+	it.version = version
+}
+
 // discardText drops the text received so far, so that the next call starts over. The caller holds mu.
 func (it *item) discardText() {
 	it.text, it.events, it.last = nil, 0, 0
--- a/internal/berylconf/document.go
+++ b/internal/berylconf/document.go
@@ -1,6 +1,9 @@
 package berylconf
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Duration is a time.Duration that is written in JSON as a string such as "250ms" or "1h30m".
 type Duration time.Duration
@@ -75,16 +78,35 @@
 	Service string `json:"service,omitempty"`
 	// Slots is the maximum number of calls in flight to it.
 	Slots int `json:"slots"`
+	// Version is the version of its software. A stream is continued only by an upstream of the version that began it.
+	Version string `json:"version,omitempty"`
 	// Resume reports whether the engine can continue a stream from the tokens already generated.
 	Resume bool `json:"resume,omitempty"`
 }
 
-// Targets returns the models or the service that the upstream serves.
+// Targets returns the targets of the upstream: the models or the service that it serves, and each of these at its version.
 func (u Upstream) Targets() []string {
+	names := u.Models
 	if u.Service != "" {
-		return []string{u.Service}
+		names = []string{u.Service}
+	}
+	if u.Version == "" {
+		return names
+	}
+	targets := slices.Clone(names)
+	for _, name := range names {
+		targets = append(targets, VersionTarget(name, u.Version))
+	}
+	return targets
+}
+
+// VersionTarget returns the name of the target that stands for the upstreams of a model or service with one version. For
+// upstreams that state no version that is the model or service itself.
+func VersionTarget(name, version string) string {
+	if version == "" {
+		return name
 	}
-	return u.Models
+	return name + "\x00" + version
 }
 
 // Service is one plain service that berylroad routes to.
--- a/internal/berylentry/follow.go
+++ b/internal/berylentry/follow.go
@@ -18,6 +18,7 @@
 	"berylroad.example/berylroad/internal/berylroute"
 	"berylroad.example/berylroad/internal/berylsched"
 	"berylroad.example/berylroad/internal/berylstore"
+	"berylroad.example/berylroad/internal/berylversion"
 	"berylroad.example/berylroad/internal/berylwire"
 )
 
@@ -152,7 +153,7 @@
 	for _, id := range h.upstreamRegistry.IDs() {
 		u := all[id]
 		document.Inventory.Upstreams = append(document.Inventory.Upstreams, berylconf.Upstream{
-			Name: u.ID, Region: u.FailureDomain, Service: u.Service, Slots: u.Slots, Resume: true,
+			Name: u.ID, Region: u.FailureDomain, Service: u.Service, Version: u.Version, Slots: u.Slots, Resume: true,
 		})
 		if u.Leaving {
 			document.Rules.Leaving = append(document.Rules.Leaving, u.ID)
@@ -245,6 +246,40 @@
 	return names
 }
 
+// versionPeers reaches the other hosts for the origins of streams.
+type versionPeers struct {
+	host  *Host
+	links *beryllink.Transport
+}
+
+// Keepers returns the first n live hosts by rank for a stream without this one, hosts of different failure domains first.
+func (p *versionPeers) Keepers(id string, n int) []string {
+	return chooseKeepers(id, p.host.Settings.Host, p.host.members.Live(), n)
+}
+
+// chooseKeepers implements Keepers for a given list of live hosts.
+func chooseKeepers(id, self string, live []berylhost.Member, n int) []string {
+	var first, others []string
+	domains := make(map[string]bool)
+	for _, m := range berylhost.Rank(id, live, "") {
+		switch {
+		case m.Name == self:
+		case domains[m.FailureDomain]:
+			others = append(others, m.Name)
+		default:
+			domains[m.FailureDomain] = true
+			first = append(first, m.Name)
+		}
+	}
+	names := append(first, others...)
+	return names[:min(n, len(names))]
+}
+
+// Exchange sends a message to a host and waits for its reply.
+func (p *versionPeers) Exchange(ctx context.Context, host string, message berylversion.Message) (berylversion.Reply, error) {
+	return beryllink.Request[berylversion.Message, berylversion.Reply](ctx, p.links, host, kindVersion, message)
+}
+
 // Ask sends a message to a host.
 func (p *quarantinePeers) Ask(ctx context.Context, host string, message berylquarantine.Message) (berylquarantine.Evidence, error) {
 	return beryllink.Request[berylquarantine.Message, berylquarantine.Evidence](ctx, p.links, host, kindQuarantine, message)
--- a/internal/berylentry/host.go
+++ b/internal/berylentry/host.go
@@ -20,6 +20,7 @@
 	"berylroad.example/berylroad/internal/berylroute"
 	"berylroad.example/berylroad/internal/berylsched"
 	"berylroad.example/berylroad/internal/berylstore"
+	"berylroad.example/berylroad/internal/berylversion"
 	"berylroad.example/berylroad/internal/berylwire"
 )
 
@@ -46,6 +47,8 @@
 	kindStoreCall = "store-call"
 	// kindQuarantine is the kind of message about prompt parts that crash upstreams.
 	kindQuarantine = "quarantine"
+	// kindVersion is the kind of message about the versions at which streams began.
+	kindVersion = "stream-version"
 	// kindStorePut is the kind of message that writes an item for another host.
 	kindStorePut = "store-put"
 )
@@ -116,6 +119,7 @@
 	members               *berylhost.Membership
 	scheduler             *berylsched.Scheduler
 	quarantine            *berylquarantine.Quarantine
+	versions              *berylversion.Versions
 	assembled             atomic.Bool // true once assemble has returned
 	schedulerHasUpstreams atomic.Bool // true once the scheduler knows at least one upstream
 	serving               atomic.Bool
@@ -198,7 +202,7 @@
 	defer stop()
 	var components, jobs conc.WaitGroup
 	for _, run := range []func(context.Context){
-		h.endpoint.Serve, h.members.Run, h.scheduler.Run, h.operatorItems.Run, h.announcements.Run, h.hostRegistry.run, h.quarantine.Run, h.forwardChanges, h.expire,
+		h.endpoint.Serve, h.members.Run, h.scheduler.Run, h.operatorItems.Run, h.announcements.Run, h.hostRegistry.run, h.quarantine.Run, h.versions.Run, h.forwardChanges, h.expire,
 	} {
 		components.Go(func() { run(runCtx) })
 	}
@@ -250,8 +254,13 @@
 		Rank: (*memberView)(h).Rank, Sharing: sharing, Log: h.Log, Metrics: h.Metrics,
 	})
 	berylwire.Handle(h.endpoint, kindQuarantine, h.quarantine.HandleMessage)
+	h.versions = berylversion.New(berylversion.Config{
+		Store: h.fallbackStore, Upstreams: &h.upstreamRegistry, CopiedAt: h.announcements.LastCurrent, StoreAway: h.announcements.Unavailable,
+		Routes: &h.routes, Peers: &versionPeers{host: h, links: links}, Rank: (*memberView)(h).Rank, Sharing: sharing, Log: h.Log, Metrics: h.Metrics,
+	})
+	berylwire.Handle(h.endpoint, kindVersion, h.versions.HandleMessage)
 	h.Relay = &berylrelay.Relay{
-		Permits: h.scheduler, Upstreams: &h.upstreamRegistry, Client: h.Upstreams, Quarantine: h.quarantine, Log: h.Log, Metrics: h.Metrics,
+		Permits: h.scheduler, Upstreams: &h.upstreamRegistry, Client: h.Upstreams, Versions: h.versions, Quarantine: h.quarantine, Log: h.Log, Metrics: h.Metrics,
 	}
 	h.Jobs = berylbatch.New(berylbatch.Config{
 		Host: h.Settings.Host, Boot: h.boot, Store: h.fallbackStore, Permits: h.scheduler, Upstreams: &h.upstreamRegistry, Client: h.Upstreams,
@@ -295,7 +304,7 @@
 
 // allFollowers returns the followers of all parts of the store that this host keeps a copy of.
 func (h *Host) allFollowers() []*berylstore.Follower {
-	return []*berylstore.Follower{&h.operatorItems, &h.announcements, &h.hostRegistry.follower, h.Jobs.Records(), h.quarantine.Follower()}
+	return []*berylstore.Follower{&h.operatorItems, &h.announcements, &h.hostRegistry.follower, h.Jobs.Records(), h.quarantine.Follower(), h.versions.Follower()}
 }
 
 // awaitReady waits until this host can serve online requests, and then until it is ready.
@@ -303,7 +312,7 @@
 	ticker := time.NewTicker(readyCheckInterval)
 	defer ticker.Stop()
 	for {
-		if !h.serving.Load() && h.routes.Get() != nil && h.schedulerHasUpstreams.Load() && !h.quarantine.Follower().LastCurrent().IsZero() {
+		if !h.serving.Load() && h.routes.Get() != nil && h.schedulerHasUpstreams.Load() && !h.quarantine.Follower().LastCurrent().IsZero() && !h.versions.Follower().LastCurrent().IsZero() {
 			h.serving.Store(true)
 			h.Log.WithFields(logrus.Fields{"version": h.routes.Get().Version, "upstreams": len(h.upstreamRegistry.All())}).Info("host: serving")
 		}
--- a/internal/berylrelay/relay.go
+++ b/internal/berylrelay/relay.go
@@ -16,6 +16,7 @@
 	"berylroad.example/berylroad/internal/berylpermit"
 	"berylroad.example/berylroad/internal/berylquarantine"
 	"berylroad.example/berylroad/internal/berylroute"
+	"berylroad.example/berylroad/internal/berylversion"
 )
 
 const (
@@ -43,6 +44,8 @@
 	// queue. The rest is for the engine and for errors of the prediction (see TestReplicasLostUnderPeak in
 	// berylsched).
 	maxQueueWaitShare = 0.5
+	// versionRetryAfter is the Retry-After if no version may begin streams or the origin of a stream is not known.
+	versionRetryAfter = time.Second
 	// minRetryAfter is the shortest Retry-After sent to a refused caller.
 	minRetryAfter = 100 * time.Millisecond
 )
@@ -96,6 +99,8 @@
 	Upstreams *berylroute.Registry
 	// Client sends requests to upstreams.
 	Client UpstreamClient
+	// Versions keeps streams at the software version that began them; nil lets them go on anywhere.
+	Versions *berylversion.Versions
 	// Quarantine refuses prompts with parts that crash upstreams; nil refuses none.
 	Quarantine *berylquarantine.Quarantine
 	// Log receives one line for each request.
@@ -128,6 +133,13 @@
 	sink      Sink
 	startedAt time.Time
 	service   string
+	// origin is where the stream began, if hasOrigin is set. It goes on nowhere else.
+	origin    berylversion.Origin
+	hasOrigin bool
+	// originRecorded marks that the origin has been noted for later attempts.
+	originRecorded bool
+	// originSource is how the origin of a stream that the caller takes up is known.
+	originSource berylversion.Source
 	// prompt is what the quarantine knows of the request.
 	prompt berylquarantine.Prompt
 	// triedUpstreams names the upstreams that were granted so far. None of them is granted to the request again.
@@ -166,6 +178,9 @@
 )
 
 func (x *exchange) run(ctx context.Context) beryloutcome.Result {
+	if err := x.resolveOrigin(ctx); err != nil {
+		return x.resultUnknownOrigin(err)
+	}
 	for {
 		if refusal := x.Quarantine.Refusal(x.prompt); refusal != nil {
 			return x.resultQuarantined(ctx, refusal)
@@ -191,8 +206,12 @@
 func (x *exchange) acquire(ctx context.Context) (*berylpermit.Permit, *beryloutcome.Refusal) {
 	began := time.Now()
 	defer func() { x.permitWait += time.Since(began) }()
+	target, err := x.target()
+	if err != nil {
+		return nil, x.notRunRefusal(versionRetryAfter)
+	}
 	return x.Permits.Acquire(ctx, berylpermit.Request{
-		Target:       x.service,
+		Target:       target,
 		Avoid:        x.avoidedUpstreams(),
 		Class:        berylpermit.Online,
 		Remaining:    time.Until(x.request.Deadline),
@@ -204,10 +223,10 @@
 }
 
 // maxQueueWait returns how long the request may queue and still be answered in time; zero means no limit. A request
-// that may have run already waits for as long as its deadline allows, since a refusal would waste the events that
-// have arrived.
+// that may have run already, or whose caller has events, waits for as long as its deadline allows, since a refusal would
+// waste the events that have arrived.
 func (x *exchange) maxQueueWait() time.Duration {
-	if x.possibleRuns > 0 {
+	if x.possibleRuns > 0 || x.hasOrigin {
 		return 0
 	}
 	return time.Duration(maxQueueWaitShare * float64(x.request.Route.FirstEventTarget))
@@ -231,8 +250,8 @@
 	x.upstream, x.grantedBy = permit.Upstream, permit.GrantedBy
 	x.triedUpstreams = append(x.triedUpstreams, permit.Upstream)
 	upstream, known := x.Upstreams.Get(permit.Upstream)
-	if !known || upstream.Leaving || upstream.Service != x.service {
-		x.cause = errors.New("the granted upstream is leaving or gone")
+	if !known || upstream.Leaving || upstream.Service != x.service || !x.admitsVersion(&upstream) {
+		x.cause = errors.New("the granted upstream is leaving, gone or at another version")
 		return stepRetry
 	}
 	// A verdict may have been passed while the request waited for its permit.
@@ -435,6 +454,7 @@
 
 // writeEvent passes an event to the sink, preceded by the head of the answer if the sink does not have it yet.
 func (x *exchange) writeEvent(reply *Reply, part []byte) error {
+	x.recordOrigin()
 	if !x.started {
 		x.started = true
 		x.timeToFirstEvent = time.Since(x.startedAt)
--- a/internal/berylrelay/report.go
+++ b/internal/berylrelay/report.go
@@ -51,7 +51,7 @@
 		fields["granted-by"], fields["version"] = x.grantedBy, x.calledUpstream.Version
 	}
 	if x.request.TakesUp {
-		fields["takes-up"] = x.request.FirstAttempt
+		fields["takes-up"], fields["origin"] = x.request.FirstAttempt, string(x.originSource)
 	}
 	if x.sends > 1 {
 		fields["tried"] = strings.Join(x.triedUpstreams, ",")
--- a/internal/berylroute/config.go
+++ b/internal/berylroute/config.go
@@ -75,6 +75,22 @@
 	return r.Kind == Safe || r.Kind == Streaming && r.Resumable
 }
 
+// MayResume reports whether a caller may take up a stream after some of its events.
+func (r *Route) MayResume() bool {
+	return r.Kind == Streaming && r.Resumable
+}
+
+// Services returns the services to which the route's requests may go, each once.
+func (r *Route) Services() []string {
+	var services []string
+	for _, s := range r.Shares {
+		if (s.Weight > 0 || len(r.Shares) == 1) && !slices.Contains(services, s.Service) {
+			services = append(services, s.Service)
+		}
+	}
+	return services
+}
+
 // Attempts returns on how many upstreams one request may run.
 func (r *Route) Attempts() int {
 	return max(r.MaxAttempts, 1)
--- a/internal/berylroute/registry.go
+++ b/internal/berylroute/registry.go
@@ -55,6 +55,8 @@
 type snapshot struct {
 	upstreams map[string]Upstream
 	leaving   map[string][]string // IDs of the leaving upstreams, by service
+	// versions holds the slots of each service's upstreams by version; those of leaving upstreams do not count.
+	versions map[string]map[string]int
 }
 
 // All returns the upstreams by ID; the map must not be changed.
@@ -207,11 +209,17 @@
 		return
 	}
 	r.dirty = false
-	next := &snapshot{upstreams: maps.Clone(r.upstreams), leaving: make(map[string][]string)}
+	next := &snapshot{upstreams: maps.Clone(r.upstreams), leaving: make(map[string][]string), versions: make(map[string]map[string]int)}
 	for _, u := range r.upstreams {
+		if next.versions[u.Service] == nil {
+			next.versions[u.Service] = make(map[string]int)
+		}
 		if u.Leaving {
 			next.leaving[u.Service] = append(next.leaving[u.Service], u.ID)
+			next.versions[u.Service][u.Version] += 0
+			continue
 		}
+		next.versions[u.Service][u.Version] += u.Slots
 	}
 	r.published.Store(next)
 	if r.changed != nil {
@@ -220,6 +228,36 @@
 	}
 }
 
+// Services returns the services of all upstreams.
+func (r *Registry) Services() []string {
+	if p := r.published.Load(); p != nil {
+		return slices.Collect(maps.Keys(p.versions))
+	}
+	return nil
+}
+
+// Versions returns the software versions of a service's upstreams, leaving or not.
+func (r *Registry) Versions(service string) []string {
+	if p := r.published.Load(); p != nil {
+		return slices.Collect(maps.Keys(p.versions[service]))
+	}
+	return nil
+}
+
+// VersionSlots returns the slots of a service's upstreams by version, without those of leaving upstreams. The map is the
+// caller's.
+func (r *Registry) VersionSlots(service string) map[string]int {
+	slots := make(map[string]int)
+	if p := r.published.Load(); p != nil {
+		for version, n := range p.versions[service] {
+			if n > 0 {
+				slots[version] = n
+			}
+		}
+	}
+	return slots
+}
+
 // IDs returns the IDs of all upstreams, sorted.
 func (r *Registry) IDs() []string {
 	return slices.Sorted(maps.Keys(r.All()))
--- a/internal/berylsched/scheduler.go
+++ b/internal/berylsched/scheduler.go
@@ -130,7 +130,7 @@
 func sameInventory(a, b *berylconf.Document) bool {
 	return slices.Equal(a.Inventory.Hosts, b.Inventory.Hosts) && slices.Equal(a.Rules.Leaving, b.Rules.Leaving) &&
 		slices.EqualFunc(a.Inventory.Upstreams, b.Inventory.Upstreams, func(u, v berylconf.Upstream) bool {
-			return u.Name == v.Name && u.Region == v.Region && u.Service == v.Service && u.Slots == v.Slots && slices.Equal(u.Models, v.Models)
+			return u.Name == v.Name && u.Region == v.Region && u.Service == v.Service && u.Version == v.Version && u.Slots == v.Slots && slices.Equal(u.Models, v.Models)
 		})
 }
 
