--- a/internal/berylrelay/relay.go
+++ b/internal/berylrelay/relay.go
@@ -44,6 +44,11 @@
 	// queue. The rest is for the engine and for errors of the prediction (see TestReplicasLostUnderPeak in
 	// berylsched).
 	maxQueueWaitShare = 0.5
+	// maxOriginWait bounds the wait of a stream that may go on at one version only for an upstream of that version. The
+	// owners of some may be lost, which takes about that long to be known, and callers of such streams wait longer still.
+	maxOriginWait = 2 * time.Second
+	// originRetryInterval is the pause between two attempts in that time.
+	originRetryInterval = 100 * time.Millisecond
 	// versionRetryAfter is the Retry-After if no version may begin streams or the origin of a stream is not known.
 	versionRetryAfter = time.Second
 	// minRetryAfter is the shortest Retry-After sent to a refused caller.
@@ -210,16 +215,21 @@
 	if err != nil {
 		return nil, x.notRunRefusal(versionRetryAfter)
 	}
-	return x.Permits.Acquire(ctx, berylpermit.Request{
-		Target:       target,
-		Avoid:        x.avoidedUpstreams(),
-		Class:        berylpermit.Online,
-		Remaining:    time.Until(x.request.Deadline),
-		Tokens:       x.request.Tokens,
-		Queue:        true,
-		PrefixHash:   x.request.PrefixHash,
-		MaxQueueWait: x.maxQueueWait(),
-	})
+	for {
+		permit, refusal := x.Permits.Acquire(ctx, berylpermit.Request{
+			Target:       target,
+			Avoid:        x.avoidedUpstreams(),
+			Class:        berylpermit.Online,
+			Remaining:    time.Until(x.request.Deadline),
+			Tokens:       x.request.Tokens,
+			Queue:        true,
+			PrefixHash:   x.request.PrefixHash,
+			MaxQueueWait: x.maxQueueWait(),
+		})
+		if refusal == nil || time.Since(began) > maxOriginWait || !x.awaitOrigin(ctx) {
+			return permit, refusal
+		}
+	}
 }
 
 // maxQueueWait returns how long the request may queue and still be answered in time; zero means no limit. A request
--- a/internal/berylrelay/version.go
+++ b/internal/berylrelay/version.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"berylroad.example/berylroad/internal/berylconf"
 	"berylroad.example/berylroad/internal/beryloutcome"
@@ -70,6 +71,31 @@
 	return x.Versions.MayBegin(upstream.Service, upstream.Version)
 }
 
+// awaitOrigin pauses a stream that has found no permit at its version, and reports whether to try again: there is an
+// upstream of the version that has not been tried.
+func (x *exchange) awaitOrigin(ctx context.Context) bool {
+	if !x.hasOrigin || !x.hasUntriedUpstream() {
+		return false
+	}
+	timer := time.NewTimer(originRetryInterval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func (x *exchange) hasUntriedUpstream() bool {
+	for id, u := range x.Upstreams.All() {
+		if u.Service == x.service && u.Version == x.origin.Version && !u.Leaving && !slices.Contains(x.triedUpstreams, id) {
+			return true
+		}
+	}
+	return false
+}
+
 // recordOrigin notes where the stream began when its first part is passed on.
 func (x *exchange) recordOrigin() {
 	if !x.keepsVersion() || x.originRecorded {
--- a/internal/berylrelay/version_test.go
+++ b/internal/berylrelay/version_test.go
@@ -145,6 +145,30 @@
 	}
 }
 
+// Guards against a take-up being refused because the owner of the only upstreams of its version has just been lost.
+func TestTakeUpWaitsForItsVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newVersionTest(t, map[string]script{"v1-a": {body: events(3, 4)}}, "v1-a", "v2-a")
+		s.relay.Versions.Record(berylversion.Origin{Service: "svc", Version: "v1"}, "first")
+		s.broker.grants = nil
+		time.AfterFunc(1500*time.Millisecond, func() { s.broker.grants = []string{"v1-a"} })
+		s.Equal(s.do(t, Request{ID: "second", TakesUp: true, FirstAttempt: "first"}).Kind, beryloutcome.Answered)
+	})
+}
+
+// What is known not to be servable is refused at once: no upstream of the version is in service.
+func TestTakeUpWhoseVersionHasLeftIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newVersionTest(t, nil, "v1-a", "v2-a")
+		s.relay.Versions.Record(berylversion.Origin{Service: "svc", Version: "v1"}, "first")
+		s.relay.Upstreams.Put(berylroute.Upstream{ID: "v1-a", Service: "svc", Version: "v1", Address: "10.0.0.1:1", Slots: 2, Leaving: true})
+		s.broker.grants = nil
+		began := time.Now()
+		s.Equal(s.do(t, Request{ID: "second", TakesUp: true, FirstAttempt: "first"}).Kind, beryloutcome.NotRun)
+		s.True(time.Since(began) < 100*time.Millisecond)
+	})
+}
+
 // A take-up goes on wherever the only version in service is, whatever is known of its attempt. A chain of take-ups names
 // the first attempt each time.
 func TestTakeUpWithOneVersionInService(t *testing.T) {
