Keep the stateless reset key of entry hosts over restarts

Cause: an entry host creates its key pair at each start, and the key for QUIC's stateless resets was derived from it. So peers did not recognize the resets of a restarted host and kept their old connections until these timed out. Class: an identity that must outlive the process is made anew with it. Fix: the key is derived from the fleet's key and the host's name. TestResetKeyIsTheSameAfterARestart failed before. Ruled out: the owners' own state after a restart, which was right 0.1 s after the start.

--- a/internal/berylentry/credentials.go
+++ b/internal/berylentry/credentials.go
@@ -33,7 +33,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return berylkey.New(time.Now(), authority.Cert, pair)
+	credentials, err := berylkey.New(time.Now(), authority.Cert, pair)
+	if err != nil {
+		return nil, err
+	}
+	credentials.DeriveResetKey(authority.Key)
+	return credentials, nil
 }
 
 // retry calls operation until it succeeds or ctx ends, and logs message with each failure.
--- a/internal/berylkey/credentials.go
+++ b/internal/berylkey/credentials.go
@@ -55,6 +55,14 @@
 	return c.current.Load().resetKey
 }
 
+// DeriveResetKey derives the key for stateless resets from a secret of the fleet and the host's name. A host that creates a
+// key pair at each start needs it, because the key must stay the same when it restarts.
+func (c *Credentials) DeriveResetKey(secret []byte) {
+	id := *c.current.Load()
+	id.resetKey = deriveResetKey(secret, id.name)
+	c.current.Store(&id)
+}
+
 // ServerConfig returns a TLS configuration for the given application protocol that requires a client certificate of the fleet.
 // New connections use reloaded credentials.
 func (c *Credentials) ServerConfig(protocol string) *tls.Config {
@@ -121,18 +129,25 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "host key")
 	}
-	mac := hmac.New(sha256.New, secret)
-	mac.Write([]byte("berylroad stateless reset"))
 	id := &identity{
 		name:      leaf.DNSNames[0],
 		expiresAt: leaf.NotAfter,
 		roots:     roots,
 		cert:      tls.Certificate{Certificate: [][]byte{leaf.Raw}, PrivateKey: key, Leaf: leaf},
 	}
-	mac.Sum(id.resetKey[:0])
+	id.resetKey = deriveResetKey(secret, "")
 	return id, nil
 }
 
+// deriveResetKey derives a key for stateless resets from a secret and the name of the host, unless the secret is the host's.
+func deriveResetKey(secret []byte, host string) (key [sha256.Size]byte) {
+	mac := hmac.New(sha256.New, secret)
+	mac.Write([]byte("berylroad stateless reset"))
+	mac.Write([]byte(host))
+	mac.Sum(key[:0])
+	return key
+}
+
 // verifyHostCert checks that the host certificate holds one name, that both certificates are valid now and that the authority
 // signed the host's.
 func verifyHostCert(now time.Time, leaf, root *x509.Certificate, roots *x509.CertPool) error {
