--- /dev/null
+++ b/internal/berylrelay/acquire.go
@@ -0,0 +1,51 @@
+package berylrelay
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"berylroad.example/berylroad/internal/beryloutcome"
+	"berylroad.example/berylroad/internal/berylpermit"
+)
+
+// acquire waits for a permit for an upstream that has not been tried yet.
+func (x *exchange) acquire(ctx context.Context) (*berylpermit.Permit, *beryloutcome.Refusal) {
+	began := time.Now()
+	defer func() { x.permitWait += time.Since(began) }()
+	target, err := x.target()
+	if err != nil {
+		return nil, x.notRunRefusal(versionRetryAfter)
+	}
+	for {
+		permit, refusal := x.Permits.Acquire(ctx, berylpermit.Request{
+			Target:       target,
+			Avoid:        x.avoidedUpstreams(),
+			Class:        berylpermit.Online,
+			Remaining:    time.Until(x.request.Deadline),
+			Tokens:       x.request.Tokens,
+			Queue:        true,
+			PrefixHash:   x.request.PrefixHash,
+			MaxQueueWait: x.maxQueueWait(),
+		})
+		if refusal == nil || time.Since(began) > maxOriginWait || !x.awaitOrigin(ctx) {
+			return permit, refusal
+		}
+	}
+}
+
+// maxQueueWait returns how long the request may queue and still be answered in time; zero means no limit. A request
+// that may have run already, or whose caller has events, waits for as long as its deadline allows, since a refusal would
+// waste the events that have arrived.
+func (x *exchange) maxQueueWait() time.Duration {
+	if x.possibleRuns > 0 || x.hasOrigin {
+		return 0
+	}
+	return time.Duration(maxQueueWaitShare * float64(x.request.Route.FirstEventTarget))
+}
+
+// avoidedUpstreams returns the upstreams that must not be granted: those that were tried, and those that this host
+// knows to be leaving, since an owner that is cut off from the store may not know it.
+func (x *exchange) avoidedUpstreams() []string {
+	return slices.Concat(x.triedUpstreams, x.Upstreams.LeavingIDs(x.service))
+}
--- /dev/null
+++ b/internal/berylrelay/failure.go
@@ -0,0 +1,55 @@
+package berylrelay
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"berylroad.example/berylroad/internal/beryloutcome"
+	"berylroad.example/berylroad/internal/berylpermit"
+)
+
+// handleFailure decides what follows a call whose answer did not arrive completely.
+func (x *exchange) handleFailure(ctx context.Context, report *berylpermit.Report, err error) step {
+	x.cause = err
+	report.Fault = x.isUpstreamFault(ctx)
+	if errors.Is(err, ErrUnsent) {
+		return stepRetry
+	}
+	if report.Fault && report.Tokens == 0 && !errors.Is(err, errStalled) {
+		x.brokeUnanswered = true
+		x.Quarantine.RecordBreak(x.calledUpstream, x.prompt, x.sentAt)
+	}
+	report.Kind = beryloutcome.Unknown
+	if errors.Is(context.Cause(ctx), context.Canceled) {
+		report.Kind = beryloutcome.Cancelled
+		return stepFail
+	}
+	if x.mayRetry() {
+		return stepRetry
+	}
+	return stepFail
+}
+
+// isUpstreamFault reports whether a failed call counts as a fault of its upstream. A call that the caller cancelled
+// does not. A call that ran into the request's deadline does only if the upstream had been silent for too long by
+// then.
+func (x *exchange) isUpstreamFault(ctx context.Context) bool {
+	switch cause := beryloutcome.Cause(ctx); {
+	case errors.Is(cause, context.Canceled):
+		return false
+	case errors.Is(cause, context.DeadlineExceeded):
+		return time.Since(x.lastProgress) >= x.stallTimeout()
+	default:
+		return true
+	}
+}
+
+// mayRetry reports whether another upstream may run the request, from its start or after the last event.
+func (x *exchange) mayRetry() bool {
+	if x.started && !x.hasEvent {
+		return false
+	}
+	return x.request.Route.Repeatable() && x.possibleRuns < x.request.Route.Attempts()
+}
--- /dev/null
+++ b/internal/berylrelay/pass.go
@@ -0,0 +1,140 @@
+package berylrelay
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"berylroad.example/berylroad/internal/beryloutcome"
+	"berylroad.example/berylroad/internal/berylpermit"
+)
+
+// passBody passes on an answer that is not a stream: at once when it is complete, or as it arrives if it is long.
+func (x *exchange) passBody(ctx context.Context, reply *Reply, report *berylpermit.Report) step {
+	body, err := io.ReadAll(io.LimitReader(reply.Body, maxBufferedBytes+1))
+	if err != nil {
+		return x.handleFailure(ctx, report, err)
+	}
+	if x.started {
+		x.cause = errors.Newf("status %d instead of the rest of the stream", reply.Status)
+		return stepFail
+	}
+	report.Kind = beryloutcome.Answered
+	if reply.Status == http.StatusOK {
+		x.Quarantine.RecordBegin(x.service, x.prompt)
+	}
+	if reply.Status >= http.StatusInternalServerError {
+		report.Kind = beryloutcome.Failed
+	}
+	length := len(body)
+	if length > maxBufferedBytes {
+		length = -1
+	}
+	x.started = true
+	if err := x.sink.Start(reply.Status, reply.Header, length); err != nil {
+		x.cause = err
+		return stepFail
+	}
+	if err := x.sink.Write(body); err != nil {
+		x.cause = err
+		return stepFail
+	}
+	if length < 0 {
+		return x.passLongBody(ctx, reply, report, len(body))
+	}
+	return stepDone
+}
+
+// passLongBody passes on the rest of a long answer. An answer over maxAnswerBytes is cut off, so that it does not
+// look complete to the caller.
+func (x *exchange) passLongBody(ctx context.Context, reply *Reply, report *berylpermit.Report, passed int) step {
+	buffer := make([]byte, passBufferBytes)
+	for {
+		n, err := reply.Body.Read(buffer)
+		passed += n
+		if passed > maxAnswerBytes {
+			return x.handleFailure(ctx, report, errors.Newf("the answer is over %d bytes", maxAnswerBytes))
+		}
+		if writeErr := x.sink.Write(buffer[:n]); writeErr != nil {
+			x.cause = writeErr
+			report.Kind = beryloutcome.Cancelled
+			return stepFail
+		}
+		if IsCleanEOF(err) {
+			return stepDone
+		}
+		if err != nil {
+			return x.handleFailure(ctx, report, err)
+		}
+	}
+}
+
+// passEvents passes a stream on as it arrives, one complete event at a time.
+func (x *exchange) passEvents(ctx context.Context, reply *Reply, stall *stallTimer, report *berylpermit.Report, began time.Time) step {
+	events := EventReader{Reader: bufio.NewReaderSize(reply.Body, eventBufferBytes)}
+	defer func() {
+		if report.Tokens > 1 {
+			report.InterTokenLatency = (time.Since(began) - report.TimeToFirstToken) / time.Duration(report.Tokens-1)
+		}
+	}()
+	for {
+		event, err := events.Next()
+		if IsCleanEOF(err) {
+			return x.finishEvents(ctx, events.Rest(), report)
+		}
+		if err != nil {
+			return x.handleFailure(ctx, report, err)
+		}
+		if x.hasEvent && event.HasID && event.ID <= x.lastEvent {
+			continue
+		}
+		if event.HasID {
+			// Comments and repeated events do not count as progress: an upstream that sends nothing else has stalled.
+			stall.Reset()
+			x.lastProgress = time.Now()
+			if report.Tokens == 0 {
+				report.TimeToFirstToken = time.Since(began)
+				x.Quarantine.RecordBegin(x.service, x.prompt)
+			}
+			report.Tokens++
+		}
+		if x.hasEvent && event.HasID && event.ID > x.lastEvent+1 && x.possibleRuns > 1 {
+			return x.handleFailure(ctx, report, errors.Newf("events are missing: event %d follows event %d", event.ID, x.lastEvent))
+		}
+		if err := x.writeEvent(reply, event.Raw); err != nil {
+			x.cause = err
+			report.Kind = beryloutcome.Cancelled
+			return stepFail
+		}
+		if event.HasID {
+			x.hasEvent, x.lastEvent = true, event.ID
+		}
+	}
+}
+
+// writeEvent passes an event to the sink, preceded by the head of the answer if the sink does not have it yet.
+func (x *exchange) writeEvent(reply *Reply, part []byte) error {
+	x.recordOrigin()
+	if !x.started {
+		x.started = true
+		x.timeToFirstEvent = time.Since(x.startedAt)
+		if err := x.sink.Start(reply.Status, reply.Header, -1); err != nil {
+			return err
+		}
+	}
+	return x.sink.Write(part)
+}
+
+// finishEvents ends a stream that its upstream closed without an error. rest is what followed the last complete
+// event.
+func (x *exchange) finishEvents(ctx context.Context, rest []byte, report *berylpermit.Report) step {
+	if len(rest) > 0 || !x.started {
+		return x.handleFailure(ctx, report, errors.New("the stream ended within an event or before its first event"))
+	}
+	report.Kind = beryloutcome.Answered
+	return stepDone
+}
