--- a/internal/berylcall/call.go
+++ b/internal/berylcall/call.go
@@ -26,6 +26,8 @@
 	group          conc.WaitGroup
 	// mustResume marks that the next upstream has to continue the partial answer.
 	mustResume bool
+	// version is the software version of the upstream that began the answer. No other version continues it.
+	version string
 	// initialTokens counts the tokens that the sink already had when the call began; a restart resets it to zero.
 	initialTokens   int
 	timeToFirstByte time.Duration
@@ -33,7 +35,7 @@
 
 func newCall(r *Runner, req *Request, sink Sink) *call {
 	c := &call{runner: r, req: req, rules: r.rules(), sink: trackedSink{sink: sink}}
-	c.initialTokens = req.ContinueFrom
+	c.initialTokens, c.version = req.ContinueFrom, req.ContinueVersion
 	c.sink.tokens = req.ContinueFrom
 	c.sink.started = req.ContinueFrom > 0
 	c.mustResume = req.ContinueFrom > 0
@@ -195,7 +197,7 @@
 // canUse reports whether the permit's upstream is known and, if the answer has to be continued, can do that.
 func (c *call) canUse(permit *berylpermit.Permit) bool {
 	_, resumes, known := c.runner.URL(permit.Upstream)
-	return known && (resumes || !c.mustResume)
+	return known && (!c.mustResume || resumes && c.runner.version(permit.Upstream) == c.version)
 }
 
 // restartAnswer discards the partial answer so that a known upstream that cannot continue it can begin again. It
@@ -270,6 +272,7 @@
 	result := c.progress.result(e)
 	result.TimeToFirstToken = c.timeToFirstByte
 	result.Tokens = c.sink.tokens - c.initialTokens
+	result.Version = c.version
 	return result
 }
 
--- a/internal/berylcall/race.go
+++ b/internal/berylcall/race.go
@@ -61,6 +61,9 @@
 // pass passes the answer of an opened attempt to the sink.
 func (c *call) pass(a *attempt) {
 	c.recordFirstByte(a)
+	if !a.resumed {
+		c.version = c.runner.version(a.permit.Upstream)
+	}
 	a.pass(&c.sink)
 	if a.result.reason == endComplete && a.tokens > 1 {
 		c.runner.eventGaps.add(eventGapKey(c.req), a.meanTokenInterval())
--- a/internal/berylcall/request.go
+++ b/internal/berylcall/request.go
@@ -38,6 +38,8 @@
 	// ContinueFrom counts the events that the sink has from an earlier call that yielded. It requires a sink that is
 	// a Restarter.
 	ContinueFrom int
+	// ContinueVersion is the Version in the result of that call.
+	ContinueVersion string
 	// PrefixHash is the hash of the prompt's first blocks, or zero for no affinity.
 	PrefixHash uint64
 }
--- a/internal/berylcall/runner.go
+++ b/internal/berylcall/runner.go
@@ -30,6 +30,8 @@
 	Permits berylpermit.Broker
 	// URL returns an upstream's base URL and whether it can resume streams; ok is false for an unknown upstream.
 	URL func(upstream string) (url string, resume bool, ok bool)
+	// Version returns the software version of an upstream, which is empty if it states none. Nil means that none does.
+	Version func(upstream string) string
 	// Rules returns the current rules, whose zero fields stand for their defaults; nil means that all are defaults.
 	// Each request calls it once, when it begins.
 	Rules func() berylconf.Rules
@@ -88,6 +90,13 @@
 	r.pool.close()
 }
 
+func (r *Runner) version(upstream string) string {
+	if r.Version == nil {
+		return ""
+	}
+	return r.Version(upstream)
+}
+
 func (r *Runner) rules() berylconf.Rules {
 	if r.Rules == nil {
 		return berylconf.Rules{}.WithDefaults()
--- a/internal/berylcall/runner_test.go
+++ b/internal/berylcall/runner_test.go
@@ -202,6 +202,41 @@
 	}
 }
 
+// Guards against an answer being continued by an upstream of another software version than the one that began it.
+func TestAnswerIsContinuedAtItsVersion(t *testing.T) {
+	is := is.New(t)
+	runner := newTestRunner(t)
+	versions := map[string]string{"a": "v1", "b": "v2", "c": "v1"}
+	runner.Version = func(upstream string) string { return versions[upstream] }
+	a := runner.engine(t, "a", berylfake.EngineOptions{Resume: true})
+	b := runner.engine(t, "b", berylfake.EngineOptions{Resume: true})
+	runner.engine(t, "c", berylfake.EngineOptions{Resume: true})
+	is.NoErr(a.SetFault(berylfake.UpstreamFault{Mode: berylfake.FaultCut, AfterTokens: 3, Requests: 1}))
+	req, s := chatRequest("cut", true, 8), &sink{}
+	result := runner.Do(context.Background(), req, s)
+	is.Equal(result.Kind, beryloutcome.Answered)
+	is.Equal(result.Version, "v1")
+	is.Equal(result.Upstream, "c")
+	is.Equal(b.Counts().Started, 0)
+	checkWholeAnswer(is, req, s)
+}
+
+// Guards against an item that yielded being continued by an upstream of another software version: it starts anew.
+func TestYieldedStreamStartsAnewAtAnotherVersion(t *testing.T) {
+	is := is.New(t)
+	runner := newTestRunner(t)
+	runner.Version = func(string) string { return "v2" }
+	e := runner.engine(t, "a", berylfake.EngineOptions{Resume: true})
+	req := chatRequest("yielded", true, 20)
+	req.Class = berylpermit.Batch
+	req.ContinueFrom, req.ContinueVersion = 5, "v1"
+	s := &restartableSink{}
+	result := runner.Do(context.Background(), req, s)
+	is.Equal(result.Kind, beryloutcome.Answered)
+	is.Equal(s.restarts, 1)
+	is.Equal(e.Counts().Tokens, int64(20))
+}
+
 func TestNothingLeaks(t *testing.T) {
 	is := is.New(t)
 	runner := newTestRunner(t)
--- a/internal/beryljob/item.go
+++ b/internal/beryljob/item.go
@@ -54,14 +54,18 @@
 	failures := 0
 	stream := streamBody(item)
 	assembler := &streamAssembler{}
+	version := "" // of the upstream that sent what the assembler holds
 	for attempt := 0; ctx.Err() == nil; attempt++ {
 		request := itemRequest(job, number, attempt, item)
 		if stream != nil {
 			request.Body = stream
 			request.Stream = true
-			request.ContinueFrom = assembler.events
+			request.ContinueFrom, request.ContinueVersion = assembler.events, version
 		}
 		outcome := m.Calls.Do(ctx, request, assembler)
+		if outcome.Attempts > 0 {
+			version = outcome.Version
+		}
 		if assembler.unsupported && stream != nil {
 			stream = nil
 			assembler = &streamAssembler{}
--- a/internal/beryloutcome/outcome.go
+++ b/internal/beryloutcome/outcome.go
@@ -107,4 +107,6 @@
 	Tokens int
 	// Attempts counts the upstream calls, including hedges.
 	Attempts int
+	// Version is the software version of the upstream that began the answer, if berylcall made the call.
+	Version string
 }
--- a/internal/berylserve/host.go
+++ b/internal/berylserve/host.go
@@ -147,7 +147,7 @@
 		Metrics:   h.metrics,
 		Log:       h.Log,
 	})
-	h.callRunner = &berylcall.Runner{Permits: h.scheduler, URL: h.upstreams.url, Rules: h.configStore.Rules, Metrics: h.metrics}
+	h.callRunner = &berylcall.Runner{Permits: h.scheduler, URL: h.upstreams.url, Version: h.upstreams.version, Rules: h.configStore.Rules, Metrics: h.metrics}
 	view := &memberView{host: h}
 	h.idempotency = berylonce.New(berylonce.Config{
 		Host:    h.Settings.Host,
--- a/internal/berylserve/updates.go
+++ b/internal/berylserve/updates.go
@@ -50,6 +50,12 @@
 	return upstream.URL, upstream.Resume, ok
 }
 
+// version returns an upstream's software version.
+func (x *upstreamIndex) version(name string) string {
+	upstream, _ := x.get(name)
+	return upstream.Version
+}
+
 // applyUpdates passes each new configuration, member list and host list to the components that depend on them, until ctx ends.
 func (h *Host) applyUpdates(ctx context.Context) {
 	h.membership.SetCandidates(ctx, h.candidates())
