--- a/internal/berylcall/attempt.go
+++ b/internal/berylcall/attempt.go
@@ -15,6 +15,9 @@
 	"berylroad.example/berylroad/internal/berylpermit"
 )
 
+// headerRequestLimit is the field of an answer in which an upstream names the requests a second that it accepts.
+const headerRequestLimit = "Berylroad-Request-Limit"
+
 var (
 	errPermitYielded   = errors.New("the owner wants the permit back")
 	errOtherAttemptWon = errors.New("another call for the request was faster")
@@ -128,6 +131,7 @@
 func (a *attempt) checkResponse() bool {
 	status := a.response.StatusCode()
 	a.result.status = status
+	a.permit.ReportLimit(a.statedLimit())
 	if id := a.response.Header.Peek("X-Request-Id"); len(id) > 0 && string(id) != a.req.ID {
 		return a.fail(endWrongRequest, "the answer carries another request's id")
 	}
@@ -146,6 +150,14 @@
 	return true
 }
 
+// statedLimit returns what the answer says about the rate of requests that the upstream accepts from all hosts together.
+func (a *attempt) statedLimit() berylpermit.Limit {
+	if text := a.response.Header.Peek(headerRequestLimit); len(text) > 0 {
+		return berylpermit.ParseLimit(string(text))
+	}
+	return berylpermit.Limit{Known: true}
+}
+
 func (a *attempt) readFirstEvent() bool {
 	a.eventReader.body = bodyReader{a}
 	e, err := a.eventReader.next()
--- a/internal/berylcall/helpers_test.go
+++ b/internal/berylcall/helpers_test.go
@@ -28,6 +28,7 @@
 	yield     chan struct{}
 	// hedgesRefused is how many more requests for a second permit to refuse.
 	hedgesRefused int
+	limits        []berylpermit.Limit
 }
 
 func (b *fakeBroker) Acquire(ctx context.Context, request berylpermit.Request) (*berylpermit.Permit, *beryloutcome.Refusal) {
@@ -43,11 +44,17 @@
 			continue
 		}
 		b.held++
-		return &berylpermit.Permit{Upstream: name, Class: request.Class, Yield: b.yield, Release: b.releaser(name)}, nil
+		return &berylpermit.Permit{Upstream: name, Class: request.Class, Yield: b.yield, Release: b.releaser(name), OnLimit: b.recordLimit}, nil
 	}
 	return nil, &beryloutcome.Refusal{Status: 503, Code: beryloutcome.CodeNotRun, Message: "full", RetryAfter: time.Second}
 }
 
+func (b *fakeBroker) recordLimit(l berylpermit.Limit) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limits = append(b.limits, l)
+}
+
 func (b *fakeBroker) releaser(name string) func(berylpermit.Report) {
 	var once sync.Once
 	return func(report berylpermit.Report) {
--- a/internal/berylcall/raw_test.go
+++ b/internal/berylcall/raw_test.go
@@ -76,6 +76,24 @@
 	}
 }
 
+// Guards against owners that do not hear of the limit that an upstream names, also in a refusal.
+func TestAnswersNameLimits(t *testing.T) {
+	for raw, want := range map[string]berylpermit.Limit{
+		"200 OK\r\nBerylroad-Request-Limit: 2.5\r\n":                {Known: true, Limited: true, PerSecond: 2.5},
+		"429 Too Many Requests\r\nBerylroad-Request-Limit: 2.5\r\n": {Known: true, Limited: true, PerSecond: 2.5},
+		"200 OK\r\n": {Known: true},
+	} {
+		is := is.New(t)
+		runner := newTestRunner(t)
+		runner.rules = berylconf.Rules{MaxAttempts: 1}
+		runner.add("a", rawUpstream(t, "HTTP/1.1 "+raw+"Content-Length: 2\r\n\r\n{}", true), false)
+		req := chatRequest("limit", false, 1)
+		req.Deadline = time.Now().Add(2 * time.Second)
+		runner.Do(context.Background(), req, &sink{})
+		is.Equal(runner.broker.limits[0], want)
+	}
+}
+
 func TestTLS(t *testing.T) {
 	is := is.New(t)
 	upstream := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/berylpermit/permit.go
+++ b/internal/berylpermit/permit.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"math"
+	"strconv"
+	"strings"
 	"time"
 
 	"berylroad.example/berylroad/internal/beryloutcome"
@@ -223,6 +226,15 @@
 	PerSecond float64 `cbor:"3,keyasint,omitempty"`
 }
 
+// ParseLimit returns the limit that an answer names, in requests a second. It says nothing if the text is no such number.
+func ParseLimit(text string) Limit {
+	perSecond, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil || math.IsNaN(perSecond) || math.IsInf(perSecond, 0) || perSecond < 0 {
+		return Limit{}
+	}
+	return Limit{Known: true, Limited: true, PerSecond: perSecond}
+}
+
 // Permit is a held slot of one upstream.
 type Permit struct {
 	// ID identifies the permit.
