--- a/internal/berylsched/bench_test.go
+++ b/internal/berylsched/bench_test.go
@@ -104,6 +104,31 @@
 	}
 }
 
+// BenchmarkGrantWithLimits is BenchmarkGrant with upstreams that all name a limit, which they report again and again.
+func BenchmarkGrantWithLimits(b *testing.B) {
+	for _, upstreams := range []int{60, 600} {
+		b.Run(fmt.Sprintf("upstreams=%d", upstreams), func(b *testing.B) {
+			o, now, seq := fullOwner(upstreams, -upstreams*benchSlots/2)
+			for i := range upstreams {
+				o.ReportLimit(now, benchLimit(fmt.Sprintf("upstream-%03d", i)))
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(time.Millisecond)
+				seq++
+				req := benchRequest(seq, "model-0")
+				o.Request(now, req)
+				o.ReportLimit(now, benchLimit("upstream-000"))
+				o.Release(now, berylpermit.Release{ID: req.ID})
+			}
+		})
+	}
+}
+
+func benchLimit(upstream string) berylpermit.LimitReport {
+	return berylpermit.LimitReport{Upstream: upstream, Limit: berylpermit.Limit{Known: true, Limited: true, PerSecond: 100}}
+}
+
 // BenchmarkAcquire measures Acquire and Release of a permit from the host's own Owner, through the broker and its loop.
 func BenchmarkAcquire(b *testing.B) {
 	for _, upstreams := range []int{60, 600} {
