Do not adopt jobs from hosts that have just taken them

Cause: hosts that reach the store but not each other, or have just come back from a cut, take each other for lost and adopt jobs from each other; each adoption starts the count of failures anew and drops results that are not committed. Class: a local belief about a peer is acted on against newer evidence that the peer is alive, here its own write to the store. Fix: a host counts as up for 2.5 s after it became a job's owner, and for 3 s after this host reached the store again, as after a start. TestJobIsNotAdoptedBackAndForth failed before (more than four adoptions in 8 s). Not fixed: failures are still counted for each owner alone.

--- a/internal/berylbatch/adopt.go
+++ b/internal/berylbatch/adopt.go
@@ -15,6 +15,9 @@
 	// adoptDelayPerRank is the delay between the first-ranked host's attempt to adopt a job and that of the next, which
 	// takes over if the first can't.
 	adoptDelayPerRank = 1500 * time.Millisecond
+	// adoptedOwnerGrace is how long a host counts as up after it has become a job's owner, whatever the membership says.
+	// Hosts that reach the store but not each other would otherwise adopt jobs from each other without end.
+	adoptedOwnerGrace = 2500 * time.Millisecond
 	// releaseTimeout bounds the release of jobs at a planned stop.
 	releaseTimeout = 1500 * time.Millisecond
 	// removalMargin is how long after the end of its retention a job is removed, since hosts' clocks differ.
@@ -53,7 +56,7 @@
 	}
 	var ids []string
 	for id, j := range m.jobs {
-		owned := j.record.Owner != "" && m.Members.Alive(j.record.Owner, j.record.Boot)
+		owned := j.record.Owner != "" && m.Members.Alive(j.record.Owner, j.record.Boot) || j.hasNewOwner(now, m.Host)
 		if m.owns(j) {
 			owned = j.isRunningHere()
 		}
@@ -79,6 +82,11 @@
 	return ids
 }
 
+// hasNewOwner reports whether another host has become the owner so recently that it must have been up: it wrote to the store.
+func (j *job) hasNewOwner(now time.Time, self string) bool {
+	return j.record.Owner != "" && j.record.Owner != self && now.Sub(j.ownerSince) < adoptedOwnerGrace
+}
+
 // adopt makes this host the owner of a job and loads its unfinished items.
 func (m *Manager) adopt(ctx context.Context, id string) {
 	bounded, cancel := context.WithTimeout(ctx, loadTimeout)
--- a/internal/berylbatch/job.go
+++ b/internal/berylbatch/job.go
@@ -13,6 +13,8 @@
 	id       string
 	record   Record
 	revision int64
+	// ownerSince is when this host learned of the record's owner.
+	ownerSince time.Time
 	// results are the committed results that this host has seen, from position 0 on without gaps.
 	results []Result
 	// spec is the job's specification, or nil if this host has not read it.
--- a/internal/berylbatch/manager.go
+++ b/internal/berylbatch/manager.go
@@ -238,6 +238,9 @@
 		m.jobs[id] = j
 	}
 	wasOpen := j.record.Open()
+	if j.record.Owner != record.Owner || j.record.Boot != record.Boot {
+		j.ownerSince = time.Now()
+	}
 	j.record, j.revision = record, item.Revision
 	if !m.owns(j) && j.isRunningHere() {
 		j.stop()
--- a/internal/berylentry/follow.go
+++ b/internal/berylentry/follow.go
@@ -180,14 +180,15 @@
 type memberView Host
 
 // Alive reports whether the given run of a host may be up. It is not if a later run has been seen. Otherwise every host
-// may be up until startupAliveTime after this host became ready.
+// may be up until startupAliveTime after this host became ready or reached the store again: a host that was cut off takes
+// all others for lost.
 func (v *memberView) Alive(host string, boot uint64) bool {
 	live := v.members.Live()
 	if slices.ContainsFunc(live, func(m berylhost.Member) bool { return m.Name == host && m.Boot > boot }) {
 		return false
 	}
 	joined := v.joinedAt.Load()
-	if joined == nil || time.Since(*joined) < startupAliveTime {
+	if joined == nil || time.Since(*joined) < startupAliveTime || time.Since(v.hostRegistry.follower.ReconnectedAt()) < startupAliveTime {
 		return true
 	}
 	return slices.ContainsFunc(live, func(m berylhost.Member) bool { return m.Name == host && m.Boot == boot })
