--- a/internal/berylrelay/version.go
+++ b/internal/berylrelay/version.go
@@ -103,7 +103,7 @@
 	}
 	x.originRecorded = true
 	x.origin, x.hasOrigin = berylversion.Origin{Service: x.service, Version: x.calledUpstream.Version}, true
-	if x.request.FirstAttempt != "" {
+	if x.request.TakesUp && x.request.FirstAttempt != "" {
 		x.Versions.Record(x.origin, x.request.FirstAttempt, x.request.ID)
 		return
 	}
--- a/internal/berylrelay/version_test.go
+++ b/internal/berylrelay/version_test.go
@@ -182,6 +182,15 @@
 	})
 }
 
+// Guards against an origin that another caller's request gives to an attempt: only a take-up speaks for its first attempt.
+func TestNewStreamSaysNothingOfOtherAttempts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newVersionTest(t, map[string]script{"v1-a": {body: events(1, 4)}}, "v1-a", "v2-a")
+		s.Equal(s.do(t, Request{ID: "q", FirstAttempt: "of another caller"}).Kind, beryloutcome.Answered)
+		s.Equal(s.do(t, Request{ID: "q2", TakesUp: true, FirstAttempt: "of another caller"}).Kind, beryloutcome.NotRun)
+	})
+}
+
 // A version that not all hosts can know of yet begins no streams that may be taken up, but it serves all other requests.
 func TestNewVersionBeginsStreamsOnceItIsSettled(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
