Divide the streams of a large fleet into groups with the same keepers

Each host told two hosts by the ID of the stream, so in a large fleet it came to hold connections to all others, with a keep-alive a second each: at 420 hosts more than the 11 KB/s that a host may spend.

--- a/internal/berylentry/follow.go
+++ b/internal/berylentry/follow.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"math"
+	"math/bits"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
@@ -31,6 +34,13 @@
 	// retireReporters is how many hosts answer an order to empty a disk host, so that it is answered even if one of
 	// them fails.
 	retireReporters = 2
+	// minKeeperGroupHosts is the number of live hosts above which streams are divided into keeperGroups groups, or twice as
+	// many with each doubling of hostsPerKeeperGroups hosts.
+	minKeeperGroupHosts  = 16
+	keeperGroups         = 8
+	hostsPerKeeperGroups = 128
+	// keeperKeyPrefix is the prefix of the keys by which rendezvous hashing chooses the keepers of a group.
+	keeperKeyPrefix = "stream-keepers/"
 	// retireTimeout bounds one attempt to answer the operators' order to empty a disk host.
 	retireTimeout = time.Second
 )
@@ -258,8 +268,13 @@
 	return chooseKeepers(id, p.host.Settings.Host, p.host.members.Live(), n)
 }
 
-// chooseKeepers implements Keepers for a given list of live hosts.
+// chooseKeepers implements Keepers for a given list of live hosts. In a large fleet the streams are divided into groups with
+// the same keepers, so that each host has few connections to keepers and uses each of them often.
 func chooseKeepers(id, self string, live []berylhost.Member, n int) []string {
+	if len(live) > minKeeperGroupHosts {
+		groups := keeperGroups << bits.Len(uint(len(live))/hostsPerKeeperGroups)
+		id = fmt.Sprint(keeperKeyPrefix, xxhash.Sum64String(id)%uint64(groups))
+	}
 	var first, others []string
 	domains := make(map[string]bool)
 	for _, m := range berylhost.Rank(id, live, "") {
