Let the first version of a service begin streams at once

Cause: the wait keeps other hosts from taking another version for the only one; where there never was another there is nothing to take. Now a version that is the only one listed and announced begins streams as soon as it is listed, records are written when an upstream changes instead of at the next tick, and a request waits as long as it may queue for a version to settle.

--- a/internal/berylrelay/acquire.go
+++ b/internal/berylrelay/acquire.go
@@ -13,7 +13,7 @@
 func (x *exchange) acquire(ctx context.Context) (*berylpermit.Permit, *beryloutcome.Refusal) {
 	began := time.Now()
 	defer func() { x.permitWait += time.Since(began) }()
-	target, err := x.target()
+	target, err := x.target(ctx)
 	if err != nil {
 		return nil, x.notRunRefusal(versionRetryAfter)
 	}
--- a/internal/berylrelay/relay.go
+++ b/internal/berylrelay/relay.go
@@ -46,6 +46,8 @@
 	maxOriginWait = 2 * time.Second
 	// originRetryInterval is the pause between two attempts in that time.
 	originRetryInterval = 100 * time.Millisecond
+	// versionPollInterval is the pause between two looks whether a version may begin streams.
+	versionPollInterval = 10 * time.Millisecond
 	// versionRetryAfter is the Retry-After if no version may begin streams or the origin of a stream is not known.
 	versionRetryAfter = time.Second
 	// minRetryAfter is the shortest Retry-After sent to a refused caller.
--- a/internal/berylrelay/version.go
+++ b/internal/berylrelay/version.go
@@ -41,8 +41,8 @@
 }
 
 // target returns the scheduler's target for the next call: the upstreams at the stream's version, or those at the version
-// at which it is to begin.
-func (x *exchange) target() (string, error) {
+// at which it is to begin. Where none may begin streams yet, it waits as long as the request may queue.
+func (x *exchange) target(ctx context.Context) (string, error) {
 	if !x.keepsVersion() {
 		return x.service, nil
 	}
@@ -50,6 +50,12 @@
 		return berylconf.VersionTarget(x.service, x.origin.Version), nil
 	}
 	version, only, err := x.Versions.Choose(x.service)
+	for waited := time.Duration(0); err != nil && waited < x.maxQueueWait(); waited += versionPollInterval {
+		if !pause(ctx, versionPollInterval) {
+			break
+		}
+		version, only, err = x.Versions.Choose(x.service)
+	}
 	if err != nil {
 		x.cause = err
 		return "", err
@@ -77,7 +83,12 @@
 	if !x.hasOrigin || !x.hasUntriedUpstream() {
 		return false
 	}
-	timer := time.NewTimer(originRetryInterval)
+	return pause(ctx, originRetryInterval)
+}
+
+// pause waits for the given time and reports whether it has passed before ctx ended.
+func pause(ctx context.Context, span time.Duration) bool {
+	timer := time.NewTimer(span)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
--- a/internal/berylversion/persist.go
+++ b/internal/berylversion/persist.go
@@ -15,7 +15,7 @@
 	Prefix = "berylroad/versions/"
 	// sharedWait is how long a watch of the records waits if it also serves other hosts.
 	sharedWait = time.Second
-	// persistInterval is the time between two looks at what has to be written.
+	// persistInterval is the time between two looks at what has to be written, if no upstream changes.
 	persistInterval = 200 * time.Millisecond
 	// rankDelay is how long a host waits, for each host that ranks before it, for another one to change a record.
 	rankDelay = 700 * time.Millisecond
@@ -40,14 +40,16 @@
 	ticker := time.NewTicker(persistInterval)
 	defer ticker.Stop()
 	for {
+		upstreamsChanged := v.Upstreams.Changed()
+		for _, p := range v.due(time.Now()) {
+			v.write(ctx, p)
+		}
 		select {
 		case <-ctx.Done():
 			return
+		case <-upstreamsChanged:
 		case <-ticker.C:
 		}
-		for _, p := range v.due(time.Now()) {
-			v.write(ctx, p)
-		}
 	}
 }
 
--- a/internal/berylversion/table.go
+++ b/internal/berylversion/table.go
@@ -103,7 +103,9 @@
 	if !ok {
 		return settled && storeAway
 	}
-	return settled || now.Sub(time.UnixMilli(listed.AddedAtMillis)) >= settledAge
+	// No host can take another version for the only one if there never was another.
+	only := len(s.listed) == 1 && len(s.sights) == 1
+	return settled || only || now.Sub(time.UnixMilli(listed.AddedAtMillis)) >= settledAge
 }
 
 // Candidates returns the versions that may have begun a stream which a caller can still take up, sorted. streamAge is the
