--- a/internal/berylrelay/version.go
+++ b/internal/berylrelay/version.go
@@ -5,12 +5,17 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"berylroad.example/berylroad/internal/berylconf"
 	"berylroad.example/berylroad/internal/beryloutcome"
 	"berylroad.example/berylroad/internal/berylroute"
 	"berylroad.example/berylroad/internal/berylversion"
 )
 
+// errRouteMoved refuses a stream that a caller takes up after the route has moved to other services.
+var errRouteMoved = errors.New("the route no longer leads to the service that began the stream")
+
 // keepsVersion reports whether the request is for a stream that may go on, so that it has to stay at one version.
 func (x *exchange) keepsVersion() bool {
 	return x.Versions != nil && x.request.Route.MayResume()
@@ -28,7 +33,7 @@
 		return berylversion.ErrUnknownOrigin
 	}
 	if !slices.Contains(services, origin.Service) {
-		return berylversion.ErrNoVersion // the route has moved to other services
+		return errRouteMoved
 	}
 	x.origin, x.hasOrigin, x.service = origin, true, origin.Service
 	return nil
