--- a/internal/berylbatch/run.go
+++ b/internal/berylbatch/run.go
@@ -94,8 +94,11 @@
 	if status != 0 {
 		fields["status"] = status
 	}
-	if report.Limit.Limited {
-		fields["limit"] = report.Limit.PerSecond
+	if report.Statement.Limit.Limited {
+		fields["limit"] = report.Statement.Limit.PerSecond
+	}
+	if report.Statement.Leaving {
+		fields["leaving"] = true
 	}
 	if err != nil {
 		fields["cause"] = err.Error()
@@ -135,8 +138,8 @@
 		return 0, err
 	}
 	defer reply.Body.Close()
-	report.Limit = reply.Limit
-	permit.ReportLimit(reply.Limit)
+	report.Statement = reply.Statement
+	permit.ReportLimit(reply.Statement.Limit)
 	switch {
 	case reply.Misdirected:
 		return reply.Status, errors.Mark(errMisdirected, errNotRun)
--- a/internal/berylpermit/permit.go
+++ b/internal/berylpermit/permit.go
@@ -168,8 +168,8 @@
 	Fault bool `cbor:"6,keyasint,omitempty"`
 	// Refused marks a call that the upstream refused without running it.
 	Refused bool `cbor:"7,keyasint,omitempty"`
-	// Limit is what the call's answer says about the upstream's limit. It is reported when the answer begins, not here.
-	Limit Limit `cbor:"-"`
+	// Statement is what the call's answer says about the upstream. It is reported when the answer begins, not here.
+	Statement Statement `cbor:"-"`
 }
 
 // Yield asks the holder of a batch permit to release it at once.
@@ -215,6 +215,14 @@
 	Long bool `cbor:"5,keyasint,omitempty"`
 }
 
+// Statement is what an answer says about the upstream that gave it. The zero value says nothing.
+type Statement struct {
+	// Limit is the rate of requests that the upstream accepts.
+	Limit Limit `cbor:"1,keyasint,omitzero"`
+	// Leaving says that the upstream is about to stop and gets no new requests.
+	Leaving bool `cbor:"2,keyasint,omitempty"`
+}
+
 // Limit is what an answer of an upstream says about the rate of requests that the upstream accepts from all hosts
 // together. The zero value says nothing.
 type Limit struct {
--- a/internal/berylrelay/call.go
+++ b/internal/berylrelay/call.go
@@ -49,8 +49,8 @@
 	Misdirected bool
 	// Signed says that the answer carries the upstream's signature.
 	Signed bool
-	// Limit is what the answer says about the rate of requests that the upstream accepts.
-	Limit berylpermit.Limit
+	// Statement is what the answer says about the upstream.
+	Statement berylpermit.Statement
 	// EventStream says that the body is a stream of events.
 	EventStream bool
 	// Body is the answer's body. It ends with io.EOF only if it is complete.
--- a/internal/berylrelay/relay.go
+++ b/internal/berylrelay/relay.go
@@ -161,9 +161,9 @@
 	// lastProgress is when the current call began or, if later, last received a new event.
 	lastProgress time.Time
 	upstream     string
-	// grantedBy is the owner that granted the current call, limit what its answer says about the upstream's limit.
+	// grantedBy is the owner that granted the current call, statement what its answer says about the upstream.
 	grantedBy string
-	limit     berylpermit.Limit
+	statement berylpermit.Statement
 	// calledUpstream is the upstream of the current call, sentAt when the call was sent.
 	calledUpstream berylroute.Upstream
 	sentAt         time.Time
@@ -241,8 +241,8 @@
 		return x.handleFailure(callCtx, &report, err)
 	}
 	defer reply.Body.Close()
-	x.limit = reply.Limit
-	permit.ReportLimit(reply.Limit)
+	x.statement = reply.Statement
+	permit.ReportLimit(reply.Statement.Limit)
 	if reply.NotRun {
 		report.Refused, report.Fault = true, reply.Misdirected
 		x.cause = errors.Newf("the upstream refused it unrun with status %d", reply.Status)
--- a/internal/berylrelay/report.go
+++ b/internal/berylrelay/report.go
@@ -56,8 +56,11 @@
 	if x.sends > 1 {
 		fields["tried"] = strings.Join(x.triedUpstreams, ",")
 	}
-	if x.limit.Limited {
-		fields["limit"] = x.limit.PerSecond
+	if x.statement.Limit.Limited {
+		fields["limit"] = x.statement.Limit.PerSecond
+	}
+	if x.statement.Leaving {
+		fields["leaving"] = true
 	}
 	if x.hasEvent {
 		fields["last-event"] = x.lastEvent
