--- a/internal/berylbatch/run.go
+++ b/internal/berylbatch/run.go
@@ -139,7 +139,7 @@
 	}
 	defer reply.Body.Close()
 	report.Statement = reply.Statement
-	permit.ReportLimit(reply.Statement.Limit)
+	permit.ReportStatement(reply.Statement)
 	switch {
 	case reply.Misdirected:
 		return reply.Status, errors.Mark(errMisdirected, errNotRun)
--- a/internal/berylcall/attempt.go
+++ b/internal/berylcall/attempt.go
@@ -131,7 +131,7 @@
 func (a *attempt) checkResponse() bool {
 	status := a.response.StatusCode()
 	a.result.status = status
-	a.permit.ReportLimit(a.statedLimit())
+	a.permit.ReportStatement(berylpermit.Statement{Limit: a.statedLimit()})
 	if id := a.response.Header.Peek("X-Request-Id"); len(id) > 0 && string(id) != a.req.ID {
 		return a.fail(endWrongRequest, "the answer carries another request's id")
 	}
--- a/internal/berylcall/helpers_test.go
+++ b/internal/berylcall/helpers_test.go
@@ -28,7 +28,7 @@
 	yield     chan struct{}
 	// hedgesRefused is how many more requests for a second permit to refuse.
 	hedgesRefused int
-	limits        []berylpermit.Limit
+	statements    []berylpermit.Statement
 }
 
 func (b *fakeBroker) Acquire(ctx context.Context, request berylpermit.Request) (*berylpermit.Permit, *beryloutcome.Refusal) {
@@ -44,15 +44,15 @@
 			continue
 		}
 		b.held++
-		return &berylpermit.Permit{Upstream: name, Class: request.Class, Yield: b.yield, Release: b.releaser(name), OnLimit: b.recordLimit}, nil
+		return &berylpermit.Permit{Upstream: name, Class: request.Class, Yield: b.yield, Release: b.releaser(name), OnStatement: b.recordStatement}, nil
 	}
 	return nil, &beryloutcome.Refusal{Status: 503, Code: beryloutcome.CodeNotRun, Message: "full", RetryAfter: time.Second}
 }
 
-func (b *fakeBroker) recordLimit(l berylpermit.Limit) {
+func (b *fakeBroker) recordStatement(s berylpermit.Statement) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.limits = append(b.limits, l)
+	b.statements = append(b.statements, s)
 }
 
 func (b *fakeBroker) releaser(name string) func(berylpermit.Report) {
--- a/internal/berylcall/raw_test.go
+++ b/internal/berylcall/raw_test.go
@@ -90,7 +90,7 @@
 		req := chatRequest("limit", false, 1)
 		req.Deadline = time.Now().Add(2 * time.Second)
 		runner.Do(context.Background(), req, &sink{})
-		is.Equal(runner.broker.limits[0], want)
+		is.Equal(runner.broker.statements[0].Limit, want)
 	}
 }
 
--- a/internal/beryllink/transport.go
+++ b/internal/beryllink/transport.go
@@ -15,7 +15,7 @@
 	kindRelease       = "permit-release"
 	kindYield         = "permit-yield"
 	kindHeldReport    = "permits-held"
-	kindLimit         = "upstream-limit"
+	kindStatement     = "upstream-statement"
 )
 
 // Ack is the empty reply that acknowledges a message.
@@ -56,9 +56,9 @@
 	return sendForAck(ctx, l, host, kindHeldReport, held)
 }
 
-// SendLimit tells an owner what an upstream's answer says about its limit.
-func (l *Transport) SendLimit(ctx context.Context, host string, limit berylpermit.LimitReport) error {
-	return sendForAck(ctx, l, host, kindLimit, limit)
+// SendStatement tells an owner what an upstream's answer says about the upstream.
+func (l *Transport) SendStatement(ctx context.Context, host string, report berylpermit.StatementReport) error {
+	return sendForAck(ctx, l, host, kindStatement, report)
 }
 
 // Request sends an idempotent message to a host and waits for the reply. The message may be delivered twice.
@@ -84,7 +84,7 @@
 	handleWithAck(wire, kindRelease, s.HandleRelease)
 	handleWithAck(wire, kindYield, s.HandleYield)
 	handleWithAck(wire, kindHeldReport, s.HandleHeldReport)
-	handleWithAck(wire, kindLimit, s.HandleLimit)
+	handleWithAck(wire, kindStatement, s.HandleStatement)
 }
 
 // handleWithAck registers a handler whose reply is an Ack.
--- a/internal/berylpermit/permit.go
+++ b/internal/berylpermit/permit.go
@@ -132,6 +132,10 @@
 	Limit Limit `cbor:"10,keyasint,omitzero"`
 	// Admitted is how many requests the limit admits now; it means nothing without a limit.
 	Admitted int `cbor:"11,keyasint,omitempty"`
+	// Leaving says that an answer of the upstream's run LeavingRun (see Statement.Run) has said that it leaves.
+	Leaving bool `cbor:"12,keyasint,omitempty"`
+	// LeavingRun means nothing without Leaving.
+	LeavingRun int64 `cbor:"13,keyasint,omitempty"`
 }
 
 // Withdraw tells an owner that a request is no longer wanted. A permit already granted for it is released.
@@ -180,12 +184,12 @@
 	Upstream string `cbor:"2,keyasint"`
 }
 
-// LimitReport tells an owner what an answer of an upstream says about its limit.
-type LimitReport struct {
+// StatementReport tells an owner what an answer of an upstream says about the upstream.
+type StatementReport struct {
 	// Upstream names the upstream.
 	Upstream string `cbor:"1,keyasint"`
-	// Limit is what the answer says.
-	Limit Limit `cbor:"2,keyasint"`
+	// Statement is what the answer says.
+	Statement Statement `cbor:"2,keyasint"`
 	// SentAge is how long ago the call was sent.
 	SentAge time.Duration `cbor:"3,keyasint"`
 }
@@ -219,8 +223,11 @@
 type Statement struct {
 	// Limit is the rate of requests that the upstream accepts.
 	Limit Limit `cbor:"1,keyasint,omitzero"`
-	// Leaving says that the upstream is about to stop and gets no new requests.
+	// Leaving says that the upstream is about to stop and gets no new requests. A run that has said so never takes it back.
 	Leaving bool `cbor:"2,keyasint,omitempty"`
+	// Run is when the run of the upstream that gave the answer started, in milliseconds of Unix time, or zero if its start
+	// is not known.
+	Run int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Limit is what an answer of an upstream says about the rate of requests that the upstream accepts from all hosts
@@ -257,14 +264,15 @@
 	Yield <-chan struct{}
 	// Release releases the permit. It never blocks, and only its first call has an effect.
 	Release func(Report)
-	// OnLimit receives what the call's answer says about the upstream's limit; it may be nil.
-	OnLimit func(Limit)
+	// OnStatement receives what the call's answer says about the upstream; it may be nil.
+	OnStatement func(Statement)
 }
 
-// ReportLimit reports what the call's answer says about the upstream's limit. It never blocks.
-func (p *Permit) ReportLimit(l Limit) {
-	if p.OnLimit != nil && l.Known {
-		p.OnLimit(l)
+// ReportStatement reports what the call's answer says about the upstream. It never blocks, and must be called before the
+// answer is passed on.
+func (p *Permit) ReportStatement(s Statement) {
+	if p.OnStatement != nil && (s.Limit.Known || s.Leaving) {
+		p.OnStatement(s)
 	}
 }
 
--- a/internal/berylpermit/size_test.go
+++ b/internal/berylpermit/size_test.go
@@ -29,7 +29,7 @@
 		{"ask", berylpermit.Request{ID: id, Target: "some-llm", Prefer: []string{"engine-123", "engine-124"}, Remaining: time.Minute, Tokens: 456, PrefixHash: 1 << 60, Queue: true}},
 		{"reply", berylpermit.Reply{ID: id, Verdict: berylpermit.Granted, Upstream: "engine-123", Term: 1, Loads: []berylpermit.Load{load, load}}},
 		{"release", berylpermit.Release{ID: id, Upstream: "engine-123", Report: berylpermit.Report{Kind: beryloutcome.Answered, TimeToFirstToken: time.Second, InterTokenLatency: time.Millisecond, Tokens: 456, HeldFor: time.Minute}}},
-		{"limit", berylpermit.LimitReport{Upstream: "engine-123", Limit: berylpermit.Limit{Known: true, Limited: true, PerSecond: 3.2}, SentAge: time.Second}},
+		{"statement", berylpermit.StatementReport{Upstream: "engine-123", Statement: berylpermit.Statement{Limit: berylpermit.Limit{Known: true, Limited: true, PerSecond: 3.2}, Run: 1 << 40}, SentAge: time.Second}},
 		{"held-1", held(1)},
 		{"held-10", held(10)},
 	} {
--- a/internal/berylrelay/relay.go
+++ b/internal/berylrelay/relay.go
@@ -242,7 +242,7 @@
 	}
 	defer reply.Body.Close()
 	x.statement = reply.Statement
-	permit.ReportLimit(reply.Statement.Limit)
+	permit.ReportStatement(reply.Statement)
 	if reply.NotRun {
 		report.Refused, report.Fault = true, reply.Misdirected
 		x.cause = errors.Newf("the upstream refused it unrun with status %d", reply.Status)
--- a/internal/berylrelay/relay_test.go
+++ b/internal/berylrelay/relay_test.go
@@ -26,6 +26,8 @@
 	requests []berylpermit.Request
 	reports  []berylpermit.Report
 	released []string
+	// onStatement, if set, gets what answers say about their upstreams.
+	onStatement func(berylpermit.Statement)
 }
 
 func (b *fakeBroker) Acquire(_ context.Context, request berylpermit.Request) (*berylpermit.Permit, *beryloutcome.Refusal) {
@@ -38,7 +40,7 @@
 		if avoided {
 			continue
 		}
-		return &berylpermit.Permit{Upstream: name, Release: func(r berylpermit.Report) {
+		return &berylpermit.Permit{Upstream: name, OnStatement: b.onStatement, Release: func(r berylpermit.Report) {
 			b.released = append(b.released, name)
 			b.reports = append(b.reports, r)
 		}}, nil
@@ -55,6 +57,8 @@
 	notRun bool
 	// unsigned omits the signature.
 	unsigned bool
+	// leaving makes the answer say that the upstream leaves.
+	leaving bool
 	// body is sent first. Then the stream ends with end, or stays silent if hang is set.
 	body string
 	end  error
@@ -77,8 +81,9 @@
 	}
 	return &Reply{
 		Status: s.status, NotRun: s.notRun, Signed: !s.unsigned, EventStream: s.status == http.StatusOK,
-		Header: []HeaderField{{Name: "X-Stamp", Value: call.Upstream.ID}},
-		Body:   &fakeBody{ctx: ctx, script: s, reader: strings.NewReader(s.body)},
+		Header:    []HeaderField{{Name: "X-Stamp", Value: call.Upstream.ID}},
+		Statement: berylpermit.Statement{Leaving: s.leaving, Run: call.Upstream.StartedAtMillis},
+		Body:      &fakeBody{ctx: ctx, script: s, reader: strings.NewReader(s.body)},
 	}, nil
 }
 
--- /dev/null
+++ b/internal/berylroute/departing.go
@@ -0,0 +1,66 @@
+package berylroute
+
+import "time"
+
+const (
+	// departingMemory is how long it is remembered that a run leaves after it was last announced. A run may be announced again
+	// under the same ID after an outage of the store, but not after its end, which is seconds after it has said that it leaves.
+	departingMemory = 10 * time.Minute
+	// maxDepartingRuns bounds the runs that are remembered. The fleet is designed for 600 upstreams.
+	maxDepartingRuns = 4096
+)
+
+// upstreamRun identifies one run of an upstream.
+type upstreamRun struct {
+	id              string
+	startedAtMillis int64
+}
+
+// departingRuns remembers which runs of upstreams have said in an answer that they leave. The zero value is empty.
+type departingRuns struct {
+	lastSeen map[upstreamRun]time.Time // when the run was last marked or announced
+}
+
+// add remembers a run and reports whether it was not known before. If there are too many runs, the one that was not seen for
+// longest is forgotten.
+func (d *departingRuns) add(now time.Time, id string, startedAtMillis int64) bool {
+	run := upstreamRun{id, startedAtMillis}
+	if _, known := d.lastSeen[run]; known {
+		return false
+	}
+	if d.lastSeen == nil {
+		d.lastSeen = make(map[upstreamRun]time.Time)
+	}
+	if len(d.lastSeen) >= maxDepartingRuns {
+		delete(d.lastSeen, d.oldest())
+	}
+	d.lastSeen[run] = now
+	return true
+}
+
+func (d *departingRuns) oldest() upstreamRun {
+	var oldest upstreamRun
+	var at time.Time
+	for run, seen := range d.lastSeen {
+		if at.IsZero() || seen.Before(at) {
+			oldest, at = run, seen
+		}
+	}
+	return oldest
+}
+
+func (d *departingRuns) contains(id string, startedAtMillis int64) bool {
+	_, known := d.lastSeen[upstreamRun{id, startedAtMillis}]
+	return known
+}
+
+// expire forgets the runs that have not been announced for departingMemory.
+func (d *departingRuns) expire(now time.Time, announced map[string]Upstream) {
+	for run, seen := range d.lastSeen {
+		if u, ok := announced[run.id]; ok && u.StartedAtMillis == run.startedAtMillis {
+			d.lastSeen[run] = now
+		} else if now.Sub(seen) > departingMemory {
+			delete(d.lastSeen, run)
+		}
+	}
+}
--- a/internal/berylroute/registry.go
+++ b/internal/berylroute/registry.go
@@ -30,7 +30,8 @@
 	FailureDomain string
 	// Slots is how many requests it runs at once.
 	Slots int
-	// Leaving marks a replica that gets no new work.
+	// Leaving marks a replica that gets no new work: its announcement or, in the registry, one of its answers says that it
+	// leaves.
 	Leaving bool
 	// Version is the version of its software, or empty if it announces none. Streams do not go on at another version.
 	Version string
@@ -46,7 +47,8 @@
 	mu        sync.Mutex
 	upstreams map[string]Upstream
 	lapsed    map[string]time.Time // time until which an upstream without an announcement is kept, by ID
-	dirty     bool                 // set if upstreams has changed since the last call of publish
+	departing departingRuns
+	dirty     bool // set if upstreams has changed since the last call of publish
 	published atomic.Pointer[snapshot]
 	changed   chan struct{}
 }
@@ -143,6 +145,25 @@
 	r.Apply(now, regained, []Change{{Upstream: Upstream{ID: id}, Removed: true}})
 }
 
+// MarkLeaving records that a run of an upstream has said in an answer that it leaves. It gets no new work from then on,
+// whatever its announcement says, nor after its announcement has lapsed and come back. A later run under the same ID does.
+func (r *Registry) MarkLeaving(now time.Time, id string, startedAtMillis int64) {
+	if u, known := r.Get(id); known && u.Leaving && u.StartedAtMillis == startedAtMillis {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.departing.add(now, id, startedAtMillis) {
+		return
+	}
+	u, known := r.upstreams[id]
+	r.Log.WithFields(logrus.Fields{"upstream": id, "started-at-ms": startedAtMillis, "known": known && u.StartedAtMillis == startedAtMillis}).Info("upstream: says that it leaves")
+	if known {
+		r.set(u)
+		r.publish()
+	}
+}
+
 // ExpireLapsed drops the upstreams that have not announced themselves again within lapseGrace.
 func (r *Registry) ExpireLapsed(now time.Time) {
 	r.mu.Lock()
@@ -152,6 +173,7 @@
 			r.remove(id, "lapsed in an outage of the store and did not come back")
 		}
 	}
+	r.departing.expire(now, r.upstreams)
 	r.publish()
 }
 
@@ -161,6 +183,7 @@
 		r.lapsed = make(map[string]time.Time)
 	}
 	delete(r.lapsed, u.ID)
+	u.Leaving = u.Leaving || r.departing.contains(u.ID, u.StartedAtMillis)
 	old, known := r.upstreams[u.ID]
 	if known && old == u {
 		return
--- a/internal/berylsched/bench_test.go
+++ b/internal/berylsched/bench_test.go
@@ -110,7 +110,7 @@
 		b.Run(fmt.Sprintf("upstreams=%d", upstreams), func(b *testing.B) {
 			o, now, seq := fullOwner(upstreams, -upstreams*benchSlots/2)
 			for i := range upstreams {
-				o.ReportLimit(now, benchLimit(fmt.Sprintf("upstream-%03d", i)))
+				o.ReportStatement(now, benchLimit(fmt.Sprintf("upstream-%03d", i)))
 			}
 			b.ReportAllocs()
 			for b.Loop() {
@@ -118,15 +118,17 @@
 				seq++
 				req := benchRequest(seq, "model-0")
 				o.Request(now, req)
-				o.ReportLimit(now, benchLimit("upstream-000"))
+				o.ReportStatement(now, benchLimit("upstream-000"))
 				o.Release(now, berylpermit.Release{ID: req.ID})
 			}
 		})
 	}
 }
 
-func benchLimit(upstream string) berylpermit.LimitReport {
-	return berylpermit.LimitReport{Upstream: upstream, Limit: berylpermit.Limit{Known: true, Limited: true, PerSecond: 100}}
+func benchLimit(upstream string) berylpermit.StatementReport {
+	return berylpermit.StatementReport{
+		Upstream: upstream, Statement: berylpermit.Statement{Limit: berylpermit.Limit{Known: true, Limited: true, PerSecond: 100}},
+	}
 }
 
 // BenchmarkAcquire measures Acquire and Release of a permit from the host's own Owner, through the broker and its loop.
--- a/internal/berylsched/broker.go
+++ b/internal/berylsched/broker.go
@@ -188,7 +188,7 @@
 		return r
 	}
 	s.peers.answered(host)
-	s.table.Load().recordLoads(time.Now(), r.reply.Loads)
+	s.RecordLoads(r.reply.Loads)
 	if r.reply.Verdict == berylpermit.NotOwner || r.reply.ID != req.ID {
 		r.err = errNotOwner
 	}
@@ -225,7 +225,7 @@
 	first := rand.IntN(len(placements) + 1)
 	for i := range placements {
 		p := placements[(first+i)%len(placements)]
-		if !isEligible(p, &a.req) || p.view.ownPermits.Load() >= maxUnownedPermits || !p.view.limit.mayGrantUnowned(time.Now(), len(t.members)) {
+		if !isEligible(p, &a.req) || p.view.ownPermits.Load() >= maxUnownedPermits || !p.view.statement.mayGrantUnowned(time.Now(), len(t.members)) {
 			continue
 		}
 		req := a.newRequest(false)
--- a/internal/berylsched/fleet_test.go
+++ b/internal/berylsched/fleet_test.go
@@ -169,8 +169,8 @@
 	return l.fleet.deliver(ctx, l.from, host, func(s *berylsched.Scheduler) error { return s.HandleHeldReport(l.from, m) })
 }
 
-func (l fleetTransport) SendLimit(ctx context.Context, host string, m berylpermit.LimitReport) error {
-	return l.fleet.deliver(ctx, l.from, host, func(s *berylsched.Scheduler) error { return s.HandleLimit(l.from, m) })
+func (l fleetTransport) SendStatement(ctx context.Context, host string, m berylpermit.StatementReport) error {
+	return l.fleet.deliver(ctx, l.from, host, func(s *berylsched.Scheduler) error { return s.HandleStatement(l.from, m) })
 }
 
 // document returns a configuration with that many upstreams, all of which serve the target "m".
--- a/internal/berylsched/held.go
+++ b/internal/berylsched/held.go
@@ -97,13 +97,13 @@
 	h.view = s.table.Load().viewOf(upstream)
 	h.view.ownPermits.Add(1)
 	return &berylpermit.Permit{
-		ID:        req.ID,
-		GrantedBy: owner,
-		Upstream:  upstream,
-		Class:     req.Class,
-		Yield:     h.yield,
-		Release:   func(r berylpermit.Report) { s.release(h, r) },
-		OnLimit:   func(l berylpermit.Limit) { s.reportLimit(h, l) },
+		ID:          req.ID,
+		GrantedBy:   owner,
+		Upstream:    upstream,
+		Class:       req.Class,
+		Yield:       h.yield,
+		Release:     func(r berylpermit.Report) { s.release(h, r) },
+		OnStatement: func(st berylpermit.Statement) { s.reportStatement(h, st) },
 	}
 }
 
@@ -139,7 +139,7 @@
 			last := t
 			t = s.table.Load()
 			s.sendHeldReports(time.Now(), s.changedOwners(last, t))
-			s.sendLimits(last, t)
+			s.sendStatements(last, t)
 		}
 	}
 }
--- a/internal/berylsched/limit.go
+++ b/internal/berylsched/limit.go
@@ -112,21 +112,6 @@
 	return int(min(max(perSecond*limitBurst.Seconds(), 1), maxLimitBurst))
 }
 
-// ReportLimit applies what an answer of an upstream says about its limit, whether this host owns the upstream or not.
-func (o *Owner) ReportLimit(now time.Time, r berylpermit.LimitReport) []Action {
-	o.beginEvent(now)
-	u := o.upstreams[r.Upstream]
-	if u == nil || !u.limit.state(now, r.Limit, now.Add(-r.SentAge)) || !u.owned {
-		return o.actions
-	}
-	o.actions = append(o.actions, Action{Kind: ActionLimit, Limit: LimitChange{Upstream: u.name, Limit: u.limit.Limit}})
-	for _, t := range u.targets {
-		t.refreshThroughput(now, o)
-	}
-	o.dispatchUpstream(now, u)
-	return o.actions
-}
-
 // grantable counts the permits that the upstream may be granted now, by its slots and its limit.
 func (u *upstream) grantable(now time.Time) int {
 	free := u.freeSlots()
--- a/internal/berylsched/limit_test.go
+++ b/internal/berylsched/limit_test.go
@@ -51,7 +51,7 @@
 	l.calls[p.Upstream] = append(l.calls[p.Upstream], time.Now())
 	l.mu.Unlock()
 	time.Sleep(20 * time.Millisecond)
-	p.ReportLimit(berylpermit.Limit{Known: true, Limited: true, PerSecond: testLimit})
+	p.ReportStatement(berylpermit.Statement{Limit: berylpermit.Limit{Known: true, Limited: true, PerSecond: testLimit}})
 	select {
 	case <-p.Yield:
 	case <-time.After(180 * time.Millisecond):
--- a/internal/berylsched/loads.go
+++ b/internal/berylsched/loads.go
@@ -24,7 +24,7 @@
 	reported atomic.Pointer[reportedLoad]
 	// ownPermits counts the permits that this host holds.
 	ownPermits atomic.Int64
-	limit      knownLimit
+	statement  knownStatement
 }
 
 // reportedLoad is a load with the time of its arrival at this host.
@@ -53,7 +53,7 @@
 			continue
 		}
 		p.view.reported.Store(&reportedLoad{Load: loads[i], receivedAt: now})
-		p.view.limit.learn(now, loads[i].Limit)
+		p.view.statement.learn(now, loads[i].Limit)
 	}
 }
 
--- a/internal/berylsched/metrics.go
+++ b/internal/berylsched/metrics.go
@@ -23,7 +23,7 @@
 	sendFailed     *metrics.Counter
 	ownerRetries   *metrics.Counter
 	unownedPermits *metrics.Counter
-	limitReports   *metrics.Counter
+	statements     *metrics.Counter
 	waiting        *atomic.Int64
 }
 
@@ -36,7 +36,7 @@
 		sendFailed:     set.NewCounter("berylroad_broker_messages_failed_total"),
 		ownerRetries:   set.NewCounter("berylroad_broker_reasked_total"),
 		unownedPermits: set.NewCounter("berylroad_broker_unowned_permits_total"),
-		limitReports:   set.NewCounter("berylroad_broker_limit_reports_total"),
+		statements:     set.NewCounter("berylroad_broker_statement_reports_total"),
 		waiting:        new(atomic.Int64),
 	}
 	waiting := c.waiting
--- a/internal/berylsched/outbox.go
+++ b/internal/berylsched/outbox.go
@@ -22,11 +22,11 @@
 
 // message is a message to another host that needs no answer; exactly one field is set.
 type message struct {
-	withdraw *berylpermit.Withdraw
-	release  *berylpermit.Release
-	yield    *berylpermit.Yield
-	held     *berylpermit.HeldReport
-	limit    *berylpermit.LimitReport
+	withdraw  *berylpermit.Withdraw
+	release   *berylpermit.Release
+	yield     *berylpermit.Yield
+	held      *berylpermit.HeldReport
+	statement *berylpermit.StatementReport
 }
 
 // hostQueue holds the messages to one host, so that a host that does not answer does not delay messages to others.
@@ -130,8 +130,8 @@
 		return t.Release(ctx, host, *m.release)
 	case m.yield != nil:
 		return t.SendYield(ctx, host, *m.yield)
-	case m.limit != nil:
-		return t.SendLimit(ctx, host, *m.limit)
+	case m.statement != nil:
+		return t.SendStatement(ctx, host, *m.statement)
 	default:
 		return t.SendHeldReport(ctx, host, *m.held)
 	}
@@ -147,8 +147,8 @@
 		_ = s.HandleRelease(s.Host, *m.release)
 	case m.yield != nil:
 		_ = s.HandleYield(s.Host, *m.yield)
-	case m.limit != nil:
-		_ = s.HandleLimit(s.Host, *m.limit)
+	case m.statement != nil:
+		_ = s.HandleStatement(s.Host, *m.statement)
 	default:
 		_ = s.HandleHeldReport(s.Host, *m.held)
 	}
--- a/internal/berylsched/outliers.go
+++ b/internal/berylsched/outliers.go
@@ -30,6 +30,9 @@
 		if u := o.upstreams[l.Upstream]; u != nil && !u.owned {
 			u.peerLoad = peerLoad{Load: l, receivedAt: now}
 			u.limit.state(now, l.Limit, now.Add(-loadLimitDelay))
+			if l.Leaving {
+				u.hasSaidLeaving, u.leavingRun = true, l.LeavingRun
+			}
 		}
 	}
 	return o.actions
--- a/internal/berylsched/owner_loop.go
+++ b/internal/berylsched/owner_loop.go
@@ -224,10 +224,13 @@
 	return nil
 }
 
-// HandleLimit applies what the host peer reports about an upstream's limit.
-func (s *Scheduler) HandleLimit(_ string, r berylpermit.LimitReport) error {
+// HandleStatement applies what the host peer reports of an upstream's answer.
+func (s *Scheduler) HandleStatement(_ string, r berylpermit.StatementReport) error {
+	if r.Statement.Leaving {
+		s.markLeaving(r.Upstream, r.Statement.Run)
+	}
 	r.SentAge = max(r.SentAge, 0)
-	s.loop.tryPost(func(o *Owner, now time.Time) []Action { return o.ReportLimit(now, r) })
+	s.loop.tryPost(func(o *Owner, now time.Time) []Action { return o.ReportStatement(now, r) })
 	return nil
 }
 
--- a/internal/berylsched/owner_test.go
+++ b/internal/berylsched/owner_test.go
@@ -55,7 +55,7 @@
 		s.now = s.now.Add(duration(t, d.CmdArgs[0].Key))
 		return s.show(s.owner.Tick(s.now))
 	case "limit":
-		return s.show(s.owner.ReportLimit(s.now, s.limit(t, d)))
+		return s.show(s.owner.ReportStatement(s.now, s.limit(t, d)))
 	case "loads":
 		return showLoads(s.owner.Loads())
 	default:
@@ -193,12 +193,12 @@
 }
 
 // limit reads "u1 per-second=2.5 age=100ms", where the limit is "none" for an answer that names none.
-func (s *ownerScript) limit(t *testing.T, d *datadriven.TestData) berylpermit.LimitReport {
-	r := berylpermit.LimitReport{Upstream: d.CmdArgs[0].Key}
+func (s *ownerScript) limit(t *testing.T, d *datadriven.TestData) berylpermit.StatementReport {
+	r := berylpermit.StatementReport{Upstream: d.CmdArgs[0].Key}
 	for _, a := range d.CmdArgs[1:] {
 		switch a.Key {
 		case "per-second":
-			r.Limit = parseLimit(t, a.Vals[0])
+			r.Statement.Limit = parseLimit(t, a.Vals[0])
 		case "age":
 			r.SentAge = duration(t, a.Vals[0])
 		}
--- a/internal/berylsched/scheduler.go
+++ b/internal/berylsched/scheduler.go
@@ -28,8 +28,8 @@
 	SendYield(ctx context.Context, host string, yield berylpermit.Yield) error
 	// SendHeldReport reports held permits to an owner.
 	SendHeldReport(ctx context.Context, host string, held berylpermit.HeldReport) error
-	// SendLimit reports an upstream's limit to its owner.
-	SendLimit(ctx context.Context, host string, limit berylpermit.LimitReport) error
+	// SendStatement reports what an upstream's answer says to the upstream's owner.
+	SendStatement(ctx context.Context, host string, report berylpermit.StatementReport) error
 }
 
 // Settings are the parameters and dependencies of a Scheduler.
@@ -42,6 +42,9 @@
 	Transport Transport
 	// Owner assigns upstreams to hosts; nil means RendezvousOwner.
 	Owner OwnerFunc
+	// OnLeaving is told, possibly again, that a run of an upstream (see berylpermit.Statement) has said that it leaves; nil
+	// ignores that. It must return quickly. The next configuration has to list the upstream as leaving.
+	OnLeaving func(upstream string, run int64)
 	// Metrics is where the metrics are registered; nil leaves them unpublished.
 	Metrics *metrics.Set
 	// Log is the logger for changes of state; nil means logrus's standard logger.
@@ -191,6 +194,7 @@
 // RecordLoads stores the loads that other hosts report for the upstreams that they own.
 func (s *Scheduler) RecordLoads(loads []berylpermit.Load) {
 	s.table.Load().recordLoads(time.Now(), loads)
+	s.recordLeaving(loads)
 }
 
 func ownerConfig(doc berylconf.Document) Config {
