--- a/internal/berylcall/attempt.go
+++ b/internal/berylcall/attempt.go
@@ -18,6 +18,9 @@
 // headerRequestLimit is the field of an answer in which an upstream names the requests a second that it accepts.
 const headerRequestLimit = "Berylroad-Request-Limit"
 
+// headerLeaving is the field of an answer in which an upstream says, with the value 1, that it leaves.
+const headerLeaving = "Berylroad-Leaving"
+
 var (
 	errPermitYielded   = errors.New("the owner wants the permit back")
 	errOtherAttemptWon = errors.New("another call for the request was faster")
@@ -131,7 +134,7 @@
 func (a *attempt) checkResponse() bool {
 	status := a.response.StatusCode()
 	a.result.status = status
-	a.permit.ReportStatement(berylpermit.Statement{Limit: a.statedLimit()})
+	a.permit.ReportStatement(berylpermit.Statement{Limit: a.statedLimit(), Leaving: string(a.response.Header.Peek(headerLeaving)) == "1"})
 	if id := a.response.Header.Peek("X-Request-Id"); len(id) > 0 && string(id) != a.req.ID {
 		return a.fail(endWrongRequest, "the answer carries another request's id")
 	}
--- a/internal/berylcall/raw_test.go
+++ b/internal/berylcall/raw_test.go
@@ -94,6 +94,25 @@
 	}
 }
 
+// Guards against owners and hosts that do not hear that an upstream of the own interface leaves, also in a refusal.
+func TestAnswersSayLeaving(t *testing.T) {
+	for raw, want := range map[string]bool{
+		"200 OK\r\nBerylroad-Leaving: 1\r\n":                  true,
+		"503 Service Unavailable\r\nBerylroad-Leaving: 1\r\n": true,
+		"200 OK\r\nBerylroad-Leaving: 0\r\n":                  false,
+		"200 OK\r\n":                                          false,
+	} {
+		is := is.New(t)
+		runner := newTestRunner(t)
+		runner.rules = berylconf.Rules{MaxAttempts: 1}
+		runner.add("a", rawUpstream(t, "HTTP/1.1 "+raw+"Content-Length: 2\r\n\r\n{}", true), false)
+		req := chatRequest("leaving", false, 1)
+		req.Deadline = time.Now().Add(2 * time.Second)
+		runner.Do(context.Background(), req, &sink{})
+		is.Equal(runner.broker.statements[0].Leaving, want)
+	}
+}
+
 func TestTLS(t *testing.T) {
 	is := is.New(t)
 	upstream := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/berylfake/engine_exchange.go
+++ b/internal/berylfake/engine_exchange.go
@@ -25,6 +25,9 @@
 // begin counts a request and applies the faults that replace the answer. It returns nil if the request has been answered.
 func (s *server) begin(w http.ResponseWriter, r *http.Request, body []byte) *exchange {
 	fault := s.script.take(time.Now())
+	if fault.Mode == FaultLeaving {
+		w.Header().Set("Berylroad-Leaving", "1")
+	}
 	if fault.Mode == FaultStatus && rejectsWithoutRun(fault.Status) {
 		s.counter.refuse()
 		w.Header().Set("Retry-After", "1")
--- a/internal/berylfake/engine_fault.go
+++ b/internal/berylfake/engine_fault.go
@@ -46,6 +46,8 @@
 	FaultDrip UpstreamFaultMode = "drip"
 	// FaultWrongRequestID answers with the X-Request-Id of another request, as if responses were mixed up.
 	FaultWrongRequestID UpstreamFaultMode = "crossed"
+	// FaultLeaving says in the header of each answer that the stand-in leaves, and answers as usual.
+	FaultLeaving UpstreamFaultMode = "leaving"
 )
 
 // UpstreamFault scripts one failure of an engine or service stand-in.
--- a/internal/berylpermit/permit.go
+++ b/internal/berylpermit/permit.go
@@ -132,10 +132,8 @@
 	Limit Limit `cbor:"10,keyasint,omitzero"`
 	// Admitted is how many requests the limit admits now; it means nothing without a limit.
 	Admitted int `cbor:"11,keyasint,omitempty"`
-	// Leaving says that an answer of the upstream's run LeavingRun (see Statement.Run) has said that it leaves.
-	Leaving bool `cbor:"12,keyasint,omitempty"`
-	// LeavingRun means nothing without Leaving.
-	LeavingRun int64 `cbor:"13,keyasint,omitempty"`
+	// LeavingRun is the run (see Statement.Run) of which an answer has said that it leaves, or zero.
+	LeavingRun int64 `cbor:"12,keyasint,omitempty"`
 }
 
 // Withdraw tells an owner that a request is no longer wanted. A permit already granted for it is released.
@@ -226,7 +224,7 @@
 	// Leaving says that the upstream is about to stop and gets no new requests. A run that has said so never takes it back.
 	Leaving bool `cbor:"2,keyasint,omitempty"`
 	// Run is when the run of the upstream that gave the answer started, in milliseconds of Unix time, or zero if its start
-	// is not known.
+	// is not known. Then a later run can't be told from it, so only the upstream's owner is told that it leaves.
 	Run int64 `cbor:"3,keyasint,omitempty"`
 }
 
--- a/internal/berylprocess/outage_test.go
+++ b/internal/berylprocess/outage_test.go
@@ -122,6 +122,24 @@
 	is.Equal(result.wrong.Load()+result.lost.Load()+result.refused.Load(), int64(0))
 }
 
+// Guards against an engine getting new calls after its answers have said that it leaves.
+func TestUpstreamThatSaysItLeaves(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, fleetConfig{hosts: 3, engines: 3, slots: 8, engineFlags: fastEngineFlags})
+	result, stop := f.startLoad(9, 20, f.hosts...)
+	leaving := f.engines[0]
+	f.eventually("the engine is in use", func() bool { return f.counts(leaving).Started > 0 })
+	f.setFault(leaving, berylfake.UpstreamFault{Mode: berylfake.FaultLeaving})
+	complete := result.complete.Load()
+	f.eventually("answers have said that the engine leaves", func() bool { return result.complete.Load() > complete+100 })
+	before := f.counts(leaving).Started
+	complete = result.complete.Load()
+	f.eventually("the other engines answer 100 more requests", func() bool { return result.complete.Load() > complete+100 })
+	is.Equal(f.counts(leaving).Started, before) // the leaving engine has got no new call
+	stop()
+	is.Equal(result.wrong.Load()+result.lost.Load()+result.refused.Load(), int64(0))
+}
+
 // TestApplyRace applies different configurations concurrently on top of the same revision. Exactly one must succeed, and it
 // must take effect at every host.
 func TestApplyRace(t *testing.T) {
--- a/internal/berylrelay/leaving_test.go
+++ b/internal/berylrelay/leaving_test.go
@@ -18,7 +18,7 @@
 	for _, tt := range []struct {
 		name   string
 		first  script // what a answers
-		status int // of the second answer
+		status int    // of the second answer
 		others []string
 		want   string // the upstream that gets the second request
 	}{
--- a/internal/berylsched/outliers.go
+++ b/internal/berylsched/outliers.go
@@ -30,8 +30,8 @@
 		if u := o.upstreams[l.Upstream]; u != nil && !u.owned {
 			u.peerLoad = peerLoad{Load: l, receivedAt: now}
 			u.limit.state(now, l.Limit, now.Add(-loadLimitDelay))
-			if l.Leaving {
-				u.hasSaidLeaving, u.leavingRun = true, l.LeavingRun
+			if l.LeavingRun != 0 {
+				u.leavingRun = l.LeavingRun
 			}
 		}
 	}
--- a/internal/berylsched/scheduler.go
+++ b/internal/berylsched/scheduler.go
@@ -93,12 +93,12 @@
 	wg.Wait()
 }
 
-// SetConfig installs a configuration, unless it has the revision of the current one. It may be called at any time, also
-// before Run.
+// SetConfig installs a configuration, unless it has the revision and the leaving names of the current one. It may be called at
+// any time, also before Run.
 func (s *Scheduler) SetConfig(doc berylconf.Document) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if doc.Revision != 0 && doc.Revision == s.doc.Revision {
+	if doc.Revision != 0 && doc.Revision == s.doc.Revision && slices.Equal(doc.Rules.Leaving, s.doc.Rules.Leaving) {
 		return
 	}
 	s.setConfig(doc)
--- a/internal/berylsched/statement.go
+++ b/internal/berylsched/statement.go
@@ -23,8 +23,7 @@
 
 	mu         sync.Mutex
 	limit      rateLimit
-	leaving    bool
-	leavingRun int64
+	leavingRun int64 // the run that has said that it leaves, or zero
 	reportedAt time.Time
 	// unowned bounds the permits that this host grants itself.
 	unowned *rate.Limiter
@@ -46,7 +45,7 @@
 // believed, has to be told.
 func (k *knownStatement) observe(now time.Time, s berylpermit.Statement, sentAt time.Time, believed berylpermit.Load) bool {
 	agreed := s.Limit.Limited == believed.Limit.Limited && s.Limit.PerSecond == believed.Limit.PerSecond
-	if s.Leaving && (!believed.Leaving || believed.LeavingRun != s.Run) {
+	if s.Leaving && (s.Run == 0 || believed.LeavingRun != s.Run) {
 		agreed = false
 	}
 	if agreed && !s.Leaving && !s.Limit.Limited && !k.limited.Load() {
@@ -56,8 +55,8 @@
 	defer k.mu.Unlock()
 	changed := k.limit.state(now, s.Limit, sentAt)
 	k.limited.Store(k.limit.Limited)
-	if s.Leaving && (!k.leaving || k.leavingRun != s.Run) {
-		k.leaving, k.leavingRun, changed = true, s.Run, true
+	if s.Leaving && s.Run != 0 && k.leavingRun != s.Run {
+		k.leavingRun, changed = s.Run, true
 	}
 	if !changed && (agreed || now.Sub(k.reportedAt) < statementInterval) {
 		return false
@@ -70,7 +69,7 @@
 func (k *knownStatement) get() (berylpermit.Statement, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	s := berylpermit.Statement{Leaving: k.leaving, Run: k.leavingRun}
+	s := berylpermit.Statement{Leaving: k.leavingRun != 0, Run: k.leavingRun}
 	if k.limit.Limited {
 		s.Limit = k.limit.Limit
 	}
@@ -139,7 +138,7 @@
 // recordLeaving marks the upstreams that have said that they leave by the loads of their owners.
 func (s *Scheduler) recordLeaving(loads []berylpermit.Load) {
 	for i := range loads {
-		if loads[i].Leaving {
+		if loads[i].LeavingRun != 0 {
 			s.markLeaving(loads[i].Upstream, loads[i].LeavingRun)
 		}
 	}
@@ -161,7 +160,7 @@
 		return o.actions
 	}
 	if r.Statement.Leaving {
-		u.hasSaidLeaving, u.leavingRun = true, r.Statement.Run
+		u.leavingRun = r.Statement.Run
 	}
 	if !u.limit.state(now, r.Statement.Limit, now.Add(-r.SentAge)) || !u.owned {
 		return o.actions
--- a/internal/berylsched/throughput.go
+++ b/internal/berylsched/throughput.go
@@ -186,7 +186,6 @@
 		TimeToFirstToken:  u.health.timeToFirstToken.mean,
 		InterTokenLatency: u.health.interTokenLatency.mean,
 		Limit:             u.limit.Limit,
-		Leaving:           u.hasSaidLeaving,
 		LeavingRun:        u.leavingRun,
 	}
 	if u.limit.Limited {
--- a/internal/berylsched/upstream.go
+++ b/internal/berylsched/upstream.go
@@ -53,9 +53,8 @@
 	targets []*target
 	health  health
 	limit   rateLimit
-	// hasSaidLeaving says that an answer of the run leavingRun has said that it leaves. leaving is what the configuration says.
-	hasSaidLeaving bool
-	leavingRun     int64
+	// leavingRun is the run of which an answer has said that it leaves, or zero; leaving is what the configuration says.
+	leavingRun int64
 	// peerLoad is the last load reported by another host that owns the upstream.
 	peerLoad peerLoad
 }
--- a/internal/berylserve/host.go
+++ b/internal/berylserve/host.go
@@ -63,6 +63,7 @@
 	operatorListener net.Listener
 	upstreams        *upstreamIndex
 	hostList         hostList
+	leavingUpstreams leavingUpstreams
 }
 
 // New binds the host's addresses and creates its components, which Run starts. It returns an error if an address is in use.
@@ -146,6 +147,11 @@
 		Transport: newPeerTransport(h),
 		Metrics:   h.metrics,
 		Log:       h.Log,
+		OnLeaving: func(upstream string, _ int64) {
+			if h.leavingUpstreams.mark(time.Now(), upstream) {
+				h.Log.WithField("upstream", upstream).Info("upstream: says that it leaves")
+			}
+		},
 	})
 	h.callRunner = &berylcall.Runner{Permits: h.scheduler, URL: h.upstreams.url, Version: h.upstreams.version, Rules: h.configStore.Rules, Metrics: h.metrics}
 	view := &memberView{host: h}
--- a/internal/berylserve/updates.go
+++ b/internal/berylserve/updates.go
@@ -63,33 +63,40 @@
 	for {
 		configChanged := h.configStore.Changed()
 		membersChanged := h.membership.Changed()
-		leaving, hostListChanged := h.hostList.leavingHosts()
+		leavingHosts, hostListChanged := h.hostList.leavingHosts()
+		leavingUpstreams, untilRetry, upstreamsChanged := h.leavingUpstreams.names(time.Now())
+		var retry <-chan time.Time
+		if untilRetry > 0 {
+			retry = time.After(untilRetry)
+		}
 		if revision := h.configStore.Revision(); revision != installed {
 			installed = revision
 			h.membership.SetCandidates(ctx, h.candidates())
 		}
-		h.applyConfigAndMembers(leaving)
+		h.applyConfigAndMembers(leavingHosts, leavingUpstreams)
 		select {
 		case <-ctx.Done():
 			return
 		case <-configChanged:
 		case <-membersChanged:
 		case <-hostListChanged:
+		case <-upstreamsChanged:
+		case <-retry:
 		}
 	}
 }
 
 // applyConfigAndMembers gives the installed configuration and the live members to the upstream index, the scheduler and the
 // platform client. Each live host gets an equal part of the fleet's budget of platform calls.
-func (h *Host) applyConfigAndMembers(leaving []string) {
+func (h *Host) applyConfigAndMembers(leavingHosts, leavingUpstreams []string) {
 	live := h.membership.Live()
 	if document := h.configStore.Current(); document != nil {
 		h.upstreams.install(document.Inventory.Upstreams)
-		document = mergeLeaving(document, leaving)
+		document = mergeLeaving(document, slices.Concat(leavingHosts, leavingUpstreams))
 		h.scheduler.SetConfig(*document)
 		h.platform.SetRateLimit(document.Rules.PlatformCallsPerSecond / float64(max(len(live), 1)))
 	}
-	h.scheduler.SetMembers(h.schedulerMembers(live, leaving))
+	h.scheduler.SetMembers(h.schedulerMembers(live, leavingHosts))
 }
 
 // candidates returns the hosts that may be members: those of the inventory or, before the first configuration, the peers named
