--- a/internal/berylrelay/relay.go
+++ b/internal/berylrelay/relay.go
@@ -93,6 +93,8 @@
 	FirstAttempt string
 	// PromptParts names the parts of the prompt that other prompts may hold too, in order.
 	PromptParts []string
+	// Caller identifies who sent the request; the same caller may send it again under another ID.
+	Caller string
 }
 
 // Relay carries requests to upstreams.
