--- a/internal/berylbatch/job.go
+++ b/internal/berylbatch/job.go
@@ -53,7 +53,7 @@
 
 // prompt returns what the quarantine knows of the item.
 func (it *item) prompt() berylquarantine.Prompt {
-	return berylquarantine.Prompt{Parts: it.PromptParts, Request: it.job.id + "/" + it.ID}
+	return berylquarantine.Prompt{Parts: it.PromptParts}
 }
 
 // isRunningHere reports whether this host has loaded the job's items and runs them.
--- a/internal/berylbatch/quarantine_test.go
+++ b/internal/berylbatch/quarantine_test.go
@@ -92,3 +92,27 @@
 		})
 	}
 }
+
+// Guards against an item being held back because upstreams have crashed under it: items are handed in to be run, and never crash
+// upstreams by themselves.
+func TestItemUnderWhichUpstreamsCrashedIsRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, ctx, cluster := setUp(t, 4)
+		crashes := 0
+		cluster.restartUpstream(func(id string) bool {
+			if !strings.HasSuffix(id, "-1") || crashes == 5 {
+				return false
+			}
+			crashes++
+			return true
+		})
+		m, _ := cluster.startHost(ctx, "a", 1)
+		cluster.startQuarantine(m)
+		go m.Quarantine.Run(ctx)
+		time.Sleep(time.Second)
+		is.Equal(m.Submit(ctx, cluster.submission("j", 4)), nil)
+		results := readAll(t, m, "j", 4, 10*time.Second)
+		is.Equal(crashes, 5)
+		is.Equal(results["j-1"].State, Completed)
+	})
+}
--- a/internal/berylquarantine/prompt.go
+++ b/internal/berylquarantine/prompt.go
@@ -1,28 +1,33 @@
 package berylquarantine
 
-import "slices"
+import (
+	"slices"
+	"strings"
+)
 
-// requestPrefix marks the key of a request among the IDs of prompt parts.
+// requestPrefix marks the keys of requests among the IDs of prompt parts.
 const requestPrefix = "request:"
 
 // Prompt is what the quarantine knows of a request.
 type Prompt struct {
 	// Parts are the IDs of the parts that other prompts may hold too.
 	Parts []string
-	// Request identifies the request if it may be sent more than once; otherwise it is empty. A request that crashes one
-	// upstream after the other by itself says nothing of its parts.
-	Request string
+	// Requests are the keys of the request itself (see RequestKeys), under which it is known when it comes again, the widest
+	// first. Items of jobs have none: they never crash upstreams by themselves.
+	Requests []string
 }
 
 // IsEmpty reports whether nothing in the prompt could be quarantined.
 func (p *Prompt) IsEmpty() bool {
-	return len(p.Parts) == 0 && p.Request == ""
+	return len(p.Parts) == 0 && len(p.Requests) == 0
 }
 
 // keys returns what crashes can count against: the parts and the request itself.
 func (p *Prompt) keys() []string {
-	if p.Request == "" {
-		return p.Parts
-	}
-	return append(slices.Clone(p.Parts), requestPrefix+p.Request)
+	return slices.Concat(p.Parts, p.Requests)
+}
+
+// isRequest reports whether a key is that of a request and not the ID of a prompt part.
+func isRequest(key string) bool {
+	return strings.HasPrefix(key, requestPrefix)
 }
--- a/internal/berylquarantine/quarantine.go
+++ b/internal/berylquarantine/quarantine.go
@@ -238,11 +238,12 @@
 	}
 	return &beryloutcome.Refusal{
 		Status: http.StatusServiceUnavailable, Code: beryloutcome.CodeNotRun, RetryAfter: wait, Param: "prompt",
-		Message: "quarantine " + v.Key() + ": upstreams have crashed on prompts with these parts; the request was not run",
+		Message: "quarantine " + v.Key() + ": upstreams have crashed on such requests; the request was not run",
 	}
 }
 
-// RecordBegin records that an upstream of the service has begun to answer a prompt. It lifts the verdicts on its parts.
+// RecordBegin records that an upstream of the service has begun to answer a prompt. It lifts the verdicts on its parts, but not
+// those on the request itself.
 func (q *Quarantine) RecordBegin(service string, prompt Prompt) {
 	if q == nil || prompt.IsEmpty() {
 		return
@@ -250,11 +251,25 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.table.RecordBegin(time.Now(), service, prompt)
-	for v := q.verdicts.match(prompt.keys()); v != nil; v = q.verdicts.match(prompt.keys()) {
+	for v := q.verdicts.match(prompt.Parts); v != nil; v = q.verdicts.match(prompt.Parts) {
 		q.lift(v, "an upstream has begun to answer them")
 	}
 }
 
+// RecordSound records that an upstream has answered a request without a crash, or gone on for so long that it would have crashed.
+// It lifts the verdicts on the request.
+func (q *Quarantine) RecordSound(prompt Prompt) {
+	if q == nil || len(prompt.Requests) == 0 {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.table.RecordSound(time.Now(), prompt)
+	for v := q.verdicts.match(prompt.Requests); v != nil; v = q.verdicts.match(prompt.Requests) {
+		q.lift(v, "an upstream has answered the request")
+	}
+}
+
 // Lift lifts a verdict at an operator's request. It returns ErrUnknownVerdict if there is none with this key.
 func (q *Quarantine) Lift(key string) error {
 	q.mu.Lock()
@@ -293,7 +308,8 @@
 	}
 }
 
-// RecordBreak records that a call broke off before its upstream had begun to answer. If the upstream has crashed, the other
+// RecordBreak records that a call broke off before its upstream had begun to answer, or soon after it had; then the prompt has no
+// parts. If the upstream has crashed, the other
 // hosts are asked for their evidence, and a verdict may follow.
 func (q *Quarantine) RecordBreak(upstream berylroute.Upstream, prompt Prompt, sentAt time.Time) {
 	if q == nil || prompt.IsEmpty() {
--- a/internal/berylquarantine/requestkey.go
+++ b/internal/berylquarantine/requestkey.go
@@ -9,8 +9,8 @@
 // somebody else's.
 const keyBytes = 16
 
-// RequestKeys returns the keys of a request that is the same when it comes again under another ID: one of its address and body, and
-// one of these and its caller.
+// RequestKeys returns the keys of a request that is the same when it comes again under another ID, the widest first: one of its
+// method, host, path and body, and one of these and its caller.
 func RequestKeys(caller, method, host, path string, body []byte) []string {
 	h := sha256.New()
 	for _, field := range []string{method, host, path} {
--- a/internal/berylquarantine/table.go
+++ b/internal/berylquarantine/table.go
@@ -15,8 +15,10 @@
 	// beginsForVerdict is how many other prompts upstreams must have begun to answer since the first of these crashes.
 	// Without it, a service whose upstreams all crash would have every part of its prompts quarantined.
 	beginsForVerdict = 3
-	// evidenceLifetime is how long a crash counts against a part.
-	evidenceLifetime = 5 * time.Minute
+	// evidenceLifetime is how long a crash counts against a part, requestEvidenceLifetime how long against a request, which may
+	// come again rarely.
+	evidenceLifetime        = 5 * time.Minute
+	requestEvidenceLifetime = time.Hour
 	// crashShareDivisor is the inverse of the share of all crashes since then that the part must have been part of. Where
 	// upstreams also end for other causes, a part that is in some of the crashes is not the cause. One in eight leaves room for
 	// several parts at once.
@@ -66,7 +68,7 @@
 }
 
 // RecordBegin records that an upstream of the service has begun to answer a prompt. That clears its parts of all crashes
-// before.
+// before, but not the request: an upstream that crashes on it may have begun.
 func (t *Table) RecordBegin(now time.Time, service string, prompt Prompt) {
 	if t.lastBegins == nil {
 		t.lastBegins = make(map[string][]time.Time)
@@ -76,7 +78,15 @@
 	for _, part := range prompt.Parts {
 		t.clear(part, now)
 	}
-	delete(t.suspects, requestPrefix+prompt.Request)
+}
+
+// RecordSound records that an upstream has answered a request without a crash. That clears it of all crashes before.
+func (t *Table) RecordSound(now time.Time, prompt Prompt) {
+	for _, key := range prompt.Requests {
+		if len(t.suspects[key]) > 0 {
+			t.clear(key, now)
+		}
+	}
 }
 
 // clear records that an answer to the part had begun at the given time.
@@ -155,10 +165,16 @@
 // not enough. begins are the times of begun answers of the same service on all hosts.
 //
 // If the evidence holds against several parts, it does not hold against one of them alone: prompts that hold only some of them may be sent,
-// and either clear these parts or accuse them further.
+// and either clear these parts or accuse them further. If it holds against the request itself, its widest key is returned alone: the
+// request may come again without its parts and from another address.
 func (t *Table) CrashingParts(now time.Time, b Break, begins []time.Time) []string {
+	for _, key := range b.Prompt.Requests {
+		if t.isCrashing(now, key, begins) {
+			return []string{key}
+		}
+	}
 	var crashing []string
-	for _, part := range b.Prompt.keys() {
+	for _, part := range b.Prompt.Parts {
 		if !slices.Contains(crashing, part) && t.isCrashing(now, part, begins) {
 			crashing = append(crashing, part)
 		}
@@ -171,6 +187,11 @@
 	first, inARow := t.crashesInARow(now, part)
 	crashes := len(t.suspects[part])
 	isEnough := inARow >= crashesForVerdict || inARow >= 2 && crashes >= overlappingCrashesForVerdict
+	if isEnough && isRequest(part) {
+		// A request that crashes upstreams is one among many, and may be the only one that comes. A sound one would have been in the
+		// wrong place each time that it came.
+		return true
+	}
 	if !isEnough || crashes*crashShareDivisor < t.crashesSince(first) {
 		return false
 	}
@@ -188,8 +209,12 @@
 // the one before.
 func (t *Table) crashesInARow(now time.Time, part string) (first time.Time, count int) {
 	var last time.Time
+	lifetime := evidenceLifetime
+	if isRequest(part) {
+		lifetime = requestEvidenceLifetime
+	}
 	for _, a := range t.suspects[part] {
-		if now.Sub(a.brokeAt) > evidenceLifetime || a.sentAt.Before(last) {
+		if now.Sub(a.brokeAt) > lifetime || a.sentAt.Before(last) {
 			continue
 		}
 		if count == 0 {
--- a/internal/berylquarantine/table_test.go
+++ b/internal/berylquarantine/table_test.go
@@ -30,11 +30,16 @@
 
 func (s *tableScript) run(t *testing.T, d *datadriven.TestData) string {
 	table := s.table(scanString(t, d, "host", "a"))
-	parts := strings.FieldsFunc(scanString(t, d, "parts", ""), func(r rune) bool { return r == '+' })
-	prompt := berylquarantine.Prompt{Parts: parts, Request: scanString(t, d, "request", "")}
+	parts := splitList(scanString(t, d, "parts", ""))
+	prompt := berylquarantine.Prompt{Parts: parts}
+	for _, name := range splitList(scanString(t, d, "request", "")) {
+		prompt.Requests = append(prompt.Requests, "request:"+name)
+	}
 	switch d.Cmd {
 	case "begin":
 		table.RecordBegin(s.now, service, prompt)
+	case "sound":
+		table.RecordSound(s.now, prompt)
 	case "break":
 		sent := scanDuration(t, d, "sent", 50*time.Millisecond)
 		table.RecordBreak(berylquarantine.Break{Crash: scanString(t, d, "crash", ""), Prompt: prompt, SentAt: s.now.Add(-sent), BrokeAt: s.now})
@@ -49,7 +54,7 @@
 		return "none\n"
 	case "merge":
 		from := s.table(scanString(t, d, "from", ""))
-		table.Merge(s.now, from.Evidence(s.now, service, parts))
+		table.Merge(s.now, from.Evidence(s.now, service, append(parts, prompt.Requests...)))
 	case "evidence":
 		return showEvidence(table.Evidence(s.now, service, parts))
 	case "forget":
@@ -62,6 +67,11 @@
 	return ""
 }
 
+// splitList splits a list such as p+q.
+func splitList(list string) []string {
+	return strings.FieldsFunc(list, func(r rune) bool { return r == '+' })
+}
+
 func (s *tableScript) table(host string) *berylquarantine.Table {
 	if s.tables[host] == nil {
 		s.tables[host] = &berylquarantine.Table{}
--- a/internal/berylquarantine/verdict.go
+++ b/internal/berylquarantine/verdict.go
@@ -25,7 +25,7 @@
 
 // Verdict is the decision that prompts which hold all of the given parts are not sent to upstreams.
 type Verdict struct {
-	// Parts are IDs of prompt parts, and the key of a request if it is quarantined by itself or together with parts; sorted.
+	// Parts are IDs of prompt parts, sorted, or one key of a request.
 	Parts []string `cbor:"1,keyasint" json:"parts"`
 	// Host is the host that decided.
 	Host string `cbor:"2,keyasint" json:"host"`
--- a/internal/berylrelay/failure.go
+++ b/internal/berylrelay/failure.go
@@ -17,9 +17,8 @@
 	if errors.Is(err, ErrUnsent) {
 		return stepRetry
 	}
-	if report.Fault && report.Tokens == 0 && !errors.Is(err, errStalled) {
-		x.brokeUnanswered = true
-		x.Quarantine.RecordBreak(x.calledUpstream, x.prompt, x.sentAt)
+	if report.Fault && report.Tokens < soundEvents && !errors.Is(err, errStalled) {
+		x.recordBreak(report.Tokens)
 	}
 	report.Kind = beryloutcome.Unknown
 	if errors.Is(context.Cause(ctx), context.Canceled) {
@@ -32,6 +31,19 @@
 	return stepFail
 }
 
+// recordBreak notes a call that broke off after the given number of events, as its request may have crashed the upstream. An event
+// clears the parts of its prompt.
+func (x *exchange) recordBreak(events int) {
+	x.brokeEarly = true
+	prompt := x.prompt
+	if events == 0 {
+		x.brokeUnanswered = true
+	} else {
+		prompt.Parts = nil
+	}
+	x.Quarantine.RecordBreak(x.calledUpstream, prompt, x.sentAt)
+}
+
 // isUpstreamFault reports whether a failed call counts as a fault of its upstream. A call that the caller cancelled
 // does not. A call that ran into the request's deadline does only if the upstream had been silent for too long by
 // then.
--- a/internal/berylrelay/pass.go
+++ b/internal/berylrelay/pass.go
@@ -27,6 +27,7 @@
 	if reply.Status == http.StatusOK {
 		x.Quarantine.RecordBegin(x.service, x.prompt)
 	}
+	x.Quarantine.RecordSound(x.prompt)
 	if reply.Status >= http.StatusInternalServerError {
 		report.Kind = beryloutcome.Failed
 	}
@@ -101,6 +102,9 @@
 				x.Quarantine.RecordBegin(x.service, x.prompt)
 			}
 			report.Tokens++
+			if report.Tokens == soundEvents {
+				x.Quarantine.RecordSound(x.prompt)
+			}
 		}
 		if x.hasEvent && event.HasID && event.ID > x.lastEvent+1 && x.possibleRuns > 1 {
 			return x.handleFailure(ctx, report, errors.Newf("events are missing: event %d follows event %d", event.ID, x.lastEvent))
@@ -136,5 +140,8 @@
 		return x.handleFailure(ctx, report, errors.New("the stream ended within an event or before its first event"))
 	}
 	report.Kind = beryloutcome.Answered
+	if report.Tokens < soundEvents {
+		x.Quarantine.RecordSound(x.prompt)
+	}
 	return stepDone
 }
--- a/internal/berylrelay/quarantine_test.go
+++ b/internal/berylrelay/quarantine_test.go
@@ -18,6 +18,9 @@
 	"berylroad.example/berylroad/internal/berylroute"
 )
 
+// badPath is the path of a request that crashes upstreams whatever its prompt parts.
+const badPath = "/bad"
+
 // quarantineTest relays prompts to upstreams that crash on the part "bad".
 type quarantineTest struct {
 	*is.I
@@ -59,10 +62,15 @@
 	return s
 }
 
-// send sends a request to an upstream of its own and waits until the quarantine has looked at it.
+// send sends a request of its own to an upstream of its own and waits until the quarantine has looked at it.
 func (s *quarantineTest) send(ctx context.Context, n int, parts ...string) (beryloutcome.Result, *fakeSink) {
-	request := &Request{ID: fmt.Sprint("q", n), Route: &s.route, Deadline: time.Now().Add(5 * time.Second), PromptParts: parts}
-	if parts[len(parts)-1] == "bad" {
+	return s.sendTo(ctx, n, fmt.Sprint("/", n), parts...)
+}
+
+// sendTo is send with the path of the request, which is the same request if it comes again with the same path.
+func (s *quarantineTest) sendTo(ctx context.Context, n int, path string, parts ...string) (beryloutcome.Result, *fakeSink) {
+	request := &Request{ID: fmt.Sprint("q", n), Route: &s.route, Path: path, Deadline: time.Now().Add(5 * time.Second), PromptParts: parts}
+	if len(parts) > 0 && parts[len(parts)-1] == "bad" || path == badPath {
 		request.Body = []byte("bad")
 	}
 	s.relay.Permits = &fakeBroker{grants: []string{fmt.Sprint("u", n), fmt.Sprint("u", n+1), fmt.Sprint("u", n+2)}}
@@ -109,6 +117,43 @@
 	})
 }
 
+// Guards against a request that crashes upstreams being sent to one after the other because it comes again under a new ID, with
+// other prompt parts or none, or crashes them only after the first events of its answer.
+func TestRequestThatComesAgainIsRefused(t *testing.T) {
+	for eventsBefore := range soundEvents {
+		t.Run(fmt.Sprintf("after event %d", eventsBefore), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newQuarantineTest(t, berylroute.Route{Kind: berylroute.Streaming})
+				s.client.eventsBefore = eventsBefore
+				for i := range 3 {
+					s.sendTo(t.Context(), i, badPath, fmt.Sprint("part", i))
+					s.send(t.Context(), 10+i, fmt.Sprint("part", i))
+				}
+				calls := s.client.calls
+				result, _ := s.sendTo(t.Context(), 3, badPath)
+				s.Equal(s.client.calls, calls)
+				s.Equal(result.Kind, beryloutcome.NotRun)
+				s.Equal(result.Refusal.Status, http.StatusServiceUnavailable)
+				_, sink := s.send(t.Context(), 4, "part1")
+				s.Equal(sink.body.String(), events(1, 3))
+			})
+		})
+	}
+}
+
+// Guards against a sound request being refused because its streams were cut, after soundEvents events, by crashes of others.
+func TestStreamsThatWentOnDoNotAccuseTheirRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newQuarantineTest(t, berylroute.Route{Kind: berylroute.Streaming})
+		s.client.eventsBefore = soundEvents
+		for i := range 6 {
+			s.sendTo(t.Context(), i, badPath)
+		}
+		s.Equal(s.client.calls, 6)
+		s.Equal(len(s.relay.Quarantine.Status()), 0)
+	})
+}
+
 // Guards against a request that may be repeated crashing further upstreams after the verdict on its part.
 func TestRepeatsStopAtTheVerdict(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/berylrelay/relay.go
+++ b/internal/berylrelay/relay.go
@@ -50,6 +50,9 @@
 	versionPollInterval = 10 * time.Millisecond
 	// versionRetryAfter is the Retry-After if no version may begin streams or the origin of a stream is not known.
 	versionRetryAfter = time.Second
+	// soundEvents is how many events show that a request does not crash the upstream that runs it. One that crashes as it begins may
+	// have sent the first before.
+	soundEvents = 3
 	// minRetryAfter is the shortest Retry-After sent to a refused caller.
 	minRetryAfter = 100 * time.Millisecond
 )
@@ -119,8 +122,8 @@
 func (r *Relay) Do(ctx context.Context, request *Request, sink Sink) beryloutcome.Result {
 	x := exchange{Relay: r, request: request, sink: sink, startedAt: time.Now(), service: request.Route.Service(request.ID)}
 	x.prompt.Parts = request.PromptParts
-	if request.Route.Repeatable() {
-		x.prompt.Request = request.ID
+	if r.Quarantine != nil {
+		x.prompt.Requests = berylquarantine.RequestKeys(request.Caller, request.Method, request.Host, request.Path, request.Body)
 	}
 	requestCtx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
@@ -169,9 +172,10 @@
 	// calledUpstream is the upstream of the current call, sentAt when the call was sent.
 	calledUpstream berylroute.Upstream
 	sentAt         time.Time
-	// brokeUnanswered marks that a call broke off before the upstream had begun to answer.
-	brokeUnanswered bool
-	cause           error
+	// brokeUnanswered marks that a call broke off before the upstream had begun to answer, brokeEarly that one broke off before
+	// soundEvents events.
+	brokeUnanswered, brokeEarly bool
+	cause                       error
 }
 
 // step says whether the request ends after a call, is sent to another upstream, or fails.
--- a/internal/berylrelay/report.go
+++ b/internal/berylrelay/report.go
@@ -8,7 +8,6 @@
 	"github.com/sirupsen/logrus"
 
 	"berylroad.example/berylroad/internal/beryloutcome"
-	"berylroad.example/berylroad/internal/berylquarantine"
 )
 
 // recordMetrics records how the request ended. To bound the number of label values, the metrics name the failure
@@ -34,11 +33,6 @@
 	}
 }
 
-// requestKeys returns the keys under which the request is known when it comes again.
-func (x *exchange) requestKeys() []string {
-	return berylquarantine.RequestKeys(x.request.Caller, x.request.Method, x.request.Host, x.request.Path, x.request.Body)
-}
-
 // logResult logs how the request ended and why.
 func (x *exchange) logResult(result beryloutcome.Result) {
 	x.recordMetrics(result)
@@ -81,7 +75,9 @@
 	if x.brokeUnanswered {
 		fields["broke-unanswered"] = true
 		fields["prompt-parts"] = strings.Join(x.request.PromptParts, ",")
-		fields["request-keys"] = strings.Join(x.requestKeys(), ",")
+	}
+	if x.brokeEarly {
+		fields["request-keys"] = strings.Join(x.prompt.Requests, ",")
 	}
 	x.Log.WithFields(fields).Info("request: ended")
 }
