Set the test's broker before its host starts

TestItemsAreNotSentOnceAnAnswerSaysLeaving replaced the manager's broker and client while the manager ran, and read the upstream's calls without its lock, which the race detector reports.

--- a/internal/berylbatch/leaving_test.go
+++ b/internal/berylbatch/leaving_test.go
@@ -45,12 +45,14 @@
 func TestItemsAreNotSentOnceAnAnswerSaysLeaving(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is, ctx, cluster := setUp(t, 1)
+		cluster.permitsBroker, cluster.client = leavingPermits{cluster}, leavingUpstream{&cluster.upstream}
 		a, _ := cluster.startHost(ctx, "a", 1)
-		a.Permits, a.Client = leavingPermits{cluster}, leavingUpstream{&cluster.upstream}
 		time.Sleep(time.Millisecond)
 		is.Equal(a.Submit(ctx, cluster.submission("j", 3)), nil)
 		time.Sleep(5 * time.Second)
+		cluster.upstream.mu.Lock()
 		is.Equal(len(cluster.upstream.calls), 1) // the first item, which ended on it
+		cluster.upstream.mu.Unlock()
 		results := readAll(t, a, "j", 1, time.Second)
 		is.Equal(len(results), 1)
 	})
--- a/internal/berylbatch/manager_test.go
+++ b/internal/berylbatch/manager_test.go
@@ -43,6 +43,9 @@
 	permits map[*berylpermit.Permit]chan struct{}
 	// target is that of the last permit request.
 	target string
+	// permitsBroker and client, if set before a host is started, are used in place of the cluster and its upstream.
+	permitsBroker berylpermit.Broker
+	client        berylrelay.UpstreamClient
 }
 
 func newTestCluster(slots int) *testCluster {
@@ -115,8 +118,11 @@
 
 // startHost starts a host; kill stops it without releasing its jobs.
 func (cluster *testCluster) startHost(ctx context.Context, name string, boot uint64) (m *Manager, kill context.CancelFunc) {
+	if cluster.permitsBroker == nil {
+		cluster.permitsBroker, cluster.client = cluster, &cluster.upstream
+	}
 	m = New(Config{
-		Host: name, Boot: boot, Store: &cluster.store, Permits: cluster, Upstreams: &cluster.upstreams, Client: &cluster.upstream, Routes: &cluster.routes,
+		Host: name, Boot: boot, Store: &cluster.store, Permits: cluster.permitsBroker, Upstreams: &cluster.upstreams, Client: cluster.client, Routes: &cluster.routes,
 		Members: &testMembers{cluster, name}, Peers: cluster, Lease: cluster.lease(ctx), Retention: 2 * time.Minute, Log: discardLog(),
 	})
 	cluster.mu.Lock()
