--- a/internal/berylrelay/relay_test.go
+++ b/internal/berylrelay/relay_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,6 +23,7 @@
 
 // fakeBroker grants the first of its upstreams that the request does not avoid.
 type fakeBroker struct {
+	mu       sync.Mutex // guards grants
 	grants   []string
 	requests []berylpermit.Request
 	reports  []berylpermit.Report
@@ -32,6 +34,8 @@
 
 func (b *fakeBroker) Acquire(_ context.Context, request berylpermit.Request) (*berylpermit.Permit, *beryloutcome.Refusal) {
 	b.requests = append(b.requests, request)
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	for _, name := range b.grants {
 		avoided := false
 		for _, a := range request.Avoid {
@@ -48,6 +52,13 @@
 	return nil, &beryloutcome.Refusal{Status: http.StatusServiceUnavailable, RetryAfter: 400 * time.Millisecond}
 }
 
+// setGrants changes the upstreams that are granted while requests may wait.
+func (b *fakeBroker) setGrants(names ...string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.grants = names
+}
+
 // script is what one upstream answers.
 type script struct {
 	// err, if set, fails the call before the head of the answer arrives.
--- a/internal/berylrelay/version_test.go
+++ b/internal/berylrelay/version_test.go
@@ -151,7 +151,7 @@
 		s := newVersionTest(t, map[string]script{"v1-a": {body: events(3, 4)}}, "v1-a", "v2-a")
 		s.relay.Versions.Record(berylversion.Origin{Service: "svc", Version: "v1"}, "first")
 		s.broker.grants = nil
-		time.AfterFunc(1500*time.Millisecond, func() { s.broker.grants = []string{"v1-a"} })
+		time.AfterFunc(1500*time.Millisecond, func() { s.broker.setGrants("v1-a") })
 		s.Equal(s.do(t, Request{ID: "second", TakesUp: true, FirstAttempt: "first"}).Kind, beryloutcome.Answered)
 	})
 }
