--- a/internal/berylquarantine/bench_test.go
+++ b/internal/berylquarantine/bench_test.go
@@ -92,3 +92,15 @@
 		b.ReportMetric(float64(len(reply)), "B/reply")
 	}
 }
+
+// BenchmarkRequestKeys measures the keys of a request, by the size of its body in bytes.
+func BenchmarkRequestKeys(b *testing.B) {
+	for _, size := range []int{1500, 110_000} {
+		b.Run(fmt.Sprintf("body=%d", size), func(b *testing.B) {
+			body := make([]byte, size)
+			for b.Loop() {
+				berylquarantine.RequestKeys("10.0.0.7 ", "POST", "h.example", "/a/b", body)
+			}
+		})
+	}
+}
