--- a/internal/berylbatch/leaving_test.go
+++ b/internal/berylbatch/leaving_test.go
@@ -21,7 +21,7 @@
 	if p != nil {
 		p.OnStatement = func(s berylpermit.Statement) {
 			if s.Leaving {
-				l.upstreams.MarkLeaving(time.Now(), p.Upstream, s.Run)
+				l.upstreams.MarkLeaving(time.Now(), p.Upstream, s.Run, true)
 			}
 		}
 	}
--- a/internal/berylentry/host.go
+++ b/internal/berylentry/host.go
@@ -244,7 +244,9 @@
 	h.writeBatcher = h.newWriteBatcher(links)
 	h.scheduler = berylsched.New(berylsched.Settings{
 		Host: h.Settings.Host, Boot: h.boot, Transport: links, Metrics: h.Metrics, Log: h.Log,
-		OnLeaving: func(upstream string, run int64) { h.upstreamRegistry.MarkLeaving(time.Now(), upstream, run) },
+		OnLeaving: func(upstream string, run int64, answered bool) {
+			h.upstreamRegistry.MarkLeaving(time.Now(), upstream, run, answered)
+		},
 	})
 	beryllink.Handle(h.endpoint, h.scheduler)
 	h.hostRegistry = newRegistry(h.Store, self, h.Log, sharing, func(members []berylhost.Member) {
--- a/internal/berylrelay/leaving_test.go
+++ b/internal/berylrelay/leaving_test.go
@@ -37,7 +37,7 @@
 				broker := &fakeBroker{grants: grants, onStatement: func(s berylpermit.Statement) {
 					if s.Leaving {
 						is.Equal(sink.status, 0) // known before the answer is passed on
-						registry.MarkLeaving(time.Now(), "a", s.Run)
+						registry.MarkLeaving(time.Now(), "a", s.Run, true)
 					}
 				}}
 				r := Relay{Permits: broker, Upstreams: registry, Client: client, Log: discardLogger()}
--- a/internal/berylroute/departing.go
+++ b/internal/berylroute/departing.go
@@ -8,6 +8,9 @@
 	departingMemory = 10 * time.Minute
 	// maxDepartingRuns bounds the runs that are remembered. The fleet is designed for 600 upstreams.
 	maxDepartingRuns = 4096
+	// doubtTime is how long a run gets no new work that may be the one that has said that it leaves. A run that leaves ends
+	// within seconds.
+	doubtTime = 30 * time.Second
 )
 
 // upstreamRun identifies one run of an upstream.
@@ -19,6 +22,24 @@
 // departingRuns remembers which runs of upstreams have said in an answer that they leave. The zero value is empty.
 type departingRuns struct {
 	lastSeen map[upstreamRun]time.Time // when the run was last marked or announced
+	// lastSaid is when an answer under the ID was last received here that says so. It may be of a later run than the one that was
+	// marked, whose announcement had not arrived.
+	lastSaid map[string]time.Time
+}
+
+// said records an answer that says that the upstream leaves.
+func (d *departingRuns) said(now time.Time, id string) {
+	if d.lastSaid == nil {
+		d.lastSaid = make(map[string]time.Time)
+	}
+	d.lastSaid[id] = now
+}
+
+// mayHaveSaid reports whether a run had started when the last answer under its ID said that it leaves. Clocks differ, so this is
+// a guess.
+func (d *departingRuns) mayHaveSaid(u *Upstream) bool {
+	at, ok := d.lastSaid[u.ID]
+	return ok && u.StartedAtMillis != 0 && u.StartedAtMillis <= at.UnixMilli()
 }
 
 // add remembers a run and reports whether it was not known before. If there are too many runs, the one that was not seen for
@@ -63,4 +84,9 @@
 			delete(d.lastSeen, run)
 		}
 	}
+	for id, at := range d.lastSaid {
+		if now.Sub(at) > departingMemory {
+			delete(d.lastSaid, id)
+		}
+	}
 }
--- a/internal/berylroute/registry.go
+++ b/internal/berylroute/registry.go
@@ -48,6 +48,8 @@
 	upstreams map[string]Upstream
 	lapsed    map[string]time.Time // time until which an upstream without an announcement is kept, by ID
 	departing departingRuns
+	// doubts holds the time until which an upstream gets no new work because it may be the run that has said that it leaves, by ID.
+	doubts    map[string]time.Time
 	dirty     bool // set if upstreams has changed since the last call of publish
 	published atomic.Pointer[snapshot]
 	changed   chan struct{}
@@ -101,7 +103,7 @@
 	listed := make(map[string]bool, len(list))
 	for _, u := range list {
 		listed[u.ID] = true
-		r.set(u)
+		r.set(now, u)
 	}
 	for id := range r.upstreams {
 		if !listed[id] {
@@ -128,7 +130,7 @@
 		if c.Removed {
 			r.removeOrKeep(now, regained, c.Upstream.ID)
 		} else {
-			r.set(c.Upstream)
+			r.set(now, c.Upstream)
 		}
 	}
 	r.publish()
@@ -136,7 +138,7 @@
 
 // Put adds or updates one upstream and publishes the change.
 func (r *Registry) Put(u Upstream) {
-	r.Apply(time.Time{}, time.Time{}, []Change{{Upstream: u}})
+	r.Apply(time.Now(), time.Time{}, []Change{{Upstream: u}})
 }
 
 // Remove handles the removal of an upstream's announcement. Around an outage of the store the upstream is kept for
@@ -146,24 +148,66 @@
 }
 
 // MarkLeaving records that a run of an upstream has said in an answer that it leaves. It gets no new work from then on,
-// whatever its announcement says, nor after its announcement has lapsed and come back. A later run under the same ID does.
-func (r *Registry) MarkLeaving(now time.Time, id string, startedAtMillis int64) {
-	if u, known := r.Get(id); known && u.Leaving && u.StartedAtMillis == startedAtMillis {
+// whatever its announcement says, nor after its announcement has lapsed and come back. A later run under the same ID does, unless
+// it may be the one that has answered. answered says that this host has just received the answer.
+func (r *Registry) MarkLeaving(now time.Time, id string, startedAtMillis int64, answered bool) {
+	if u, known := r.Get(id); !answered && known && u.Leaving && u.StartedAtMillis == startedAtMillis {
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if answered {
+		r.departing.said(now, id)
+	}
 	if !r.departing.add(now, id, startedAtMillis) {
 		return
 	}
 	u, known := r.upstreams[id]
 	r.Log.WithFields(logrus.Fields{"upstream": id, "started-at-ms": startedAtMillis, "known": known && u.StartedAtMillis == startedAtMillis}).Info("upstream: says that it leaves")
 	if known {
-		r.set(u)
+		_, inDoubt := r.doubts[id]
+		u.Leaving = u.Leaving && !inDoubt // a doubt is no announcement
+		r.set(now, u)
 		r.publish()
 	}
 }
 
+// applyDepartures marks an announced upstream as leaving if one of its answers has said so, or may have.
+func (r *Registry) applyDepartures(now time.Time, u *Upstream, old Upstream) {
+	switch {
+	case u.Leaving || r.departing.contains(u.ID, u.StartedAtMillis):
+		u.Leaving = true
+		delete(r.doubts, u.ID)
+	case u.StartedAtMillis == old.StartedAtMillis:
+		_, u.Leaving = r.doubts[u.ID]
+	case r.departing.mayHaveSaid(u):
+		if r.doubts == nil {
+			r.doubts = make(map[string]time.Time)
+		}
+		u.Leaving = true
+		r.doubts[u.ID] = now.Add(doubtTime)
+		r.Log.WithField("upstream", u.ID).Info("upstream: may be the run that says that it leaves, gets nothing for a while")
+	default:
+		delete(r.doubts, u.ID)
+	}
+}
+
+// endDoubts puts the upstreams back into use that have not said again that they leave.
+func (r *Registry) endDoubts(now time.Time) {
+	for id, until := range r.doubts {
+		if !now.After(until) {
+			continue
+		}
+		delete(r.doubts, id)
+		if u, known := r.upstreams[id]; known {
+			u.Leaving = false
+			r.upstreams[id] = u
+			r.dirty = true
+			r.Log.WithField("upstream", id).Info("upstream: in use again")
+		}
+	}
+}
+
 // ExpireLapsed drops the upstreams that have not announced themselves again within lapseGrace.
 func (r *Registry) ExpireLapsed(now time.Time) {
 	r.mu.Lock()
@@ -174,17 +218,18 @@
 		}
 	}
 	r.departing.expire(now, r.upstreams)
+	r.endDoubts(now)
 	r.publish()
 }
 
-func (r *Registry) set(u Upstream) {
+func (r *Registry) set(now time.Time, u Upstream) {
 	if r.upstreams == nil {
 		r.upstreams = make(map[string]Upstream)
 		r.lapsed = make(map[string]time.Time)
 	}
 	delete(r.lapsed, u.ID)
-	u.Leaving = u.Leaving || r.departing.contains(u.ID, u.StartedAtMillis)
 	old, known := r.upstreams[u.ID]
+	r.applyDepartures(now, &u, old)
 	if known && old == u {
 		return
 	}
@@ -221,6 +266,7 @@
 func (r *Registry) remove(id, reason string) {
 	delete(r.upstreams, id)
 	delete(r.lapsed, id)
+	delete(r.doubts, id)
 	r.dirty = true
 	r.Log.WithFields(logrus.Fields{"upstream": id, "reason": reason}).Info("upstream: gone")
 }
--- a/internal/berylsched/leaving_test.go
+++ b/internal/berylsched/leaving_test.go
@@ -24,7 +24,7 @@
 func (l *leavingRuns) watch(f *fleet) {
 	l.known = make(map[string]bool)
 	for host, s := range f.hosts {
-		s.OnLeaving = func(upstream string, run int64) {
+		s.OnLeaving = func(upstream string, run int64, _ bool) {
 			l.mu.Lock()
 			defer l.mu.Unlock()
 			l.known[fmt.Sprintf("%s/%s/%d", host, upstream, run)] = true
--- a/internal/berylsched/owner_loop.go
+++ b/internal/berylsched/owner_loop.go
@@ -227,7 +227,7 @@
 // HandleStatement applies what the host peer reports of an upstream's answer.
 func (s *Scheduler) HandleStatement(_ string, r berylpermit.StatementReport) error {
 	if r.Statement.Leaving {
-		s.markLeaving(r.Upstream, r.Statement.Run)
+		s.markLeaving(r.Upstream, r.Statement.Run, false)
 	}
 	r.SentAge = max(r.SentAge, 0)
 	s.loop.tryPost(func(o *Owner, now time.Time) []Action { return o.ReportStatement(now, r) })
--- a/internal/berylsched/scheduler.go
+++ b/internal/berylsched/scheduler.go
@@ -42,9 +42,10 @@
 	Transport Transport
 	// Owner assigns upstreams to hosts; nil means RendezvousOwner.
 	Owner OwnerFunc
-	// OnLeaving is told, possibly again, that a run of an upstream (see berylpermit.Statement) has said that it leaves; nil
-	// ignores that. It must return quickly. The next configuration has to list the upstream as leaving.
-	OnLeaving func(upstream string, run int64)
+	// OnLeaving is told, possibly again, that a run of an upstream (see berylpermit.Statement) has said that it leaves: in an
+	// answer that this host has just received, or as other hosts report. nil ignores that. It must return quickly. The next
+	// configuration has to list the upstream as leaving.
+	OnLeaving func(upstream string, run int64, answered bool)
 	// Metrics is where the metrics are registered; nil leaves them unpublished.
 	Metrics *metrics.Set
 	// Log is the logger for changes of state; nil means logrus's standard logger.
--- a/internal/berylsched/statement.go
+++ b/internal/berylsched/statement.go
@@ -104,7 +104,7 @@
 // reportStatement applies what an answer says on this host, and tells the owner of the upstream unless the owner knows.
 func (s *Scheduler) reportStatement(h *heldPermit, st berylpermit.Statement) {
 	if st.Leaving {
-		s.markLeaving(h.Upstream, st.Run)
+		s.markLeaving(h.Upstream, st.Run, true)
 	}
 	now := time.Now()
 	if !h.view.statement.observe(now, st, h.grantedAt, h.view.lastLoad(now)) {
@@ -139,15 +139,15 @@
 func (s *Scheduler) recordLeaving(loads []berylpermit.Load) {
 	for i := range loads {
 		if loads[i].LeavingRun != 0 {
-			s.markLeaving(loads[i].Upstream, loads[i].LeavingRun)
+			s.markLeaving(loads[i].Upstream, loads[i].LeavingRun, false)
 		}
 	}
 }
 
 // markLeaving passes on that a run of an upstream has said that it leaves.
-func (s *Scheduler) markLeaving(upstream string, run int64) {
+func (s *Scheduler) markLeaving(upstream string, run int64, answered bool) {
 	if s.OnLeaving != nil {
-		s.OnLeaving(upstream, run)
+		s.OnLeaving(upstream, run, answered)
 	}
 }
 
--- a/internal/berylserve/host.go
+++ b/internal/berylserve/host.go
@@ -147,7 +147,7 @@
 		Transport: newPeerTransport(h),
 		Metrics:   h.metrics,
 		Log:       h.Log,
-		OnLeaving: func(upstream string, _ int64) {
+		OnLeaving: func(upstream string, _ int64, _ bool) {
 			if h.leavingUpstreams.mark(time.Now(), upstream) {
 				h.Log.WithField("upstream", upstream).Info("upstream: says that it leaves")
 			}
