--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -44,7 +44,7 @@
 		"version": version, "routes": routes, "services": list,
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	})
-	f.record.add("config", "version=%d acknowledged", version)
+	f.record.add("config", "version=%d routes=%d acknowledged", version, len(routes))
 }
 
 // itemEvents is the number of events of an item's output: that of the second model is shorter.
--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -28,12 +28,17 @@
 	// events returns the number of events of a request's output, pause is the time for one of them.
 	events func(requestID string) int
 	pause  time.Duration
+	// quiet leaves its runs out of the record.
+	quiet bool
+	// first is the time that a request takes before its first event.
+	first time.Duration
 
 	mu       sync.Mutex
 	sequence int
 	busy     chan struct{}
 	waiting  int
 	runs     int
+	begun    map[string]bool
 	stopped  chan struct{}
 }
 
@@ -86,6 +91,12 @@
 	})
 }
 
+func (e *engine) note(what, format string, args ...any) {
+	if !e.quiet {
+		e.record.add(what, format, args...)
+	}
+}
+
 func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Request-Id")
 	body, err := io.ReadAll(r.Body)
@@ -131,20 +142,30 @@
 	if last := r.Header.Get("Last-Event-Id"); last != "" {
 		from, _ = strconv.Atoi(last)
 	}
-	e.record.add("run", "replica=%s service=%s request=%s after-event=%d", e.id, e.service, id, from)
+	e.mu.Lock()
+	if e.begun == nil {
+		e.begun = map[string]bool{}
+	}
+	e.begun[id] = true
+	e.mu.Unlock()
+	e.note("run", "replica=%s service=%s request=%s after-event=%d", e.id, e.service, id, from)
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("X-Server-Stamp", e.id+"."+id)
 	w.Header().Set("X-Weight-Versions", "1")
 	total := e.events(id)
 	for n := from + 1; n <= total; n++ {
+		pause := e.pause
+		if n == from+1 {
+			pause += e.first
+		}
 		select {
-		case <-time.After(e.pause):
+		case <-time.After(pause):
 		case <-r.Context().Done():
-			e.record.add("run-cut", "replica=%s service=%s request=%s events-made=%d", e.id, e.service, id, n-1)
+			e.note("run-cut", "replica=%s service=%s request=%s events-made=%d", e.id, e.service, id, n-1)
 			return
 		}
 		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, eventData(e.service, id, n))
 		w.(http.Flusher).Flush()
 	}
-	e.record.add("run-end", "replica=%s service=%s request=%s events=%d", e.id, e.service, id, total)
+	e.note("run-end", "replica=%s service=%s request=%s events=%d", e.id, e.service, id, total)
 }
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/base64"
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"sort"
@@ -17,15 +18,20 @@
 // storeAnswerTime is how long the store takes for an answer, as in the users' sheet.
 const storeAnswerTime = 4 * time.Millisecond
 
+// valueBytes bounds a value, as platform.valueBytes says.
+const valueBytes = 1 << 20
+
 // store is a stand-in for the platform's metadata store.
 type store struct {
 	mu       sync.Mutex
 	revision int64
 	items    map[string]*kvItem
 	history  []kvEvent
-	leases   map[int64]time.Time
-	nextID   int64
-	changed  chan struct{}
+	// compacted is the revision up to which the history is dropped.
+	compacted int64
+	leases    map[int64]time.Time
+	nextID    int64
+	changed   chan struct{}
 }
 
 type kvItem struct {
@@ -39,6 +45,23 @@
 type kvEvent struct {
 	kvItem
 	Deleted bool `json:"deleted,omitempty"`
+	at      time.Time
+}
+
+// historyTime is how long the store keeps its history, as in the users' sheet.
+const historyTime = 20 * time.Second
+
+// addHistory adds an event and drops those that are older than historyTime.
+func (s *store) addHistory(e kvEvent) {
+	e.at = time.Now()
+	s.history = append(s.history, e)
+	old := 0
+	for old < len(s.history) && e.at.Sub(s.history[old].at) > historyTime {
+		s.compacted = s.history[old].Revision
+		s.history[old].Value = ""
+		old++
+	}
+	s.history = s.history[old:]
 }
 
 func newStore() *store {
@@ -124,7 +147,7 @@
 	for _, key := range keys {
 		if s.items[key] != nil {
 			delete(s.items, key)
-			s.history = append(s.history, kvEvent{kvItem: kvItem{Key: key, Revision: s.revision}, Deleted: true})
+			s.addHistory(kvEvent{kvItem: kvItem{Key: key, Revision: s.revision}, Deleted: true})
 		}
 	}
 }
@@ -140,13 +163,16 @@
 		item.Created = old.Created
 	}
 	s.items[key] = item
-	s.history = append(s.history, kvEvent{kvItem: *item})
+	s.addHistory(kvEvent{kvItem: *item})
 }
 
 // write writes one item as the operator or a replica does.
 func (s *store) write(key string, value any) {
 	data, err := json.Marshal(value)
 	must(err)
+	if len(data) > valueBytes {
+		cannotRun(fmt.Sprintf("the value of %s has %d bytes", key, len(data)))
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
@@ -255,6 +281,11 @@
 	for over := wait <= 0; ; {
 		s.mu.Lock()
 		s.expire()
+		if after < s.compacted {
+			s.mu.Unlock()
+			answer(w, http.StatusGone, map[string]any{})
+			return
+		}
 		events := []kvEvent{}
 		first := sort.Search(len(s.history), func(i int) bool { return s.history[i].Revision > after })
 		for _, e := range s.history[first:] {
@@ -296,7 +327,7 @@
 		return
 	}
 	for _, p := range body.Puts {
-		if base64.StdEncoding.DecodedLen(len(p.Value)) > 1<<20+2 || len(p.Key) > 200 {
+		if base64.StdEncoding.DecodedLen(len(p.Value)) > valueBytes+2 || len(p.Key) > 200 {
 			answer(w, http.StatusBadRequest, map[string]any{})
 			return
 		}
