--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -269,9 +269,10 @@
 		f.configure(2, []string{firstService}, rest)
 	}
 	time.Sleep(finishTime)
-	runsBefore := f.runs()
+	runsBefore, idle := f.runs()
 	time.Sleep(5 * time.Second)
-	runs := f.runs() - runsBefore
+	runsAfter, idleAfter := f.runs()
+	idle = idle && idleAfter && runsAfter == runsBefore
 	results := f.readAll(f.hosts[1:6], id, total, 6*time.Second)
 	completed := 0
 	for _, r := range results {
@@ -279,16 +280,17 @@
 			completed++
 		}
 	}
-	return len(results) < total && runs == 0, fmt.Sprintf("%d of %d items are listed %v after the last change, %d of them completed; no replica had an item in the last 5 s: %v", len(results), total, finishTime+5*time.Second, completed, runs == 0)
+	return len(results) < total && idle, fmt.Sprintf("%d of %d items are listed %v after the last change, %d of them completed; no replica had an item in the last 5 s: %v", len(results), total, finishTime+5*time.Second, completed, idle)
 }
 
-// runs returns how many runs began or were under way at the replicas so far.
-func (f *fleet) runs() int {
-	n := 0
+// runs returns how many runs have begun at the replicas so far, and whether none is under way or waits.
+func (f *fleet) runs() (n int, idle bool) {
+	idle = true
 	for _, e := range f.engines {
 		e.mu.Lock()
 		n += e.runs
+		idle = idle && e.waiting == 0 && len(e.busy) == 0
 		e.mu.Unlock()
 	}
-	return n
+	return n, idle
 }
