--- a/internal/berylroute/departing.go
+++ b/internal/berylroute/departing.go
@@ -11,6 +11,9 @@
 	// doubtTime is how long a run gets no new work that may be the one that has said that it leaves. A run that leaves ends
 	// within seconds.
 	doubtTime = 30 * time.Second
+	// maxClockDifference is the largest difference assumed between the clocks of an upstream and of this host, a step of either
+	// included.
+	maxClockDifference = 5 * time.Second
 )
 
 // upstreamRun identifies one run of an upstream.
@@ -35,11 +38,10 @@
 	d.lastSaid[id] = now
 }
 
-// mayHaveSaid reports whether a run had started when the last answer under its ID said that it leaves. Clocks differ, so this is
-// a guess.
+// mayHaveSaid reports whether a run may have started before the last answer under its ID said that it leaves.
 func (d *departingRuns) mayHaveSaid(u *Upstream) bool {
 	at, ok := d.lastSaid[u.ID]
-	return ok && u.StartedAtMillis != 0 && u.StartedAtMillis <= at.UnixMilli()
+	return ok && u.StartedAtMillis != 0 && u.StartedAtMillis <= at.Add(maxClockDifference).UnixMilli()
 }
 
 // add remembers a run and reports whether it was not known before. If there are too many runs, the one that was not seen for
--- a/internal/berylroute/registry.go
+++ b/internal/berylroute/registry.go
@@ -186,7 +186,9 @@
 		}
 		u.Leaving = true
 		r.doubts[u.ID] = now.Add(doubtTime)
-		r.Log.WithField("upstream", u.ID).Info("upstream: may be the run that says that it leaves, gets nothing for a while")
+		r.Log.WithFields(logrus.Fields{
+			"upstream": u.ID, "started-at-ms": u.StartedAtMillis, "said-at-ms": r.departing.lastSaid[u.ID].UnixMilli(),
+		}).Info("upstream: may be the run that says that it leaves, gets nothing for a while")
 	default:
 		delete(r.doubts, u.ID)
 	}
@@ -235,7 +237,7 @@
 	}
 	r.upstreams[u.ID] = u
 	r.dirty = true
-	log := r.Log.WithFields(logrus.Fields{"upstream": u.ID, "service": u.Service, "failure-domain": u.FailureDomain, "address": u.Address, "slots": u.Slots, "version": u.Version})
+	log := r.Log.WithFields(logrus.Fields{"upstream": u.ID, "service": u.Service, "failure-domain": u.FailureDomain, "address": u.Address, "slots": u.Slots, "version": u.Version, "started-at-ms": u.StartedAtMillis})
 	switch {
 	case u.Leaving && !old.Leaving:
 		log.Info("upstream: leaving")
