Log and count which upstreams owners eject, why and by whose report

'upstream: ejected' names cause and reporting host, 'upstream: back in use' its end; berylroad_owner_ejections_total counts them by cause. The scripts of TestOwner show ejections, which adds lines and changes none.

--- a/internal/berylsched/action.go
+++ b/internal/berylsched/action.go
@@ -32,6 +32,8 @@
 	ActionYield
 	// ActionLimit announces that an owned upstream's limit has changed.
 	ActionLimit
+	// ActionHealth announces that an owned upstream was ejected or is back in use.
+	ActionHealth
 )
 
 // LimitChange is a new limit of an upstream.
@@ -42,6 +44,18 @@
 	Limit berylpermit.Limit
 }
 
+// HealthChange is an ejection of an upstream or its end.
+type HealthChange struct {
+	// Upstream is the upstream's name.
+	Upstream string
+	// Ejected is false if the upstream is back in use.
+	Ejected bool
+	// Cause is why the upstream was ejected: faults, refusals, slowness or the report of its last owner.
+	Cause string
+	// ReportedBy is the host whose call led to the change, or empty if none did.
+	ReportedBy string
+}
+
 // Action is an output of the Owner, which its caller carries out.
 type Action struct {
 	// Kind determines which of the fields below is set.
@@ -52,4 +66,6 @@
 	Yield berylpermit.Yield
 	// Limit is for the log.
 	Limit LimitChange
+	// Health is for the log.
+	Health HealthChange
 }
--- a/internal/berylsched/health.go
+++ b/internal/berylsched/health.go
@@ -39,6 +39,14 @@
 	recoverySlotShare = 0.5
 )
 
+// Causes of an ejection.
+const (
+	causeFaults    = "faults"
+	causeRefusals  = "refusals"
+	causeSlow      = "slow"
+	causeLastOwner = "last owner"
+)
+
 // movingMean is an exponentially weighted moving average of durations; zero means that there is no sample yet.
 type movingMean struct {
 	mean time.Duration
@@ -93,8 +101,8 @@
 	refusals int
 	// ejected marks an upstream that gets no calls but probes.
 	ejected bool
-	// ejectedSlow marks an upstream that was ejected for slowness.
-	ejectedSlow bool
+	// ejectedFor is why the upstream was last ejected.
+	ejectedFor string
 	// probing is set while a probe is in flight.
 	probing bool
 	// ejections counts consecutive ejections, up to a bound; it determines the backoff.
@@ -181,8 +189,7 @@
 func (h *health) recordFault(now time.Time, p *permit) {
 	h.faults++
 	if p.probe || !h.ejected && h.faults >= maxConsecutiveFaults {
-		h.eject(now, minFaultBackoff, maxFaultBackoff)
-		h.ejectedSlow = false
+		h.eject(now, causeFaults, minFaultBackoff, maxFaultBackoff)
 	}
 }
 
@@ -191,8 +198,8 @@
 func (h *health) recordRefusal(now time.Time, p *permit) {
 	h.refusals++
 	if p.probe || !h.ejected && h.refusals >= maxConsecutiveRefusals {
-		h.eject(now, minSlowBackoff, maxSlowBackoff)
-		h.ejectedSlow, h.refusals = false, 0
+		h.eject(now, causeRefusals, minSlowBackoff, maxSlowBackoff)
+		h.refusals = 0
 	}
 }
 
@@ -202,8 +209,8 @@
 	if !p.probe || !h.ejected {
 		return
 	}
-	if m.slowdown(r.TimeToFirstToken, r.InterTokenLatency) >= slowRatio && h.ejectedSlow {
-		h.eject(now, minSlowBackoff, maxSlowBackoff)
+	if m.slowdown(r.TimeToFirstToken, r.InterTokenLatency) >= slowRatio && h.ejectedFor == causeSlow {
+		h.eject(now, causeSlow, minSlowBackoff, maxSlowBackoff)
 		return
 	}
 	h.ejected = false
@@ -216,11 +223,11 @@
 
 // eject takes the upstream out of use until a probe succeeds. The time to the next probe doubles with each consecutive
 // ejection, from minBackoff up to maxBackoff.
-func (h *health) eject(now time.Time, minBackoff, maxBackoff time.Duration) {
+func (h *health) eject(now time.Time, cause string, minBackoff, maxBackoff time.Duration) {
 	if !h.ejected && now.Sub(h.recoveredAt) > backoffResetTime {
 		h.ejections = 0
 	}
-	h.ejected = true
+	h.ejected, h.ejectedFor = true, cause
 	h.ejectedAt = now
 	h.nextProbeAt = now.Add(min(minBackoff<<h.ejections, maxBackoff))
 	h.ejections = min(h.ejections+1, 8)
@@ -237,8 +244,7 @@
 	h.slowdown = m.slowdown(h.timeToFirstToken.mean, h.interTokenLatency.mean)
 	switch {
 	case h.slowdown >= ejectRatio && mayEject:
-		h.eject(now, minSlowBackoff, maxSlowBackoff)
-		h.ejectedSlow = true
+		h.eject(now, causeSlow, minSlowBackoff, maxSlowBackoff)
 	case h.slowdown >= slowRatio:
 		h.withheldShare = 1 - (1-h.withheldShare)*slowSlotFactor
 	case h.withheldShare > 0:
--- a/internal/berylsched/metrics.go
+++ b/internal/berylsched/metrics.go
@@ -25,6 +25,7 @@
 	unownedPermits *metrics.Counter
 	statements     *metrics.Counter
 	waiting        *atomic.Int64
+	set            *metrics.Set
 }
 
 func newCounters(set *metrics.Set) counters {
@@ -38,6 +39,7 @@
 		unownedPermits: set.NewCounter("berylroad_broker_unowned_permits_total"),
 		statements:     set.NewCounter("berylroad_broker_statement_reports_total"),
 		waiting:        new(atomic.Int64),
+		set:            set,
 	}
 	waiting := c.waiting
 	set.NewGauge("berylroad_owner_waiting", func() float64 { return float64(waiting.Load()) })
@@ -52,6 +54,11 @@
 	return c
 }
 
+// ejections returns the counter of ejections for a cause.
+func (c *counters) ejections(cause string) *metrics.Counter {
+	return c.set.GetOrCreateCounter(fmt.Sprintf("berylroad_owner_ejections_total{cause=%q}", cause))
+}
+
 func (c *counters) countVerdict(v berylpermit.Verdict) {
 	c.verdicts[v].Inc()
 }
--- a/internal/berylsched/outliers.go
+++ b/internal/berylsched/outliers.go
@@ -52,13 +52,13 @@
 // inheritHealth ejects a newly owned upstream if the previous owner has recently reported it as a straggler.
 func (u *upstream) inheritHealth(now time.Time) {
 	if u.peerLoad.Straggler && now.Sub(u.peerLoad.receivedAt) < peerLoadTTL {
-		u.health.eject(now, minSlowBackoff, maxSlowBackoff)
+		u.health.eject(now, causeLastOwner, minSlowBackoff, maxSlowBackoff)
 	}
 }
 
 // evaluate compares the target's owned upstreams with the medians of all its upstreams, every evaluateInterval. At most
 // half of a target's upstreams are ejected for slowness. An upstream with several targets is evaluated by its first one.
-func (t *target) evaluate(now time.Time) {
+func (t *target) evaluate(now time.Time, o *Owner) {
 	if now.Sub(t.evaluatedAt) < evaluateInterval {
 		return
 	}
@@ -70,6 +70,7 @@
 		}
 		wasEjected := u.health.ejected
 		u.health.evaluate(now, t.medians, 2*(ejected+1) <= total)
+		o.reportHealth(u, wasEjected, "")
 		if u.health.ejected && !wasEjected {
 			ejected++
 		}
--- a/internal/berylsched/owner.go
+++ b/internal/berylsched/owner.go
@@ -295,7 +295,21 @@
 	if p == nil {
 		return o.actions
 	}
+	wasEjected := p.upstream.health.ejected
 	p.upstream.health.observe(now, p, r.Report, p.upstream.medians())
+	o.reportHealth(p.upstream, wasEjected, p.id.Host)
 	o.freePermit(now, p)
 	return o.actions
 }
+
+// reportHealth announces that an upstream was ejected or is back in use since wasEjected was read.
+func (o *Owner) reportHealth(u *upstream, wasEjected bool, reportedBy string) {
+	if u.health.ejected == wasEjected {
+		return
+	}
+	change := HealthChange{Upstream: u.name, Ejected: u.health.ejected, ReportedBy: reportedBy}
+	if change.Ejected {
+		change.Cause = u.health.ejectedFor
+	}
+	o.actions = append(o.actions, Action{Kind: ActionHealth, Health: change})
+}
--- a/internal/berylsched/owner_config.go
+++ b/internal/berylsched/owner_config.go
@@ -68,6 +68,7 @@
 			u.term = uint64(now.UnixNano())
 			u.batchAllowedAt = now.Add(takeoverGrace)
 			u.inheritHealth(now)
+			o.reportHealth(u, false, "")
 			u.limit.restart(now)
 		}
 		if !owned[u.name] && u.owned {
@@ -151,7 +152,7 @@
 	}
 	o.freeExpired(now)
 	for _, t := range o.sortedTargets {
-		t.evaluate(now)
+		t.evaluate(now, o)
 		t.refreshThroughput(now, o)
 		o.refuseLate(now, t)
 	}
--- a/internal/berylsched/owner_test.go
+++ b/internal/berylsched/owner_test.go
@@ -235,6 +235,10 @@
 			fmt.Fprintf(&b, "limit of %s: %s\n", a.Limit.Upstream, showLimit(a.Limit.Limit))
 			continue
 		}
+		if a.Kind == berylsched.ActionHealth {
+			b.WriteString(showHealth(a.Health))
+			continue
+		}
 		switch r := a.Reply; r.Verdict {
 		case berylpermit.Granted:
 			fmt.Fprintf(&b, "grant %s on %s\n", showID(r.ID), r.Upstream)
@@ -247,6 +251,13 @@
 	return b.String()
 }
 
+func showHealth(c berylsched.HealthChange) string {
+	if !c.Ejected {
+		return fmt.Sprintf("back in use: %s\n", c.Upstream)
+	}
+	return fmt.Sprintf("ejected: %s for %s\n", c.Upstream, c.Cause)
+}
+
 func showLoads(loads []berylpermit.Load) string {
 	var b strings.Builder
 	for _, l := range loads {
--- a/internal/berylsched/scheduler.go
+++ b/internal/berylsched/scheduler.go
@@ -215,6 +215,17 @@
 	return config
 }
 
+// logHealth logs and counts that an owned upstream was ejected or is back in use.
+func (s *Scheduler) logHealth(c HealthChange) {
+	log := s.Log.WithFields(logrus.Fields{"upstream": c.Upstream, "reported-by": c.ReportedBy})
+	if !c.Ejected {
+		log.Info("upstream: back in use")
+		return
+	}
+	s.counters.ejections(c.Cause).Inc()
+	log.WithField("cause", c.Cause).Info("upstream: ejected")
+}
+
 // nextID returns the ID for a new permit request.
 func (s *Scheduler) nextID() berylpermit.ID {
 	return berylpermit.ID{Host: s.Host, Boot: s.Boot, Seq: s.seq.Add(1)}
