--- a/internal/berylentry/fleet_bench_test.go
+++ b/internal/berylentry/fleet_bench_test.go
@@ -19,6 +19,7 @@
 
 	"berylroad.example/berylroad/internal/berylfake"
 	"berylroad.example/berylroad/internal/beryloutcome"
+	"berylroad.example/berylroad/internal/berylpath"
 	"berylroad.example/berylroad/internal/berylrelay"
 	"berylroad.example/berylroad/internal/berylroute"
 )
@@ -78,6 +79,10 @@
 
 func (benchClient) HasEnded(context.Context, berylroute.Upstream) bool { return false }
 
+func (benchClient) Dial(context.Context, string) (net.Conn, error) { return nil, net.ErrClosed }
+
+func (benchClient) UsePaths(*berylpath.Paths) {}
+
 func (benchClient) CloseStale(func(string) bool) {}
 func (benchClient) Close()                       {}
 
--- a/internal/berylentry/host.go
+++ b/internal/berylentry/host.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +15,7 @@
 	"berylroad.example/berylroad/internal/berylbatch"
 	"berylroad.example/berylroad/internal/berylhost"
 	"berylroad.example/berylroad/internal/beryllink"
+	"berylroad.example/berylroad/internal/berylpath"
 	"berylroad.example/berylroad/internal/berylpermit"
 	"berylroad.example/berylroad/internal/berylquarantine"
 	"berylroad.example/berylroad/internal/berylrelay"
@@ -75,6 +77,10 @@
 	// HasEnded reports whether the run of an upstream has ended: nothing listens at its address. It returns false if that
 	// can't be told.
 	HasEnded(ctx context.Context, upstream berylroute.Upstream) bool
+	// Dial opens a connection of this host's own to an upstream's address.
+	Dial(ctx context.Context, address string) (net.Conn, error)
+	// UsePaths makes the client open its connections by way of paths. It is called before the first call.
+	UsePaths(paths *berylpath.Paths)
 	// CloseStale closes the idle connections to upstreams that are no longer known.
 	CloseStale(known func(id string) bool)
 	// Close closes all idle connections.
@@ -117,6 +123,7 @@
 	writeBatcher          *berylstore.WriteBatcher
 	endpoint              *berylwire.Endpoint
 	members               *berylhost.Membership
+	paths                 *berylpath.Paths
 	scheduler             *berylsched.Scheduler
 	quarantine            *berylquarantine.Quarantine
 	versions              *berylversion.Versions
@@ -202,7 +209,7 @@
 	defer stop()
 	var components, jobs conc.WaitGroup
 	for _, run := range []func(context.Context){
-		h.endpoint.Serve, h.members.Run, h.scheduler.Run, h.operatorItems.Run, h.announcements.Run, h.hostRegistry.run, h.quarantine.Run, h.versions.Run, h.forwardChanges, h.expire,
+		h.endpoint.Serve, h.members.Run, h.scheduler.Run, h.paths.Run, h.operatorItems.Run, h.announcements.Run, h.hostRegistry.run, h.quarantine.Run, h.versions.Run, h.forwardChanges, h.expire,
 	} {
 		components.Go(func() { run(runCtx) })
 	}
@@ -242,8 +249,12 @@
 	h.fallbackStore = h.newFallbackStore(links)
 	h.operatorItems.Store, h.announcements.Store = h.fallbackStore, h.fallbackStore
 	h.writeBatcher = h.newWriteBatcher(links)
+	h.paths = berylpath.New(berylpath.Config{
+		Upstreams: &h.upstreamRegistry, Dial: h.Upstreams.Dial, Log: h.Log, Metrics: h.Metrics,
+	})
+	h.Upstreams.UsePaths(h.paths)
 	h.scheduler = berylsched.New(berylsched.Settings{
-		Host: h.Settings.Host, Boot: h.boot, Transport: links, Metrics: h.Metrics, Log: h.Log,
+		Host: h.Settings.Host, Boot: h.boot, Transport: links, Metrics: h.Metrics, Log: h.Log, BlamesUpstream: h.paths.BlamesUpstream,
 		OnLeaving: func(upstream string, run int64, answered bool) {
 			h.upstreamRegistry.MarkLeaving(time.Now(), upstream, run, answered)
 		},
--- a/internal/berylentry/status.go
+++ b/internal/berylentry/status.go
@@ -21,6 +21,8 @@
 	// -1 before the first configuration.
 	ConfigVersion int64 `json:"config-version"`
 	Routes        int   `json:"routes"`
+	// Path says whether this host reaches upstreams itself: reachable, checking or isolated.
+	Path string `json:"path"`
 	// Watcher names the host that watches the store for this one. It is empty if this host watches the store itself.
 	Watcher string `json:"watcher"`
 	// FollowedPrefixes describes the parts of the store that this host keeps a copy of.
@@ -85,6 +87,7 @@
 	if !h.assembled.Load() {
 		return s
 	}
+	s.Path = h.paths.State().String()
 	s.Boot, s.Serving, s.Ready, s.Stopping = h.boot, h.Serving(), h.Ready(), h.stopping.Load()
 	if config := h.routes.Get(); config != nil {
 		s.ConfigVersion, s.Routes = config.Version, len(config.Routes)
--- a/internal/berylsched/held.go
+++ b/internal/berylsched/held.go
@@ -113,6 +113,10 @@
 		return
 	}
 	h.view.ownPermits.Add(-1)
+	if report.Fault && s.BlamesUpstream != nil && !s.BlamesUpstream(h.Upstream) {
+		report = berylpermit.Report{Kind: report.Kind} // its times say nothing about the upstream either
+		s.counters.ownFaults.Inc()
+	}
 	r := berylpermit.Release{ID: h.ID, Upstream: h.Upstream, Report: report}
 	if h.owner != "" {
 		s.outbox.send(h.owner, message{release: &r})
--- a/internal/berylsched/metrics.go
+++ b/internal/berylsched/metrics.go
@@ -24,6 +24,7 @@
 	ownerRetries   *metrics.Counter
 	unownedPermits *metrics.Counter
 	statements     *metrics.Counter
+	ownFaults      *metrics.Counter
 	waiting        *atomic.Int64
 	set            *metrics.Set
 }
@@ -37,6 +38,7 @@
 		sendFailed:     set.NewCounter("berylroad_broker_messages_failed_total"),
 		ownerRetries:   set.NewCounter("berylroad_broker_reasked_total"),
 		unownedPermits: set.NewCounter("berylroad_broker_unowned_permits_total"),
+		ownFaults:      set.NewCounter("berylroad_broker_own_faults_total"),
 		statements:     set.NewCounter("berylroad_broker_statement_reports_total"),
 		waiting:        new(atomic.Int64),
 		set:            set,
--- a/internal/berylsched/scheduler.go
+++ b/internal/berylsched/scheduler.go
@@ -46,6 +46,9 @@
 	// answer that this host has just received, or as other hosts report. nil ignores that. It must return quickly. The next
 	// configuration has to list the upstream as leaving.
 	OnLeaving func(upstream string, run int64, answered bool)
+	// BlamesUpstream is told of each fault of a call of this host and reports whether it counts as a fault of the upstream rather
+	// than of this host or its network. nil means that all do. It must return quickly.
+	BlamesUpstream func(upstream string) bool
 	// Metrics is where the metrics are registered; nil leaves them unpublished.
 	Metrics *metrics.Set
 	// Log is the logger for changes of state; nil means logrus's standard logger.
