--- a/internal/berylbatch/run.go
+++ b/internal/berylbatch/run.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"berylroad.example/berylroad/internal/beryloutcome"
+	"berylroad.example/berylroad/internal/berylpath"
 	"berylroad.example/berylroad/internal/berylpermit"
 	"berylroad.example/berylroad/internal/berylrelay"
 	"berylroad.example/berylroad/internal/berylroute"
@@ -244,7 +245,7 @@
 	case errors.Is(err, errNotRun), errors.Is(err, berylrelay.ErrUnsent):
 		report.Kind = beryloutcome.NotRun
 		report.Refused = status != 0
-		report.Fault = errors.Is(err, berylrelay.ErrUnsent) || errors.Is(err, errMisdirected)
+		report.Fault = errors.Is(err, errMisdirected) || errors.Is(err, berylrelay.ErrUnsent) && !errors.Is(err, berylpath.ErrNoPath)
 	case errors.Is(err, errUpstreamFailed) && status == http.StatusInternalServerError:
 		report.Kind = beryloutcome.Failed
 		it.serverErrors++
--- a/internal/berylentry/host.go
+++ b/internal/berylentry/host.go
@@ -51,6 +51,8 @@
 	kindQuarantine = "quarantine"
 	// kindVersion is the kind of message about the versions at which streams began.
 	kindVersion = "stream-version"
+	// kindTunnel is the kind of stream that carries a connection to an upstream for another host.
+	kindTunnel = "upstream-tunnel"
 	// kindStorePut is the kind of message that writes an item for another host.
 	kindStorePut = "store-put"
 )
@@ -250,9 +252,10 @@
 	h.operatorItems.Store, h.announcements.Store = h.fallbackStore, h.fallbackStore
 	h.writeBatcher = h.newWriteBatcher(links)
 	h.paths = berylpath.New(berylpath.Config{
-		Upstreams: &h.upstreamRegistry, Dial: h.Upstreams.Dial, Log: h.Log, Metrics: h.Metrics,
+		Upstreams: &h.upstreamRegistry, Dial: h.Upstreams.Dial, Carriers: &carriers{host: h}, Log: h.Log, Metrics: h.Metrics,
 	})
 	h.Upstreams.UsePaths(h.paths)
+	berylwire.HandleDuplex(h.endpoint, kindTunnel, h.handleTunnel)
 	h.scheduler = berylsched.New(berylsched.Settings{
 		Host: h.Settings.Host, Boot: h.boot, Transport: links, Metrics: h.Metrics, Log: h.Log, BlamesUpstream: h.paths.BlamesUpstream,
 		OnLeaving: func(upstream string, run int64, answered bool) {
--- a/internal/berylentry/status.go
+++ b/internal/berylentry/status.go
@@ -21,7 +21,8 @@
 	// -1 before the first configuration.
 	ConfigVersion int64 `json:"config-version"`
 	Routes        int   `json:"routes"`
-	// Path says whether this host reaches upstreams itself: reachable, checking or isolated.
+	// Path says whether this host reaches upstreams itself: reachable, checking or isolated. While it is isolated, other hosts carry
+	// its connections.
 	Path string `json:"path"`
 	// Watcher names the host that watches the store for this one. It is empty if this host watches the store itself.
 	Watcher string `json:"watcher"`
--- a/internal/berylpath/doc.go
+++ b/internal/berylpath/doc.go
@@ -1,3 +1,3 @@
-// Package berylpath tells whether a host reaches upstreams, so that faults of the host's own network are not held against the
-// upstreams.
+// Package berylpath gives a host a path to upstreams while it can't reach them itself: it notices that the host is isolated
+// from upstreams and carries the bytes of connections through other hosts.
 package berylpath
--- a/internal/berylpath/paths.go
+++ b/internal/berylpath/paths.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"berylroad.example/berylroad/internal/berylroute"
@@ -25,6 +26,9 @@
 	tickInterval = 100 * time.Millisecond
 )
 
+// ErrNoPath means that neither this host nor any that it has asked reaches upstreams.
+var ErrNoPath = errors.New("no host that could be asked reaches upstreams")
+
 // Upstreams lists the known upstreams by ID.
 type Upstreams interface {
 	All() map[string]berylroute.Upstream
@@ -36,17 +40,21 @@
 	Upstreams Upstreams
 	// Dial opens a TCP connection.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Carriers opens connections through other hosts.
+	Carriers Carriers
 	// Log receives a line when the state changes.
 	Log logrus.FieldLogger
 	// Metrics receives the counters.
 	Metrics *metrics.Set
 }
 
-// Paths opens connections to upstreams and tells whether this host reaches them.
+// Paths opens connections to upstreams, through other hosts while this host can't reach upstreams itself.
 type Paths struct {
 	Config
 
-	monitor monitor
+	monitor  monitor
+	carriers carrierChoice
+	tunnels  tunnelServer
 
 	mu sync.Mutex
 	// progressAt holds when bytes last arrived from each upstream.
@@ -58,12 +66,14 @@
 // New returns Paths. Isolation ends only while Run runs.
 func New(config Config) *Paths {
 	p := &Paths{Config: config, progressAt: make(map[string]time.Time)}
+	p.tunnels.paths = p
 	config.Metrics.NewGauge("berylroad_path_isolated", func() float64 {
 		if p.State() == Isolated {
 			return 1
 		}
 		return 0
 	})
+	config.Metrics.NewGauge("berylroad_path_carried", func() float64 { return float64(p.tunnels.active.Load()) })
 	return p
 }
 
@@ -78,8 +88,20 @@
 	p.onRecovered = f
 }
 
-// Connect opens a connection to an upstream and records whether that worked.
-func (p *Paths) Connect(ctx context.Context, upstream berylroute.Upstream) (net.Conn, error) {
+// Connect opens a connection to an upstream. It also returns the host that carries the connection, or an empty name. Nothing
+// has been sent if it fails.
+func (p *Paths) Connect(ctx context.Context, upstream berylroute.Upstream) (net.Conn, string, error) {
+	if p.State() == Isolated {
+		conn, host, err := p.carry(ctx, upstream)
+		p.countConnect(true, err)
+		return conn, host, err
+	}
+	conn, err := p.connect(ctx, upstream)
+	return conn, "", err
+}
+
+// connect opens a connection of this host's own and records whether that worked.
+func (p *Paths) connect(ctx context.Context, upstream berylroute.Upstream) (net.Conn, error) {
 	dialCtx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
 	conn, err := p.Dial(dialCtx, upstream.Address)
@@ -137,7 +159,7 @@
 			return
 		}
 		p.Metrics.GetOrCreateCounter("berylroad_path_isolations_total").Inc()
-		p.Log.WithField("tried", candidateIDs(candidates)).Warn("path: isolated, no upstream is reached")
+		p.Log.WithField("tried", candidateIDs(candidates)).Warn("path: isolated, no upstream is reached; connections go through other hosts")
 	}()
 }
 
@@ -225,3 +247,11 @@
 		p.Log.Info("path: upstreams are reached again")
 	}
 }
+
+func (p *Paths) countConnect(carried bool, err error) {
+	result := "opened"
+	if err != nil {
+		result = "failed"
+	}
+	p.Metrics.GetOrCreateCounter(fmt.Sprintf("berylroad_path_connects_total{carried=\"%t\",result=%q}", carried, result)).Inc()
+}
--- a/internal/berylrelay/call.go
+++ b/internal/berylrelay/call.go
@@ -49,6 +49,8 @@
 	Misdirected bool
 	// Signed says that the answer carries the upstream's signature.
 	Signed bool
+	// CarriedBy is the host that carried the connection, or empty if it was this host's own.
+	CarriedBy string
 	// Statement is what the answer says about the upstream.
 	Statement berylpermit.Statement
 	// EventStream says that the body is a stream of events.
--- a/internal/berylrelay/failure.go
+++ b/internal/berylrelay/failure.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"berylroad.example/berylroad/internal/beryloutcome"
+	"berylroad.example/berylroad/internal/berylpath"
 	"berylroad.example/berylroad/internal/berylpermit"
 )
 
@@ -14,6 +15,10 @@
 func (x *exchange) handleFailure(ctx context.Context, report *berylpermit.Report, err error) step {
 	x.cause = err
 	report.Fault = x.isUpstreamFault(ctx)
+	if errors.Is(err, berylpath.ErrNoPath) {
+		report.Fault = false
+		return stepFail // no other upstream can be reached either
+	}
 	if errors.Is(err, ErrUnsent) {
 		return stepRetry
 	}
--- a/internal/berylrelay/relay.go
+++ b/internal/berylrelay/relay.go
@@ -53,6 +53,9 @@
 	// soundEvents is how many events show that a request does not crash the upstream that runs it. One that crashes as it begins may
 	// have sent the first before.
 	soundEvents = 3
+	// noPathRetryAfter is the Retry-After if this host reaches no upstream and no other host carries its calls. The caller's next
+	// attempt comes to another host.
+	noPathRetryAfter = 200 * time.Millisecond
 	// minRetryAfter is the shortest Retry-After sent to a refused caller.
 	minRetryAfter = 100 * time.Millisecond
 )
@@ -166,8 +169,10 @@
 	// lastProgress is when the current call began or, if later, last received a new event.
 	lastProgress time.Time
 	upstream     string
-	// grantedBy is the owner that granted the current call, statement what its answer says about the upstream.
+	// grantedBy is the owner that granted the current call, carriedBy the host that carried it, if another one did, and statement
+	// what its answer says about the upstream.
 	grantedBy string
+	carriedBy string
 	statement berylpermit.Statement
 	// calledUpstream is the upstream of the current call, sentAt when the call was sent.
 	calledUpstream berylroute.Upstream
@@ -247,7 +252,7 @@
 		return x.handleFailure(callCtx, &report, err)
 	}
 	defer reply.Body.Close()
-	x.statement = reply.Statement
+	x.statement, x.carriedBy = reply.Statement, reply.CarriedBy
 	permit.ReportStatement(reply.Statement)
 	if reply.NotRun {
 		report.Refused, report.Fault = true, reply.Misdirected
--- a/internal/berylrelay/report.go
+++ b/internal/berylrelay/report.go
@@ -50,6 +50,9 @@
 	if x.sends > 0 {
 		fields["granted-by"], fields["version"] = x.grantedBy, x.calledUpstream.Version
 	}
+	if x.carriedBy != "" {
+		fields["carried-by"] = x.carriedBy
+	}
 	if x.request.TakesUp {
 		fields["takes-up"], fields["origin"] = x.request.FirstAttempt, string(x.originSource)
 	}
--- a/internal/berylrelay/result.go
+++ b/internal/berylrelay/result.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"berylroad.example/berylroad/internal/beryloutcome"
+	"berylroad.example/berylroad/internal/berylpath"
 )
 
 // resultWithoutPermit ends a request for which no permit was granted.
@@ -30,6 +31,9 @@
 
 // failedResult ends a request whose calls have failed.
 func (x *exchange) failedResult(ctx context.Context) beryloutcome.Result {
+	if x.possibleRuns == 0 && errors.Is(x.cause, berylpath.ErrNoPath) {
+		return x.result(beryloutcome.NotRun, x.notRunRefusal(noPathRetryAfter))
+	}
 	if x.possibleRuns == 0 {
 		return x.result(beryloutcome.NotRun, x.notRunRefusal(minRetryAfter))
 	}
--- /dev/null
+++ b/internal/berylwire/duplex_test.go
@@ -0,0 +1,109 @@
+package berylwire_test
+
+import (
+	"context"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"berylroad.example/berylroad/internal/berylwire"
+)
+
+// duplexPeer serves duplex streams with a handler and returns the endpoint that opens them.
+func duplexPeer(t *testing.T, h func(ctx context.Context, peer string, header echoMessage, accept func() (*berylwire.Duplex, error)) error) (*berylwire.Endpoint, berylwire.Peer) {
+	hosts := newTestHosts(t)
+	b := hosts.listen(berylwire.Config{Name: "host-b"})
+	berylwire.HandleDuplex(b, "duplex", h)
+	return hosts.listen(berylwire.Config{Name: "host-a"}), hosts.serve(b)
+}
+
+func TestDuplex(t *testing.T) {
+	is := is.New(t)
+	a, peer := duplexPeer(t, func(_ context.Context, peer string, header echoMessage, accept func() (*berylwire.Duplex, error)) error {
+		d, err := accept()
+		if err != nil {
+			return err
+		}
+		_, err = io.WriteString(d, peer+" "+header.Text+"\n")
+		if err != nil {
+			return err
+		}
+		line := make([]byte, 4)
+		if _, err := io.ReadFull(d, line); err != nil {
+			return err
+		}
+		if _, err := d.Write(line); err != nil {
+			return err
+		}
+		if err := d.CloseWrite(); err != nil {
+			return err
+		}
+		_, err = io.Copy(io.Discard, d)
+		return err
+	})
+	d, err := berylwire.OpenDuplex(t.Context(), a, peer, "duplex", echoMessage{Text: "hello"})
+	is.NoErr(err)
+	defer d.Abort()
+	_, err = d.Write([]byte("ping"))
+	is.NoErr(err)
+	all, err := io.ReadAll(d)
+	is.NoErr(err)
+	is.Equal(string(all), "host-a hello\nping")
+}
+
+// Guards against a stream that was broken off looking complete, and against an end that its handler does not notice.
+func TestAbortedDuplex(t *testing.T) {
+	is := is.New(t)
+	ended := make(chan error, 1)
+	a, peer := duplexPeer(t, func(_ context.Context, _ string, header echoMessage, accept func() (*berylwire.Duplex, error)) error {
+		d, err := accept()
+		if err != nil {
+			return err
+		}
+		if _, err = io.WriteString(d, "part"); err != nil {
+			return err
+		}
+		if header.Text == "break" {
+			_, err = io.ReadFull(d, make([]byte, 1)) // the caller has received the acceptance
+			return err
+		}
+		_, err = io.Copy(io.Discard, d)
+		ended <- err
+		return err
+	})
+	d, err := berylwire.OpenDuplex(t.Context(), a, peer, "duplex", echoMessage{Text: "break"})
+	is.NoErr(err)
+	_, err = d.Write([]byte("x"))
+	is.NoErr(err)
+	_, err = io.ReadAll(d)
+	is.True(err != nil) // the handler has ended without CloseWrite
+	d.Abort()
+
+	d, err = berylwire.OpenDuplex(t.Context(), a, peer, "duplex", echoMessage{Text: "wait"})
+	is.NoErr(err)
+	d.Abort()
+	select {
+	case err := <-ended:
+		is.True(err != nil)
+	case <-time.After(2 * time.Second):
+		t.Fatal("the handler has not noticed the end of the stream")
+	}
+}
+
+func TestRefusedDuplex(t *testing.T) {
+	is := is.New(t)
+	a, peer := duplexPeer(t, func(context.Context, string, echoMessage, func() (*berylwire.Duplex, error)) error {
+		return errors.New("isolated")
+	})
+	for _, kind := range []string{"duplex", "unknown"} {
+		_, err := berylwire.OpenDuplex(t.Context(), a, peer, kind, echoMessage{})
+		var failed *berylwire.Error
+		is.True(errors.As(err, &failed))
+		is.Equal(failed.Fault, berylwire.Remote)
+		is.True(kind != "duplex" || strings.Contains(err.Error(), "isolated"))
+	}
+}
--- a/internal/berylwire/endpoint.go
+++ b/internal/berylwire/endpoint.go
@@ -74,6 +74,7 @@
 	listener       *quic.Listener
 	quic           *quic.Config
 	handlers       map[string]*handler
+	duplexHandlers map[string]duplexHandler
 	pool           pool
 	countersByKind sync.Map // maps the kind of a request to its *callCounters
 	dials          conc.WaitGroup
@@ -110,6 +111,8 @@
 		codec:    codec,
 		quic:     quicConfig(),
 		handlers: map[string]*handler{},
+
+		duplexHandlers: map[string]duplexHandler{},
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	config.Metrics.NewGauge("berylroad_wire_connections", func() float64 { return float64(e.Connections()) })
--- a/internal/berylwire/serve.go
+++ b/internal/berylwire/serve.go
@@ -1,8 +1,10 @@
 package berylwire
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -101,9 +103,14 @@
 
 // serveStream reads one request and writes its reply.
 func (e *Endpoint) serveStream(peer string, stream *quic.Stream) {
-	defer func() { _ = stream.Close() }()
 	_ = stream.SetReadDeadline(time.Now().Add(frameTimeout))
-	frame, err := readFrame(stream, e.config.MaxFrameBytes)
+	var first [1]byte
+	if _, err := io.ReadFull(stream, first[:]); err == nil && first[0] == duplexMark {
+		e.serveDuplex(stream.Context(), peer, stream)
+		return
+	}
+	defer func() { _ = stream.Close() }()
+	frame, err := readFrame(io.MultiReader(bytes.NewReader(first[:]), stream), e.config.MaxFrameBytes)
 	if err != nil {
 		stream.CancelRead(refusedFrameCode)
 		e.writeReply(stream, reply{Status: statusMalformed, Text: err.Error()})
