--- a/internal/berylversion/versions.go
+++ b/internal/berylversion/versions.go
@@ -108,6 +108,7 @@
 type Versions struct {
 	Config
 	follower berylstore.Follower
+	pauses   pauseDetector
 
 	mu      sync.Mutex
 	table   Table
@@ -134,6 +135,7 @@
 // Run follows the records in the store and changes them until ctx ends.
 func (v *Versions) Run(ctx context.Context) {
 	var group conc.WaitGroup
+	group.Go(func() { v.pauses.run(ctx) })
 	group.Go(func() { v.follower.Run(ctx) })
 	group.Go(func() { v.persist(ctx) })
 	group.Wait()
@@ -226,9 +228,7 @@
 	if origin, known := v.remembered(firstAttempt); known {
 		return origin, SourceMemory
 	}
-	if origin, known := v.onlyOrigin(services); known {
-		return origin, SourceOnly
-	}
+	// Peers that were told know best: this host may be out of step with the others and not know it.
 	if origin, known := v.askPeers(ctx, firstAttempt); known {
 		return origin, SourcePeer
 	}
@@ -249,7 +249,7 @@
 // onlyOrigin returns the origin of all streams that callers can still take up, if there is only one. It returns false if
 // this host's copy of the announcements is too old to tell.
 func (v *Versions) onlyOrigin(services []string) (Origin, bool) {
-	if time.Since(v.CopiedAt()) > maxCopyAge || v.follower.LastCurrent().IsZero() {
+	if !v.isCopyCurrent() || v.follower.LastCurrent().IsZero() {
 		return Origin{}, false
 	}
 	v.mu.Lock()
@@ -268,6 +268,12 @@
 	return found[0], true
 }
 
+// isCopyCurrent reports whether this host's copy of the announcements is at most maxCopyAge old. For so long after a pause of the
+// process it is not known: the copy may come from an answer that had waited to be read.
+func (v *Versions) isCopyCurrent() bool {
+	return !v.pauses.pausedWithin(time.Now(), maxCopyAge) && time.Since(v.CopiedAt()) <= maxCopyAge
+}
+
 // streamAge returns the longest time from the beginning of a stream until a caller takes it up.
 func (v *Versions) streamAge() time.Duration {
 	longest := time.Duration(0)
@@ -311,7 +317,7 @@
 func (v *Versions) awaitCopy(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, maxCopyWait)
 	defer cancel()
-	for time.Since(v.CopiedAt()) > maxCopyAge {
+	for !v.isCopyCurrent() {
 		select {
 		case <-ctx.Done():
 			return false
