--- a/internal/berylrelay/pass.go
+++ b/internal/berylrelay/pass.go
@@ -13,6 +13,10 @@
 	"berylroad.example/berylroad/internal/berylpermit"
 )
 
+// errUnnumbered ends a call that is to continue a stream and sends data that belongs to no numbered event, such as the text of an
+// error.
+var errUnnumbered = errors.New("an event without a number instead of the rest of the stream")
+
 // passBody passes on an answer that is not a stream: at once when it is complete, or as it arrives if it is long.
 func (x *exchange) passBody(ctx context.Context, reply *Reply, report *berylpermit.Report) step {
 	body, err := io.ReadAll(io.LimitReader(reply.Body, maxBufferedBytes+1))
@@ -90,6 +94,9 @@
 		if err != nil {
 			return x.handleFailure(ctx, report, err)
 		}
+		if x.isContinued() && !event.HasID && len(event.Data) > 0 {
+			return x.handleFailure(ctx, report, errUnnumbered)
+		}
 		if x.hasEvent && event.HasID && event.ID <= x.lastEvent {
 			continue
 		}
@@ -120,6 +127,11 @@
 	}
 }
 
+// isContinued reports whether the caller has events of an earlier call.
+func (x *exchange) isContinued() bool {
+	return x.request.TakesUp || x.hasEvent && x.possibleRuns > 1
+}
+
 // writeEvent passes an event to the sink, preceded by the head of the answer if the sink does not have it yet.
 func (x *exchange) writeEvent(reply *Reply, part []byte) error {
 	x.recordOrigin()
