--- a/internal/berylpath/monitor.go
+++ b/internal/berylpath/monitor.go
@@ -10,6 +10,10 @@
 	// suspectUpstreams is how many upstreams must fail, without a sign of life from any other, for a host to suspect its own
 	// network.
 	suspectUpstreams = 2
+	// silenceTime is how long all upstreams with calls under way must be silent for a host to suspect its own network.
+	silenceTime = 700 * time.Millisecond
+	// silenceCheckInterval is the least time between two checks for silence. Upstreams may be silent because they are slow.
+	silenceCheckInterval = 2 * time.Second
 	// failureMemory is how long a failure counts.
 	failureMemory = 5 * time.Second
 	// minProbeInterval is the time between two attempts of an isolated host to reach upstreams again. It doubles with each
@@ -73,6 +77,8 @@
 	// apart, since open connections may work while new ones fail, and the reverse.
 	connects, calls failures
 	lastConnect     time.Time
+	// silenceChecked is when silence last led to a check.
+	silenceChecked time.Time
 	// returned is when the last isolation ended, isolations counts those that followed each other soon.
 	returned      time.Time
 	isolations    int
@@ -112,6 +118,21 @@
 	return m.suspect(m.calls.record(now, time.Unix(0, m.lastProgress.Load()), upstream), known)
 }
 
+// silent records that so many upstreams have had calls under way for silenceTime. It returns true if a check has to begin, since
+// none of them has sent anything meanwhile.
+func (m *monitor) silent(now time.Time, upstreams int) bool {
+	if now.Sub(time.Unix(0, m.lastProgress.Load())) < silenceTime {
+		return false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if now.Sub(m.silenceChecked) < silenceCheckInterval || !m.suspect(upstreams, suspectUpstreams) {
+		return false
+	}
+	m.silenceChecked = now
+	return true
+}
+
 // suspect begins a check if enough of the known upstreams have failed. The caller holds mu.
 func (m *monitor) suspect(failed, known int) bool {
 	if m.state != Reachable || failed < min(suspectUpstreams, known) {
--- a/internal/berylpath/paths.go
+++ b/internal/berylpath/paths.go
@@ -59,13 +59,15 @@
 	mu sync.Mutex
 	// progressAt holds when bytes last arrived from each upstream.
 	progressAt map[string]time.Time
+	// calls holds the calls under way over connections of this host's own.
+	calls map[*activeCall]struct{}
 	// onRecovered is called when connections that were opened before can't be trusted any more.
 	onRecovered func()
 }
 
 // New returns Paths. Isolation ends only while Run runs.
 func New(config Config) *Paths {
-	p := &Paths{Config: config, progressAt: make(map[string]time.Time)}
+	p := &Paths{Config: config, progressAt: make(map[string]time.Time), calls: make(map[*activeCall]struct{})}
 	p.tunnels.paths = p
 	config.Metrics.NewGauge("berylroad_path_isolated", func() float64 {
 		if p.State() == Isolated {
@@ -125,6 +127,38 @@
 	p.progressAt[upstream] = now
 }
 
+// activeCall is a call under way.
+type activeCall struct {
+	upstream string
+	sentAt   time.Time
+}
+
+// BeginCall records a call over a connection of this host's own. The returned function records its end.
+func (p *Paths) BeginCall(upstream string) (end func()) {
+	c := &activeCall{upstream: upstream, sentAt: time.Now()}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calls[c] = struct{}{}
+	return func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		delete(p.calls, c)
+	}
+}
+
+// upstreamsCalledBefore counts the upstreams with a call under way that was sent before the given time.
+func (p *Paths) upstreamsCalledBefore(at time.Time) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	called := make(map[string]bool)
+	for c := range p.calls {
+		if c.sentAt.Before(at) {
+			called[c.upstream] = true
+		}
+	}
+	return len(called)
+}
+
 // BlamesUpstream records that a call of this host has failed and reports whether that is a fault of the upstream, as far as
 // this host can tell. While the host may be isolated it is not.
 func (p *Paths) BlamesUpstream(upstream string) bool {
@@ -152,7 +186,7 @@
 		reached := p.reachesAny(ctx, candidates)
 		p.monitor.checked(time.Now(), reached)
 		if reached {
-			p.Log.WithField("tried", candidateIDs(candidates)).Info("path: several upstreams failed, others are reached")
+			p.Log.WithField("tried", candidateIDs(candidates)).Info("path: several upstreams failed or all were silent, but some are reached")
 			if p.onRecovered != nil {
 				p.onRecovered()
 			}
@@ -219,7 +253,7 @@
 	return true
 }
 
-// Run lets an isolated host try to reach upstreams again, until ctx ends.
+// Run looks whether all upstreams are silent, and lets an isolated host try to reach upstreams again, until ctx ends.
 func (p *Paths) Run(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -229,7 +263,11 @@
 			return
 		case <-ticker.C:
 		}
-		if p.monitor.probeDue(time.Now()) {
+		now := time.Now()
+		if p.monitor.silent(now, p.upstreamsCalledBefore(now.Add(-silenceTime))) {
+			p.beginCheck()
+		}
+		if p.monitor.probeDue(now) {
 			p.probe(ctx)
 		}
 	}
