--- a/internal/berylentry/host.go
+++ b/internal/berylentry/host.go
@@ -257,7 +257,7 @@
 	h.Upstreams.UsePaths(h.paths)
 	berylwire.HandleDuplex(h.endpoint, kindTunnel, h.handleTunnel)
 	h.scheduler = berylsched.New(berylsched.Settings{
-		Host: h.Settings.Host, Boot: h.boot, Transport: links, Metrics: h.Metrics, Log: h.Log, BlamesUpstream: h.paths.BlamesUpstream,
+		Host: h.Settings.Host, Boot: h.boot, Transport: links, Metrics: h.Metrics, Log: h.Log, Paths: h.paths,
 		OnLeaving: func(upstream string, run int64, answered bool) {
 			h.upstreamRegistry.MarkLeaving(time.Now(), upstream, run, answered)
 		},
--- a/internal/berylpath/carry.go
+++ b/internal/berylpath/carry.go
@@ -100,7 +100,7 @@
 		_ = copyBytes(conn, stream, func() {}) // either way the tunnel is over
 		_ = conn.Close()
 	}()
-	if err := copyBytes(stream, conn, func() { t.paths.Progress(upstream) }); err == nil {
+	if err := copyBytes(stream, conn, func() { t.paths.progress(time.Now(), upstream) }); err == nil {
 		if stream.CloseWrite() == nil {
 			<-peerEnded
 			return
--- a/internal/berylpath/monitor.go
+++ b/internal/berylpath/monitor.go
@@ -166,7 +166,7 @@
 
 // probeInterval returns the time between two probes. The caller holds mu.
 func (m *monitor) probeInterval() time.Duration {
-	return min(minProbeInterval<<min(m.isolations-1, 8), maxProbeInterval)
+	return min(minProbeInterval<<min(max(m.isolations-1, 0), 8), maxProbeInterval)
 }
 
 // probeDue reports whether an isolated host should try to reach an upstream again.
--- a/internal/berylpath/paths.go
+++ b/internal/berylpath/paths.go
@@ -8,11 +8,13 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
 
 	"berylroad.example/berylroad/internal/berylroute"
 )
@@ -22,6 +24,9 @@
 	connectTimeout = 600 * time.Millisecond
 	// checkedUpstreams is how many upstreams a check tries to reach at once.
 	checkedUpstreams = 3
+	// isolatedSilenceTime is how long a call of an isolated host may go without any answer. Its request has hardly arrived, and it
+	// holds a slot.
+	isolatedSilenceTime = 1200 * time.Millisecond
 	// tickInterval is the time between two looks whether a probe is due.
 	tickInterval = 100 * time.Millisecond
 )
@@ -53,6 +58,7 @@
 	Config
 
 	monitor  monitor
+	probing  atomic.Bool
 	carriers carrierChoice
 	tunnels  tunnelServer
 
@@ -60,14 +66,14 @@
 	// progressAt holds when bytes last arrived from each upstream.
 	progressAt map[string]time.Time
 	// calls holds the calls under way over connections of this host's own.
-	calls map[*activeCall]struct{}
+	calls map[*Call]struct{}
 	// onRecovered is called when connections that were opened before can't be trusted any more.
 	onRecovered func()
 }
 
 // New returns Paths. Isolation ends only while Run runs.
 func New(config Config) *Paths {
-	p := &Paths{Config: config, progressAt: make(map[string]time.Time), calls: make(map[*activeCall]struct{})}
+	p := &Paths{Config: config, progressAt: make(map[string]time.Time), calls: make(map[*Call]struct{})}
 	p.tunnels.paths = p
 	config.Metrics.NewGauge("berylroad_path_isolated", func() float64 {
 		if p.State() == Isolated {
@@ -84,6 +90,11 @@
 	return p.monitor.current()
 }
 
+// IsReachable returns false while this host reaches no upstream, or may not.
+func (p *Paths) IsReachable() bool {
+	return p.State() == Reachable
+}
+
 // OnRecovered sets what is called when a check has shown that new connections work while open ones have failed. It must be
 // called before the first connection is opened.
 func (p *Paths) OnRecovered(f func()) {
@@ -118,32 +129,45 @@
 	return nil, err
 }
 
-// Progress records that bytes have arrived from an upstream over a connection of this host's own.
-func (p *Paths) Progress(upstream string) {
-	now := time.Now()
+// progress records that bytes have arrived from an upstream over a connection of this host's own.
+func (p *Paths) progress(now time.Time, upstream string) {
 	p.monitor.progress(now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.progressAt[upstream] = now
 }
 
-// activeCall is a call under way.
-type activeCall struct {
+// Call is a call under way over a connection of this host's own.
+type Call struct {
+	paths    *Paths
 	upstream string
+	abort    func()
 	sentAt   time.Time
+	answered bool // whether bytes have arrived; guarded by the mutex of paths
 }
 
-// BeginCall records a call over a connection of this host's own. The returned function records its end.
-func (p *Paths) BeginCall(upstream string) (end func()) {
-	c := &activeCall{upstream: upstream, sentAt: time.Now()}
+// BeginCall records a call. abort, which must not block, may be called while the call lasts.
+func (p *Paths) BeginCall(upstream string, abort func()) *Call {
+	c := &Call{paths: p, upstream: upstream, abort: abort, sentAt: time.Now()}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.calls[c] = struct{}{}
-	return func() {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		delete(p.calls, c)
-	}
+	return c
+}
+
+// Progress records that bytes have arrived.
+func (c *Call) Progress() {
+	c.paths.progress(time.Now(), c.upstream)
+	c.paths.mu.Lock()
+	defer c.paths.mu.Unlock()
+	c.answered = true
+}
+
+// End records the end of the call.
+func (c *Call) End() {
+	c.paths.mu.Lock()
+	defer c.paths.mu.Unlock()
+	delete(c.paths.calls, c)
 }
 
 // upstreamsCalledBefore counts the upstreams with a call under way that was sent before the given time.
@@ -159,6 +183,21 @@
 	return len(called)
 }
 
+// abortUnanswered aborts the calls that were sent before the given time and have got no answer.
+func (p *Paths) abortUnanswered(before time.Time) {
+	p.mu.Lock()
+	var unanswered []*Call
+	for c := range p.calls {
+		if !c.answered && c.sentAt.Before(before) {
+			unanswered = append(unanswered, c)
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range unanswered {
+		c.abort()
+	}
+}
+
 // BlamesUpstream records that a call of this host has failed and reports whether that is a fault of the upstream, as far as
 // this host can tell. While the host may be isolated it is not.
 func (p *Paths) BlamesUpstream(upstream string) bool {
@@ -253,8 +292,11 @@
 	return true
 }
 
-// Run looks whether all upstreams are silent, and lets an isolated host try to reach upstreams again, until ctx ends.
+// Run looks whether all upstreams are silent and, while this host is isolated, ends unanswered calls and tries to reach upstreams
+// again. It returns when ctx ends.
 func (p *Paths) Run(ctx context.Context) {
+	var probes conc.WaitGroup
+	defer probes.Wait()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -267,8 +309,14 @@
 		if p.monitor.silent(now, p.upstreamsCalledBefore(now.Add(-silenceTime))) {
 			p.beginCheck()
 		}
-		if p.monitor.probeDue(now) {
-			p.probe(ctx)
+		if p.State() == Isolated {
+			p.abortUnanswered(now.Add(-isolatedSilenceTime))
+		}
+		if p.monitor.probeDue(now) && p.probing.CompareAndSwap(false, true) {
+			probes.Go(func() {
+				defer p.probing.Store(false)
+				p.probe(ctx)
+			})
 		}
 	}
 }
--- a/internal/berylpath/paths_test.go
+++ b/internal/berylpath/paths_test.go
@@ -62,7 +62,7 @@
 		{"all silent", []string{"a", "b"}, func(*Paths) {}, dialOnly(), Isolated},
 		{"one call", []string{"a", "a"}, func(*Paths) {}, dialOnly(), Reachable},
 		{"slow upstreams", []string{"a", "b"}, func(*Paths) {}, dialOnly("b"), Reachable},
-		{"one goes on", []string{"a", "b", "c"}, func(p *Paths) { p.Progress("c") }, dialOnly(), Reachable},
+		{"one goes on", []string{"a", "b", "c"}, func(p *Paths) { p.progress(time.Now(), "c") }, dialOnly(), Reachable},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -72,7 +72,7 @@
 				defer cancel()
 				go p.Run(ctx)
 				for _, upstream := range tt.calls {
-					defer p.BeginCall(upstream)()
+					defer p.BeginCall(upstream, func() {}).End()
 				}
 				for range 15 {
 					time.Sleep(100 * time.Millisecond)
@@ -84,6 +84,28 @@
 	}
 }
 
+// Guards against unanswered calls of an isolated host that hold slots of upstreams until their deadline, and against ending answers
+// that have begun, which go on if the isolation is short.
+func TestIsolatedHostEndsUnansweredCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newPaths(threeUpstreams(), &hostList{}, true, dialOnly())
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		var ended atomic.Int64
+		unanswered := p.BeginCall("a", func() { ended.Add(1) })
+		p.BeginCall("b", func() { t.Error("an answer that had begun was ended") }).Progress()
+		go p.Run(ctx)
+		time.Sleep(1200 * time.Millisecond)
+		synctest.Wait()
+		is.Equal(ended.Load(), int64(0))
+		time.Sleep(200 * time.Millisecond)
+		synctest.Wait()
+		is.True(ended.Load() > 0)
+		unanswered.End()
+	})
+}
+
 // Guards against a host that stays isolated, or calls upstreams again before they are reached.
 func TestIsolationEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/berylsched/held.go
+++ b/internal/berylsched/held.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"berylroad.example/berylroad/internal/beryloutcome"
 	"berylroad.example/berylroad/internal/berylpermit"
 )
 
@@ -113,8 +114,8 @@
 		return
 	}
 	h.view.ownPermits.Add(-1)
-	if report.Fault && s.BlamesUpstream != nil && !s.BlamesUpstream(h.Upstream) {
-		report = berylpermit.Report{Kind: report.Kind} // its times say nothing about the upstream either
+	if !s.isEvidence(h.Upstream, &report) {
+		report = berylpermit.Report{Kind: report.Kind}
 		s.counters.ownFaults.Inc()
 	}
 	r := berylpermit.Release{ID: h.ID, Upstream: h.Upstream, Report: report}
@@ -127,6 +128,18 @@
 	}
 }
 
+// isEvidence reports whether the end of a call says anything about its upstream: that it was faulty, or how fast it is. A call
+// that got no whole answer says nothing while this host may not reach upstreams.
+func (s *Scheduler) isEvidence(upstream string, report *berylpermit.Report) bool {
+	if s.Paths == nil || report.Kind == beryloutcome.Answered || report.Refused && !report.Fault {
+		return true
+	}
+	if report.Fault {
+		return s.Paths.BlamesUpstream(upstream)
+	}
+	return s.Paths.IsReachable()
+}
+
 // reportHeld reports held permits to their owners every reportInterval, and to new owners as soon as the table changes,
 // until ctx ends.
 func (s *Scheduler) reportHeld(ctx context.Context) {
--- a/internal/berylsched/scheduler.go
+++ b/internal/berylsched/scheduler.go
@@ -32,6 +32,15 @@
 	SendStatement(ctx context.Context, host string, report berylpermit.StatementReport) error
 }
 
+// Paths tells whether this host reaches upstreams, so that faults of its own network are not held against them. Its methods must
+// return quickly.
+type Paths interface {
+	// BlamesUpstream is told of each fault of a call of this host and reports whether it counts as a fault of the upstream.
+	BlamesUpstream(upstream string) bool
+	// IsReachable returns false while this host reaches no upstream, or may not.
+	IsReachable() bool
+}
+
 // Settings are the parameters and dependencies of a Scheduler.
 type Settings struct {
 	// Host is this host's name.
@@ -46,9 +55,8 @@
 	// answer that this host has just received, or as other hosts report. nil ignores that. It must return quickly. The next
 	// configuration has to list the upstream as leaving.
 	OnLeaving func(upstream string, run int64, answered bool)
-	// BlamesUpstream is told of each fault of a call of this host and reports whether it counts as a fault of the upstream rather
-	// than of this host or its network. nil means that all do. It must return quickly.
-	BlamesUpstream func(upstream string) bool
+	// Paths tells whether this host reaches upstreams; nil means that it always does.
+	Paths Paths
 	// Metrics is where the metrics are registered; nil leaves them unpublished.
 	Metrics *metrics.Set
 	// Log is the logger for changes of state; nil means logrus's standard logger.
