--- a/internal/berylcmd/entry/status/status.go
+++ b/internal/berylcmd/entry/status/status.go
@@ -15,6 +15,7 @@
 
 	"berylroad.example/berylroad/internal/berylcmd/factory"
 	"berylroad.example/berylroad/internal/berylentry"
+	"berylroad.example/berylroad/internal/berylpath"
 	"berylroad.example/berylroad/internal/berylquarantine"
 )
 
@@ -101,6 +102,9 @@
 		watcher = "this host"
 	}
 	fmt.Fprintf(out, "the store is watched by %s\n", watcher)
+	if s.Path != "" && s.Path != berylpath.Reachable.String() {
+		fmt.Fprintf(out, "upstreams are not reached by this host itself: %s\n", s.Path)
+	}
 	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	printTable(t, "COPY OF\tAGE\tSTORE", limit, s.FollowedPrefixes, func(f berylentry.FollowedPrefixStatus) string {
 		return fmt.Sprintf("%s\t%s\t%s", f.Prefix, formatAge(f.AgeMS), choose(f.Unreachable, "away", "answers"))
--- a/internal/berylcmd/entry/status/status_test.go
+++ b/internal/berylcmd/entry/status/status_test.go
@@ -34,6 +34,7 @@
 			"h2    y               leaving", "in use  8      2       5", "in use  8      -       -", "nobody  1 of 4",
 			"k1          a,b           h2         3        1       2s",
 		}},
+		{name: "isolated", status: 200, body: `{"host":"h1","failure-domain":"z","path":"isolated"}`, limit: 5, want: []string{"not reached by this host itself: isolated"}},
 		{name: "limit", status: 200, body: statusBody, limit: 1, want: []string{"and 1 more, shown with --limit or --json"}},
 		{name: "json", status: 200, body: statusBody, json: true, want: []string{`"config-version":7`}},
 		{name: "error response", status: 404, fails: "status 404"},
--- a/internal/berylpath/paths.go
+++ b/internal/berylpath/paths.go
@@ -157,9 +157,11 @@
 
 // Progress records that bytes have arrived.
 func (c *Call) Progress() {
-	c.paths.progress(time.Now(), c.upstream)
+	now := time.Now()
+	c.paths.monitor.progress(now)
 	c.paths.mu.Lock()
 	defer c.paths.mu.Unlock()
+	c.paths.progressAt[c.upstream] = now
 	c.answered = true
 }
 
