--- a/internal/berylbatch/dispatch.go
+++ b/internal/berylbatch/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -65,7 +66,7 @@
 	counts := make(map[permitTarget]int)
 	slots := make(map[string]map[string]int)
 	m.forEachRunnable(now, func(it *item, route *berylroute.Route) {
-		service := route.Service(it.ID)
+		service := it.service(route)
 		if slots[service] == nil {
 			slots[service] = m.Upstreams.VersionSlots(service)
 		}
@@ -74,17 +75,27 @@
 	return counts
 }
 
+// service returns the service that runs the item next. Text of a service to which the route no longer leads is dropped. The caller
+// holds mu.
+func (it *item) service(route *berylroute.Route) string {
+	if it.events > 0 && slices.Contains(route.Services(), it.origin.Service) {
+		return it.origin.Service
+	}
+	it.discardText()
+	return route.Service(it.ID)
+}
+
 // target returns the target of the item's next call. slots holds the slots of the service by software version. Text of a
 // version that has left is dropped, since nothing can go on with it. The caller holds mu.
 func (it *item) target(service string, slots map[string]int) permitTarget {
 	if it.events == 0 || len(slots) == 0 {
 		return permitTarget{service: service}
 	}
-	if slots[it.version] == 0 {
+	if slots[it.origin.Version] == 0 {
 		it.discardText()
 		return permitTarget{service: service}
 	}
-	return permitTarget{service: service, version: it.version, pinned: len(slots) > 1}
+	return permitTarget{service: service, version: it.origin.Version, pinned: len(slots) > 1}
 }
 
 // forEachRunnable calls visit with each item that could start now; the caller holds mu.
@@ -154,7 +165,7 @@
 	var best candidate
 	now := time.Now()
 	m.forEachRunnable(now, func(it *item, route *berylroute.Route) {
-		if route.Service(it.ID) != target.service || it.events > 0 && it.version != version {
+		if it.service(route) != target.service || it.events > 0 && it.origin.Version != version {
 			return
 		}
 		due := it.job.record.submitted().Add(route.CompletionTarget)
--- a/internal/berylbatch/job.go
+++ b/internal/berylbatch/job.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"berylroad.example/berylroad/internal/berylquarantine"
+	"berylroad.example/berylroad/internal/berylversion"
 )
 
 // job is this host's view of one job. Its fields are guarded by Manager.mu.
@@ -37,8 +38,8 @@
 	text   []byte
 	events int
 	last   int64
-	// version is the software version of the upstream that sent the text. No other version goes on with it.
-	version string
+	// origin is the service, and the software version, of the upstream that sent the text. No other goes on with it.
+	origin berylversion.Origin
 	// running is set while a call is in flight; cancel cancels that call.
 	running bool
 	cancel  context.CancelCauseFunc
--- a/internal/berylbatch/manager_test.go
+++ b/internal/berylbatch/manager_test.go
@@ -64,7 +64,9 @@
 
 func (cluster *testCluster) installRoute(r berylroute.Route) {
 	r.Name, r.Host, r.Prefix, r.Kind = "r", "h", "/jobs/", berylroute.Batch
-	r.Shares = []berylroute.Share{{Service: "svc", Weight: 1}}
+	if r.Shares == nil {
+		r.Shares = []berylroute.Share{{Service: "svc", Weight: 1}}
+	}
 	version := int64(1)
 	if c := cluster.routes.Get(); c != nil {
 		version = c.Version + 1
--- a/internal/berylbatch/progress.go
+++ b/internal/berylbatch/progress.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"berylroad.example/berylroad/internal/berylstore"
+	"berylroad.example/berylroad/internal/berylversion"
 )
 
 const (
@@ -39,8 +40,9 @@
 	Events int    `cbor:"3,keyasint"`
 	Last   int64  `cbor:"4,keyasint"`
 	Text   []byte `cbor:"5,keyasint"`
-	// Version is the software version of the upstream that sent the text.
+	// Version is the software version, and Service the service, of the upstream that sent the text.
 	Version string `cbor:"6,keyasint,omitempty"`
+	Service string `cbor:"7,keyasint,omitempty"`
 }
 
 // progressCache holds the result of the last read of progress from the store, which covers all jobs of one host run.
@@ -100,7 +102,7 @@
 			}
 			size += len(it.text)
 			events += it.events
-			items = append(items, itemProgress{Job: j.id, Item: it.ID, Events: it.events, Last: it.last, Text: it.text[:len(it.text):len(it.text)], Version: it.version})
+			items = append(items, itemProgress{Job: j.id, Item: it.ID, Events: it.events, Last: it.last, Text: it.text[:len(it.text):len(it.text)], Version: it.origin.Version, Service: it.origin.Service})
 		}
 	}
 	return items, fmt.Sprint(len(items), "/", events)
@@ -113,7 +115,8 @@
 	for _, p := range stored {
 		for _, it := range j.items {
 			if it.ID == p.Item && !it.ended {
-				it.events, it.last, it.text, it.version = p.Events, p.Last, append([]byte(nil), p.Text...), p.Version
+				it.events, it.last, it.text = p.Events, p.Last, append([]byte(nil), p.Text...)
+				it.origin = berylversion.Origin{Service: p.Service, Version: p.Version}
 				resumed++
 			}
 		}
--- a/internal/berylbatch/run.go
+++ b/internal/berylbatch/run.go
@@ -16,6 +16,7 @@
 	"berylroad.example/berylroad/internal/berylpermit"
 	"berylroad.example/berylroad/internal/berylrelay"
 	"berylroad.example/berylroad/internal/berylroute"
+	"berylroad.example/berylroad/internal/berylversion"
 )
 
 const (
@@ -119,7 +120,7 @@
 		return 0, errors.Mark(refusal, errNotRun)
 	}
 	m.mu.Lock()
-	it.beginAt(upstream.Version)
+	it.beginAt(berylversion.Origin{Service: upstream.Service, Version: upstream.Version})
 	m.mu.Unlock()
 	began := time.Now()
 	stall := time.AfterFunc(itemStallTimeout, func() { cancel(errStalled) })
@@ -208,13 +209,13 @@
 	return true, nil
 }
 
-// beginAt prepares the item for a call to an upstream of the given version: text of another version is dropped. The caller
+// beginAt prepares the item for a call to an upstream of the given service and version: text of another is dropped. The caller
 // holds mu.
-func (it *item) beginAt(version string) {
-	if it.version != version {
+func (it *item) beginAt(origin berylversion.Origin) {
+	if it.origin != origin {
 		it.discardText()
 	}
-	it.version = version
+	it.origin = origin
 }
 
 // discardText drops the text received so far, so that the next call starts over. The caller holds mu.
