--- a/internal/berylbatch/dispatch.go
+++ b/internal/berylbatch/dispatch.go
@@ -100,16 +100,12 @@
 
 // forEachRunnable calls visit with each item that could start now; the caller holds mu.
 func (m *Manager) forEachRunnable(now time.Time, visit func(it *item, route *berylroute.Route)) {
-	config := m.Routes.Get()
-	if config == nil {
-		return
-	}
 	for _, j := range m.jobs {
 		if !j.isRunningHere() || !j.record.Open() {
 			continue
 		}
-		route := config.Match(j.record.Host, j.record.Path)
-		if route == nil || route.Kind != berylroute.Batch {
+		route := m.routeOf(j)
+		if route == nil {
 			continue
 		}
 		for _, it := range j.items {
--- a/internal/berylbatch/run.go
+++ b/internal/berylbatch/run.go
@@ -271,11 +271,18 @@
 	m.signal(m.wakeCommit)
 }
 
-// routeOf returns the route that the configuration in force has for a job, or nil.
+// routeOf returns the route that the configuration in force has for a job, or nil. That is the batch route that has accepted the job,
+// whatever other routes the job's path matches by now. A job whose route has another name now goes by its path.
 func (m *Manager) routeOf(j *job) *berylroute.Route {
 	config := m.Routes.Get()
 	if config == nil {
 		return nil
 	}
-	return config.Match(j.record.Host, j.record.Path)
+	if r := config.Named(j.record.Route); r != nil && r.Kind == berylroute.Batch {
+		return r
+	}
+	if r := config.Match(j.record.Host, j.record.Path); r != nil && r.Kind == berylroute.Batch {
+		return r
+	}
+	return nil
 }
--- a/internal/berylroute/config.go
+++ b/internal/berylroute/config.go
@@ -155,6 +155,7 @@
 
 	once   sync.Once
 	byHost map[string][]*Route // routes by host name in lower case, longest prefix first
+	byName map[string]*Route
 }
 
 // Match returns the route for a host name and path, or nil. It ignores a port in the host name.
@@ -171,10 +172,17 @@
 	return nil
 }
 
+// Named returns the route of that name, or nil.
+func (c *Config) Named(name string) *Route {
+	c.once.Do(c.index)
+	return c.byName[name]
+}
+
 func (c *Config) index() {
-	c.byHost = make(map[string][]*Route)
+	c.byHost, c.byName = make(map[string][]*Route), make(map[string]*Route)
 	for i := range c.Routes {
 		r := &c.Routes[i]
+		c.byName[r.Name] = r
 		host := strings.ToLower(r.Host)
 		c.byHost[host] = append(c.byHost[host], r)
 	}
