--- a/internal/berylbatch/read.go
+++ b/internal/berylbatch/read.go
@@ -65,8 +65,8 @@
 		return page, nil
 	}
 	if record.Owner != "" && record.Owner != m.Host {
-		if m.readFromOwner(ctx, id, record.Owner, from, wait) {
-			_, page.Results = m.localResults(ctx, id, from, 0)
+		if results, ok := m.readFromOwner(ctx, id, record.Owner, from, wait); ok {
+			page.Results = results
 			return page, nil
 		}
 	}
@@ -129,29 +129,18 @@
 	}
 }
 
-// readFromOwner reads results from the job's owner and merges them into this host's view. It reports whether the owner
-// answered and knows the job.
-func (m *Manager) readFromOwner(ctx context.Context, id, owner string, from int, wait time.Duration) bool {
-	known := m.resultCount(id)
+// readFromOwner reads the results from a position on from the job's owner, and adds them to this host's view if that has all
+// before. It reports whether the owner answered and knows the job.
+func (m *Manager) readFromOwner(ctx context.Context, id, owner string, from int, wait time.Duration) ([]Result, bool) {
 	bounded, cancel := context.WithTimeout(ctx, wait+peerReadMargin)
 	defer cancel()
-	reply, err := m.Peers.ReadJob(bounded, owner, ReadRequest{Job: id, From: min(known, from), Wait: wait})
+	reply, err := m.Peers.ReadJob(bounded, owner, ReadRequest{Job: id, From: from, Wait: wait})
 	if err != nil || !reply.Known {
 		m.Log.WithFields(logrus.Fields{"job": id, "owner": owner}).WithError(err).Info("job: its owner does not answer, reading the store")
-		return false
-	}
-	m.mergeResults(id, min(known, from), reply.Results)
-	return true
-}
-
-// resultCount returns the number of committed results that this host has seen.
-func (m *Manager) resultCount(id string) int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if j := m.jobs[id]; j != nil {
-		return len(j.results)
+		return nil, false
 	}
-	return 0
+	m.mergeResults(id, from, reply.Results)
+	return reply.Results, true
 }
 
 // mergeResults adds committed results that start at a position to this host's view of the job. It ignores results that
