--- a/internal/berylstore/watchsharing.go
+++ b/internal/berylstore/watchsharing.go
@@ -32,9 +32,10 @@
 	// this one replies that it can't reach the store.
 	probeInterval        = 300 * time.Millisecond
 	relyingProbeInterval = 2 * time.Second
-	// maxRecentEvents is the number of changes that a host keeps for other hosts; a host that is further behind has to
-	// list again.
+	// maxRecentEvents and maxRecentBytes bound the changes that a host keeps for other hosts under one prefix; a host that is
+	// further behind has to list again. A reply may have 2 MB.
 	maxRecentEvents = 2048
+	maxRecentBytes  = 2 << 20
 )
 
 // WatchRequest asks another host for the changes under a prefix.
@@ -141,6 +142,7 @@
 type eventHistory struct {
 	mu      sync.Mutex
 	events  []Event
+	bytes   int   // of the keys and values of events
 	dropped int64 // changes up to this revision are no longer held
 	asOf    int64
 	changed chan struct{}
@@ -150,11 +152,11 @@
 func (h *eventHistory) reset(asOf int64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.events, h.dropped, h.asOf = nil, asOf, asOf
+	h.events, h.bytes, h.dropped, h.asOf = nil, 0, asOf, asOf
 	h.notify()
 }
 
-// add appends changes and drops the oldest ones above maxRecentEvents.
+// add appends changes and drops the oldest ones above maxRecentEvents and maxRecentBytes, but not the last one.
 func (h *eventHistory) add(events []Event, asOf int64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -163,13 +165,26 @@
 		return
 	}
 	h.events = append(h.events, events...)
-	if over := len(h.events) - maxRecentEvents; over > 0 {
+	for i := range events {
+		h.bytes += events[i].size()
+	}
+	over := 0
+	for len(h.events)-over > 1 && (len(h.events)-over > maxRecentEvents || h.bytes > maxRecentBytes) {
+		h.bytes -= h.events[over].size()
+		over++
+	}
+	if over > 0 {
 		h.dropped = h.events[over-1].Revision
 		h.events = append([]Event(nil), h.events[over:]...)
 	}
 	h.notify()
 }
 
+// size returns the bytes of the event's key and value.
+func (e *Event) size() int {
+	return len(e.Key) + len(e.Value)
+}
+
 // notify wakes all waiting requests; the caller holds mu.
 func (h *eventHistory) notify() {
 	if h.changed != nil {
