--- a/internal/berylpath/monitor.go
+++ b/internal/berylpath/monitor.go
@@ -68,8 +68,8 @@
 // monitor decides from the ends of this host's own calls whether the host reaches upstreams. It has no clock and makes no
 // calls. The zero value is ready to use.
 type monitor struct {
-	// lastProgress is when bytes last arrived from any upstream, in nanoseconds since the epoch of the caller's clock.
-	lastProgress atomic.Int64
+	// lastProgress is when bytes last arrived from any upstream, with its monotonic reading; nil means never.
+	lastProgress atomic.Pointer[time.Time]
 
 	mu    sync.Mutex
 	state State
@@ -88,7 +88,15 @@
 
 // progress records that bytes have arrived from an upstream.
 func (m *monitor) progress(now time.Time) {
-	m.lastProgress.Store(now.UnixNano())
+	m.lastProgress.Store(&now)
+}
+
+// progressAt returns when bytes last arrived from any upstream, or the zero time.
+func (m *monitor) progressAt() time.Time {
+	if at := m.lastProgress.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
 }
 
 // connected records that a connection to an upstream was opened.
@@ -115,13 +123,13 @@
 	if m.calls == nil {
 		m.calls = make(failures)
 	}
-	return m.suspect(m.calls.record(now, time.Unix(0, m.lastProgress.Load()), upstream), known)
+	return m.suspect(m.calls.record(now, m.progressAt(), upstream), known)
 }
 
 // silent records that so many upstreams have had calls under way for silenceTime. It returns true if a check has to begin, since
 // none of them has sent anything meanwhile.
 func (m *monitor) silent(now time.Time, upstreams int) bool {
-	if now.Sub(time.Unix(0, m.lastProgress.Load())) < silenceTime {
+	if now.Sub(m.progressAt()) < silenceTime {
 		return false
 	}
 	m.mu.Lock()
--- a/internal/berylpath/tunnel.go
+++ b/internal/berylpath/tunnel.go
@@ -18,7 +18,7 @@
 	// carryTimeout bounds the time in which a host is found that carries a connection.
 	carryTimeout = 1500 * time.Millisecond
 	// carrierTimeout bounds the time that one host may take. It leaves the host time for its own attempt to connect.
-	carrierTimeout = connectTimeout + 200*time.Millisecond
+	carrierTimeout = ConnectTimeout + 200*time.Millisecond
 )
 
 // Stream is a stream of bytes to another host.
