--- a/internal/berylentry/host.go
+++ b/internal/berylentry/host.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/conc"
 
 	"berylroad.example/berylroad/internal/berylbatch"
+	"berylroad.example/berylroad/internal/beryldrain"
 	"berylroad.example/berylroad/internal/berylhost"
 	"berylroad.example/berylroad/internal/beryllink"
 	"berylroad.example/berylroad/internal/berylpath"
@@ -134,6 +135,7 @@
 	serving               atomic.Bool
 	ready                 atomic.Bool
 	stopping              atomic.Bool
+	stop                  beryldrain.Stop
 	joinedAt              atomic.Pointer[time.Time]
 	jobsContext           context.Context // canceled when the jobs must stop
 	cancelJobs            context.CancelFunc
@@ -277,7 +279,7 @@
 	})
 	berylwire.Handle(h.endpoint, kindVersion, h.versions.HandleMessage)
 	h.Relay = &berylrelay.Relay{
-		Permits: h.scheduler, Upstreams: &h.upstreamRegistry, Client: h.Upstreams, Versions: h.versions, Quarantine: h.quarantine, Log: h.Log, Metrics: h.Metrics,
+		Permits: h.scheduler, Upstreams: &h.upstreamRegistry, Client: h.Upstreams, Versions: h.versions, Quarantine: h.quarantine, Stop: &h.stop, Log: h.Log, Metrics: h.Metrics,
 	}
 	h.Jobs = berylbatch.New(berylbatch.Config{
 		Host: h.Settings.Host, Boot: h.boot, Store: h.fallbackStore, Permits: h.scheduler, Upstreams: &h.upstreamRegistry, Client: h.Upstreams,
@@ -358,9 +360,11 @@
 }
 
 // Drain announces that this host is about to stop. It is no longer ready, takes ownership of nothing new and starts no
-// items of jobs, but goes on serving.
-func (h *Host) Drain() {
+// items of jobs, but goes on serving requests that end before the given time. The balancer passes on new connections until
+// noticeEnds at most.
+func (h *Host) Drain(noticeEnds, end time.Time) {
 	h.stopping.Store(true)
+	h.stop.Begin(noticeEnds, end)
 	if !h.ready.Load() {
 		return
 	}
--- a/internal/berylrelay/acquire.go
+++ b/internal/berylrelay/acquire.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"berylroad.example/berylroad/internal/beryldrain"
 	"berylroad.example/berylroad/internal/beryloutcome"
 	"berylroad.example/berylroad/internal/berylpermit"
 )
@@ -17,6 +18,11 @@
 	if err != nil {
 		return nil, x.notRunRefusal(versionRetryAfter)
 	}
+	if x.possibleRuns == 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = x.Stop.AwaitStart(ctx, x.drainRequest())
+		defer cancel()
+	}
 	for {
 		permit, refusal := x.Permits.Acquire(ctx, berylpermit.Request{
 			Target:       target,
@@ -49,3 +55,14 @@
 func (x *exchange) avoidedUpstreams() []string {
 	return slices.Concat(x.triedUpstreams, x.Upstreams.LeavingIDs(x.service))
 }
+
+// mayStart reports whether this host, which may be about to stop, still sends the request to a first upstream. A request that may have
+// run goes on: its caller learns nothing better from a refusal.
+func (x *exchange) mayStart() bool {
+	return x.possibleRuns > 0 || x.Stop.Admits(x.drainRequest(), time.Now())
+}
+
+// drainRequest returns what a planned stop needs to know of the request.
+func (x *exchange) drainRequest() beryldrain.Request {
+	return beryldrain.Request{Route: x.request.Route.Name, Tokens: x.request.Tokens, Deadline: x.request.Deadline}
+}
--- a/internal/berylrelay/relay.go
+++ b/internal/berylrelay/relay.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"berylroad.example/berylroad/internal/beryldrain"
 	"berylroad.example/berylroad/internal/beryloutcome"
 	"berylroad.example/berylroad/internal/berylpermit"
 	"berylroad.example/berylroad/internal/berylquarantine"
@@ -115,6 +116,8 @@
 	Versions *berylversion.Versions
 	// Quarantine refuses prompts with parts that crash upstreams; nil refuses none.
 	Quarantine *berylquarantine.Quarantine
+	// Stop is the planned stop of this host; nil means that it never stops.
+	Stop *beryldrain.Stop
 	// Log receives one line for each request.
 	Log logrus.FieldLogger
 	// Metrics receives counts and times; nil records none.
@@ -131,6 +134,9 @@
 	requestCtx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
 	result := x.run(requestCtx)
+	if result.Kind == beryloutcome.Answered && !request.TakesUp {
+		r.Stop.Observe(x.drainRequest(), time.Since(x.startedAt))
+	}
 	if ctx.Err() != nil && result.Kind != beryloutcome.Answered {
 		result.Kind = beryloutcome.Cancelled
 	}
@@ -200,6 +206,9 @@
 		if refusal := x.Quarantine.Refusal(x.prompt); refusal != nil {
 			return x.resultQuarantined(ctx, refusal)
 		}
+		if !x.mayStart() {
+			return x.resultStopping()
+		}
 		permit, refusal := x.acquire(ctx)
 		if refusal != nil {
 			return x.resultWithoutPermit(ctx, refusal)
@@ -233,6 +242,10 @@
 		x.cause = errors.New("the granted upstream is leaving, gone or at another version")
 		return stepRetry
 	}
+	if !x.mayStart() {
+		x.cause = beryldrain.ErrStopping
+		return stepRetry
+	}
 	// A verdict may have been passed while the request waited for its permit.
 	if refusal := x.Quarantine.Admit(ctx, x.prompt); refusal != nil {
 		x.cause = refusal
--- a/internal/berylrelay/result.go
+++ b/internal/berylrelay/result.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"berylroad.example/berylroad/internal/beryldrain"
 	"berylroad.example/berylroad/internal/beryloutcome"
 	"berylroad.example/berylroad/internal/berylpath"
 )
@@ -16,6 +17,9 @@
 	if x.possibleRuns > 0 {
 		return x.failedResult(ctx)
 	}
+	if !x.mayStart() {
+		return x.resultStopping()
+	}
 	x.cause = refusal
 	return x.result(beryloutcome.NotRun, x.notRunRefusal(refusal.RetryAfter))
 }
@@ -29,6 +33,12 @@
 	return x.result(beryloutcome.NotRun, refusal)
 }
 
+// resultStopping ends a request that this host can't finish before it stops. Another host takes it at once.
+func (x *exchange) resultStopping() beryloutcome.Result {
+	x.cause = beryldrain.ErrStopping
+	return x.result(beryloutcome.NotRun, x.notRunRefusal(minRetryAfter))
+}
+
 // failedResult ends a request whose calls have failed.
 func (x *exchange) failedResult(ctx context.Context) beryloutcome.Result {
 	if x.possibleRuns == 0 && errors.Is(x.cause, berylpath.ErrNoPath) {
