--- a/internal/berylgate/gate.go
+++ b/internal/berylgate/gate.go
@@ -16,6 +16,7 @@
 
 	"berylroad.example/berylroad/internal/berylcall"
 	"berylroad.example/berylroad/internal/berylconf"
+	"berylroad.example/berylroad/internal/beryldrain"
 	"berylroad.example/berylroad/internal/berylonce"
 	"berylroad.example/berylroad/internal/beryloutcome"
 	"berylroad.example/berylroad/internal/berylstream"
@@ -34,6 +35,8 @@
 
 	// idleTimeout is how long a connection stays open between two requests.
 	idleTimeout = 2 * time.Minute
+	// finalAnswerTime is how long the callers of requests that are cut at the end of a planned stop have to read their answers.
+	finalAnswerTime = 300 * time.Millisecond
 	// writeTimeout bounds the writing of a plain answer, and the time between two writes of a streamed one.
 	writeTimeout = time.Minute
 )
@@ -107,6 +110,7 @@
 	sequence atomic.Uint64
 	inFlight atomic.Int64
 	stopping atomic.Bool
+	stop     beryldrain.Stop
 }
 
 // New returns a gate that serves nothing until Serve is called.
@@ -173,22 +177,29 @@
 }
 
 // Shutdown performs a planned stop: the host becomes unready, keeps serving for Config.BalancerNotice, then accepts no
-// more requests and waits for those in flight. If ctx ends first, Shutdown cancels the calls in flight and returns ctx's
-// error.
+// more requests but those that finish before ctx ends, and waits for those in flight. If ctx ends first, Shutdown cancels the
+// calls in flight, lets their callers know, and returns ctx's error.
 func (g *Gate) Shutdown(ctx context.Context) error {
 	defer g.background.Wait()
 	defer g.cancel()
 	g.stopping.Store(true)
 	g.config.Log.Info("gate: stopping, no longer ready")
+	if end, bounded := ctx.Deadline(); bounded {
+		g.stop.Begin(time.Now().Add(g.config.BalancerNotice), end)
+	}
 	notice := time.NewTimer(g.config.BalancerNotice)
 	defer notice.Stop()
 	select {
 	case <-notice.C:
 	case <-ctx.Done():
 	}
-	err := g.server.ShutdownWithContext(ctx)
+	defer context.AfterFunc(ctx, g.cancel)()
+	final, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	defer context.AfterFunc(ctx, func() { time.AfterFunc(finalAnswerTime, cancel) })()
+	err := g.server.ShutdownWithContext(final)
 	if err != nil {
-		g.cancel()
+		err = ctx.Err()
 	}
 	g.streams.Wait()
 	g.config.Log.Info("gate: stopped")
--- a/internal/berylgate/serve.go
+++ b/internal/berylgate/serve.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"berylroad.example/berylroad/internal/berylcall"
+	"berylroad.example/berylroad/internal/beryldrain"
 	"berylroad.example/berylroad/internal/berylonce"
 	"berylroad.example/berylroad/internal/beryloutcome"
 )
@@ -20,6 +21,9 @@
 
 // serveCall admits a valid request, sends it to an upstream and answers it.
 func (g *Gate) serveCall(c fiber.Ctx, x *exchange, options requestOptions, request berylcall.Request) error {
+	if !g.stop.Admits(drainRequest(&request), time.Now()) {
+		return notRun("This host stops before the request can finish and has not run it; send it again, to another host.")
+	}
 	if refusal := x.admit(request.Tokens); refusal != nil {
 		return refusal
 	}
@@ -36,6 +40,21 @@
 	return g.servePlain(c, x, request, ticket)
 }
 
+// drainRequest returns what a planned stop needs to know of a request.
+func drainRequest(r *berylcall.Request) beryldrain.Request {
+	return beryldrain.Request{Route: r.Target, Tokens: r.Tokens, Deadline: r.Deadline}
+}
+
+// call makes the call of a request and records how long an answered one took.
+func (g *Gate) call(ctx context.Context, request berylcall.Request, sink berylcall.Sink) beryloutcome.Result {
+	began := time.Now()
+	result := g.config.Calls.Do(ctx, request, sink)
+	if result.Kind == beryloutcome.Answered {
+		g.stop.Observe(drainRequest(&request), time.Since(began))
+	}
+	return result
+}
+
 // beginKeyed decides whether a keyed request is to run. It returns the ticket under which the request runs, a refusal, or
 // true if it has answered the request with the recorded answer. For a request without a key it returns nothing.
 func (g *Gate) beginKeyed(ctx *fasthttp.RequestCtx, x *exchange, options requestOptions, request berylcall.Request) (berylonce.Ticket, *beryloutcome.Refusal, bool) {
@@ -83,7 +102,7 @@
 		defer g.disconnects.Watch(c.RequestCtx().Conn(), cancel)()
 	}
 	var r recorder
-	result := g.config.Calls.Do(ctx, request, &r)
+	result := g.call(ctx, request, &r)
 	if refusal := finishKeyed(ctx, ticket, result, r.answer); refusal != nil {
 		return refusal
 	}
--- a/internal/berylgate/stream.go
+++ b/internal/berylgate/stream.go
@@ -81,7 +81,7 @@
 			s.fail(internalError())
 		}
 	}()
-	result := gate.config.Calls.Do(ctx, request, s)
+	result := gate.call(ctx, request, s)
 	refusal := finishKeyed(ctx, s.ticket, result, s.record.answer)
 	if refusal == nil && result.Kind != beryloutcome.Answered {
 		refusal = refusalForResult(result)
