--- a/internal/berylbatch/route_test.go
+++ b/internal/berylbatch/route_test.go
@@ -48,3 +48,49 @@
 		})
 	}
 }
+
+// Guards against more waiting tokens than a route allows, because the jobs that it had accepted under another name are not counted.
+func TestWaitingTokensCountForTheRouteThatRunsTheJob(t *testing.T) {
+	shares := []berylroute.Share{{Service: "svc", Weight: 1}}
+	accepted := berylroute.Route{Name: "r", Host: "h", Prefix: "/jobs/", Kind: berylroute.Batch, Shares: shares, CompletionTarget: 18 * time.Second, Retention: time.Minute, MaxAttempts: 3, MaxWaitingTokens: 100}
+	renamed, shorter, unlike := accepted, accepted, accepted
+	renamed.Name = "r-2"
+	shorter.Name, shorter.Prefix = "all", "/"
+	unlike.Name, unlike.Prefix = "other", "/other/"
+	for _, tt := range []struct {
+		name   string
+		routes []berylroute.Route
+		at     int // the route that gets the second job
+		want   bool
+	}{
+		{"unchanged", []berylroute.Route{accepted}, 0, false},
+		{"renamed", []berylroute.Route{renamed}, 0, false},
+		{"removed beside a shorter batch route, which runs the job", []berylroute.Route{shorter}, 0, false},
+		{"another route", []berylroute.Route{accepted, unlike}, 1, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is, ctx, cluster := setUp(t, 1)
+				cluster.routes.Install(&berylroute.Config{Version: 2, Routes: []berylroute.Route{accepted}})
+				a, _ := cluster.startHost(ctx, "a", 1)
+				time.Sleep(time.Millisecond)
+				first := cluster.submission("j", 3)
+				first.Route = &accepted
+				setTokens(first.Items, 60)
+				is.Equal(a.Submit(ctx, first), nil)
+				cluster.routes.Install(&berylroute.Config{Version: 3, Routes: tt.routes})
+				second := cluster.submission("k", 3)
+				second.Route = &tt.routes[tt.at]
+				setTokens(second.Items, 60)
+				is.Equal(a.Submit(ctx, second) == nil, tt.want)
+			})
+		})
+	}
+}
+
+// setTokens spreads tokens over items.
+func setTokens(items []Item, tokens int64) {
+	for i := range items {
+		items[i].Tokens = tokens / int64(len(items))
+	}
+}
--- a/internal/berylbatch/submit.go
+++ b/internal/berylbatch/submit.go
@@ -61,7 +61,7 @@
 		log.Info("job: submitted again, already accepted")
 		return nil
 	}
-	if waiting := m.openTokens(s.Route.Name); s.Route.MaxWaitingTokens > 0 && waiting+record.Tokens > s.Route.MaxWaitingTokens {
+	if waiting := m.openTokens(s.Route); s.Route.MaxWaitingTokens > 0 && waiting+record.Tokens > s.Route.MaxWaitingTokens {
 		log.WithFields(logrus.Fields{"waiting-tokens": waiting, "limit": s.Route.MaxWaitingTokens}).Warn("job: refused, too many tokens wait")
 		return &beryloutcome.Refusal{
 			Status:     http.StatusTooManyRequests,
@@ -154,13 +154,16 @@
 	return m.jobs[id] != nil
 }
 
-// openTokens returns the sum of the tokens of a route's open jobs.
-func (m *Manager) openTokens(route string) int64 {
+// openTokens returns the sum of the tokens of the open jobs that belong to a route, under whatever name it accepted them.
+func (m *Manager) openTokens(route *berylroute.Route) int64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	sum := int64(0)
 	for _, j := range m.jobs {
-		if j.record.Route == route && j.record.Open() {
+		if !j.record.Open() {
+			continue
+		}
+		if r := m.routeOf(j); j.record.Route == route.Name || r != nil && r.Name == route.Name {
 			sum += j.record.Tokens
 		}
 	}
