--- a/internal/berylbatch/commit.go
+++ b/internal/berylbatch/commit.go
@@ -13,7 +13,8 @@
 	// commitDelay is how long finished results are collected before they are committed together. A commit costs the store
 	// one call, and jobs are due only after many seconds.
 	commitDelay = 900 * time.Millisecond
-	// urgentCommitDelay replaces commitDelay when a job is complete or its due time is near.
+	// urgentCommitDelay replaces commitDelay when a job is complete, its due time is near, or its route is gone, so that no other host
+	// could run its items again.
 	urgentCommitDelay = 150 * time.Millisecond
 	// dueSoonMargin is how long before a job's due time urgentCommitDelay applies.
 	dueSoonMargin = 2500 * time.Millisecond
@@ -64,7 +65,7 @@
 		}
 		route := m.routeOf(j)
 		complete := len(j.results)+len(j.finished) == len(j.items)
-		if complete || route != nil && now.Add(dueSoonMargin).After(j.record.submitted().Add(route.CompletionTarget)) {
+		if complete || route == nil || now.Add(dueSoonMargin).After(j.record.submitted().Add(route.CompletionTarget)) {
 			return urgentCommitDelay
 		}
 	}
--- a/internal/berylbatch/route_test.go
+++ b/internal/berylbatch/route_test.go
@@ -94,3 +94,27 @@
 		items[i].Tokens = tokens / int64(len(items))
 	}
 }
+
+// Guards against finished results of a job without a route that are given up because their owner is lost before they are stored: no
+// other host may run such items again.
+func TestResultsOfAJobWithoutARouteAreStoredSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, ctx, cluster := setUp(t, 2)
+		a, kill := cluster.startHost(ctx, "a", 1)
+		b, _ := cluster.startHost(ctx, "b", 1)
+		time.Sleep(time.Millisecond)
+		is.Equal(a.Submit(ctx, cluster.submission("j", 4)), nil)
+		time.Sleep(105 * time.Millisecond) // two items run for another 95 ms, the others wait
+		cluster.routes.Install(&berylroute.Config{Version: cluster.routes.Get().Version + 1})
+		time.Sleep(300 * time.Millisecond)
+		kill()
+		results := readAll(t, b, "j", 4, 20*time.Second)
+		completed := 0
+		for _, r := range results {
+			if r.State == Completed {
+				completed++
+			}
+		}
+		is.Equal(completed, 2)
+	})
+}
