--- a/internal/berylwire/duplex.go
+++ b/internal/berylwire/duplex.go
@@ -1,6 +1,7 @@
 package berylwire
 
 import (
+	"bytes"
 	"context"
 	"encoding/binary"
 	"io"
@@ -16,10 +17,19 @@
 	duplexMark = 0x00
 	// maxHeaderBytes bounds the header of a duplex stream and its acknowledgement, in bytes.
 	maxHeaderBytes = 4 << 10
+	// duplexCheckKind is the kind of a duplex stream that asks whether the peer knows such streams. No handler has it.
+	duplexCheckKind = "duplex-check"
 	// abortCode ends a duplex stream whose data is incomplete.
 	abortCode = quic.StreamErrorCode(3)
 )
 
+// Values of peerConn.duplex.
+const (
+	duplexUnchecked int32 = iota
+	duplexSupported
+	duplexUnsupported
+)
+
 // duplexHandler handles the duplex streams of one kind.
 type duplexHandler func(ctx context.Context, peer string, header []byte, accept func() (*Duplex, error)) error
 
@@ -117,6 +127,12 @@
 	if c.err != nil {
 		return nil, Unreachable, errors.Wrap(opaque(c.err), "connect")
 	}
+	if fault, err := e.checkDuplex(ctx, c); err != nil {
+		if connectionLost(err) {
+			e.pool.forget(peer, c)
+		}
+		return nil, fault, errors.CombineErrors(ctx.Err(), opaque(err))
+	}
 	if d.stream, err = c.conn.OpenStreamSync(ctx); err != nil {
 		if connectionLost(err) {
 			e.pool.forget(peer, c)
@@ -145,6 +161,53 @@
 	return d, 0, nil
 }
 
+// checkDuplex returns the fault UnknownKind if the peer does not know duplex streams. It asks once a connection. A build that does not
+// know them reads a stream to its end before it answers, so the question is a stream that has ended.
+func (e *Endpoint) checkDuplex(ctx context.Context, c *peerConn) (Fault, error) {
+	if c.duplex.Load() == duplexUnchecked {
+		supported, fault, err := e.askDuplex(ctx, c)
+		if err != nil {
+			return fault, err
+		}
+		if supported {
+			c.duplex.Store(duplexSupported)
+		} else {
+			c.duplex.Store(duplexUnsupported)
+		}
+	}
+	if c.duplex.Load() == duplexUnsupported {
+		return UnknownKind, errors.New("the peer is of a build without duplex streams")
+	}
+	return 0, nil
+}
+
+func (e *Endpoint) askDuplex(ctx context.Context, c *peerConn) (supported bool, fault Fault, err error) {
+	frame, err := e.codec.enc.Marshal(request{Kind: duplexCheckKind})
+	if err != nil {
+		return false, Unreachable, errors.Wrap(err, "encode")
+	}
+	stream, err := c.conn.OpenStreamSync(ctx)
+	if err != nil {
+		return false, Unreachable, errors.Wrap(err, "open a stream")
+	}
+	stop := context.AfterFunc(ctx, func() { stream.CancelRead(abortCode) })
+	defer stop()
+	defer stream.CancelRead(abortCode)
+	if _, err := stream.Write(append([]byte{duplexMark}, withLength(frame)...)); err != nil {
+		return false, faultWithoutAnswer(err), err
+	}
+	if err := stream.Close(); err != nil {
+		return false, faultWithoutAnswer(err), err
+	}
+	received, err := readFrame(stream, maxHeaderBytes)
+	if err != nil {
+		return false, faultWithoutAnswer(err), err
+	}
+	var answer reply
+	unframed, err := readWithLength(bytes.NewReader(received))
+	return err == nil && e.codec.dec.Unmarshal(unframed, &answer) == nil, 0, nil
+}
+
 // beginDuplex writes the header of a duplex stream and reads the acknowledgement.
 func (e *Endpoint) beginDuplex(stream *quic.Stream, frame []byte) (reply, Fault, error) {
 	var answer reply
--- a/internal/berylwire/duplex_test.go
+++ b/internal/berylwire/duplex_test.go
@@ -4,11 +4,14 @@
 	"context"
 	"io"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
+	"github.com/quic-go/quic-go"
 
 	"berylroad.example/berylroad/internal/berylwire"
 )
@@ -107,3 +110,51 @@
 		is.True(kind != "duplex" || strings.Contains(err.Error(), "isolated"))
 	}
 }
+
+// serveWithoutDuplex answers as builds up to 770f2cb do, which take each stream for one request: they read to its end first.
+func serveWithoutDuplex(t *testing.T, hosts testHosts, streams *atomic.Int64) berylwire.Peer {
+	t.Helper()
+	listener, err := quic.ListenAddr("127.0.0.1:0", hosts.credentials("host-b").ServerConfig("berylroad/1"), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		conn, err := listener.Accept(t.Context())
+		for err == nil {
+			var stream *quic.Stream
+			if stream, err = conn.AcceptStream(t.Context()); err != nil {
+				return
+			}
+			streams.Add(1)
+			go func() {
+				defer stream.Close()
+				if _, err := io.ReadAll(stream); err == nil {
+					malformed, _ := cbor.Marshal([]any{2, "cbor: extraneous data", nil})
+					_, _ = stream.Write(malformed)
+				}
+			}()
+		}
+	}()
+	return berylwire.Peer{Name: "host-b", Address: listener.Addr().String()}
+}
+
+// Guards against a wait of seconds for a host of an older build that does not know duplex streams: it reads a stream to its end before
+// it answers, and the end of this one does not come.
+func TestDuplexToAnOlderHost(t *testing.T) {
+	is := is.New(t)
+	hosts := newTestHosts(t)
+	var streams atomic.Int64
+	peer := serveWithoutDuplex(t, hosts, &streams)
+	a := hosts.listen(berylwire.Config{Name: "host-a"})
+	for range 3 {
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		_, err := berylwire.OpenDuplex(ctx, a, peer, "duplex", echoMessage{})
+		is.NoErr(ctx.Err()) // the answer comes at once
+		cancel()
+		var failed *berylwire.Error
+		is.True(errors.As(err, &failed))
+		is.Equal(failed.Fault, berylwire.UnknownKind)
+	}
+	is.Equal(streams.Load(), int64(1)) // asked once a connection
+}
--- a/internal/berylwire/pool.go
+++ b/internal/berylwire/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -17,6 +18,8 @@
 	err         error
 	lastUsed    time.Time
 	activeCalls int
+	// duplex is what is known of the peer's support of duplex streams.
+	duplex atomic.Int32
 }
 
 // isUsable reports whether the connection is being established or can carry calls.
