--- a/internal/berylbatch/record.go
+++ b/internal/berylbatch/record.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"berylroad.example/berylroad/internal/berylrelay"
+	"berylroad.example/berylroad/internal/berylstore"
 )
 
 // Prefixes of the keys in the store.
@@ -60,6 +61,22 @@
 	// progress which that run stored.
 	PreviousOwner string `cbor:"12,keyasint,omitempty"`
 	PreviousBoot  uint64 `cbor:"13,keyasint,omitempty"`
+
+	unknown berylstore.UnknownFields
+}
+
+// MarshalCBOR encodes the record with the fields that this build does not know.
+func (r Record) MarshalCBOR() ([]byte, error) {
+	type plainRecord Record
+	return berylstore.EncodeRecord((*plainRecord)(&r), r.unknown)
+}
+
+// UnmarshalCBOR decodes a record and keeps the fields that this build does not know.
+func (r *Record) UnmarshalCBOR(data []byte) error {
+	type plainRecord Record
+	unknown, err := berylstore.DecodeRecord(data, (*plainRecord)(r))
+	r.unknown = unknown
+	return err
 }
 
 // Open reports whether results may still be added.
