--- a/internal/berylgate/gate.go
+++ b/internal/berylgate/gate.go
@@ -173,7 +173,7 @@
 	g.startWatch.Do(func() {
 		g.background.Go(func() { g.disconnects.Run(g.baseContext) })
 	})
-	return g.server.Serve(listener)
+	return g.server.Serve(&berylstream.Listener{Listener: listener, Log: g.config.Log})
 }
 
 // Shutdown performs a planned stop: the host becomes unready, keeps serving for Config.BalancerNotice, then accepts no
