--- a/internal/berylbatch/adopt.go
+++ b/internal/berylbatch/adopt.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"berylroad.example/berylroad/internal/berylstore"
@@ -60,7 +61,7 @@
 		if m.owns(j) {
 			owned = j.isRunningHere()
 		}
-		if !j.record.Open() || owned {
+		if !j.record.Open() || owned || j.unreadable && !m.owns(j) {
 			delete(orphanedSince, id)
 			continue
 		}
@@ -98,9 +99,18 @@
 		return
 	}
 	record, revision := j.record, j.revision
+	ownedAlready, unreadable := m.owns(j), j.unreadable
 	m.mu.Unlock()
 	log := m.Log.WithFields(logrus.Fields{"job": id, "from": record.Owner, "revision": revision})
-	if record.Owner != "" && !m.owns(j) {
+	if unreadable {
+		m.leaveToOthers(bounded, id, log)
+		return
+	}
+	if ownedAlready {
+		m.loadAdopted(bounded, id, log) // an earlier attempt to read the job has failed
+		return
+	}
+	if record.Owner != "" {
 		record.PreviousOwner, record.PreviousBoot = record.Owner, record.Boot
 	}
 	record.Owner, record.Boot = m.Host, m.Boot
@@ -132,11 +142,19 @@
 // next round of adoptLoop tries again.
 func (m *Manager) loadAdopted(ctx context.Context, id string, log *logrus.Entry) {
 	spec, err := m.loadSpec(ctx, id)
+	if errors.Is(err, errUnreadable) {
+		m.leaveToOthers(ctx, id, log.WithError(err).WithField("key", specKey(id)))
+		return
+	}
 	if err != nil || spec == nil {
 		log.WithError(err).Warn("job: adopted, but its items can't be read yet")
 		return
 	}
 	results, err := m.loadResults(ctx, id)
+	if errors.Is(err, errUnreadable) {
+		m.leaveToOthers(ctx, id, log.WithError(err).WithField("key", jobSegmentPrefix(id)))
+		return
+	}
 	if err != nil {
 		log.WithError(err).Warn("job: adopted, but its results can't be read yet")
 		return
@@ -155,6 +173,36 @@
 	log.WithFields(logrus.Fields{"results": len(results), "items": len(spec.Items), "in-progress": resumed}).Info("job: adopted")
 }
 
+// leaveToOthers gives back a job whose items or results this build can't decode, so that a host of a newer one can adopt it.
+func (m *Manager) leaveToOthers(ctx context.Context, id string, log *logrus.Entry) {
+	m.mu.Lock()
+	j := m.jobs[id]
+	if j == nil || !m.owns(j) {
+		m.mu.Unlock()
+		return
+	}
+	if !j.unreadable {
+		j.unreadable = true
+		log.Error("job: can't be decoded, left to other hosts")
+	}
+	record := j.record
+	record.Owner, record.Boot = "", 0
+	txn := berylstore.Txn{
+		Checks: []berylstore.Check{{Key: recordKey(id), Revision: j.revision}},
+		Puts:   []berylstore.Put{{Key: recordKey(id), Value: encode(&record)}},
+	}
+	m.mu.Unlock()
+	result := m.commitWithTimeout(ctx, txn)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if result.Status == berylstore.Done {
+		m.installRecord(berylstore.Item{Key: recordKey(id), Value: txn.Puts[0].Value, Revision: result.Revision})
+	}
+	for _, item := range result.Current {
+		m.installRecord(item)
+	}
+}
+
 // releaseJobs commits finished results, stores the items' progress and clears the owner of this host's jobs, so that
 // other hosts adopt them before they notice that this host is down. Unless all is set, it keeps the jobs with items in
 // flight or uncommitted results.
--- a/internal/berylbatch/job.go
+++ b/internal/berylbatch/job.go
@@ -18,6 +18,8 @@
 	ownerSince time.Time
 	// results are the committed results that this host has seen, from position 0 on without gaps.
 	results []Result
+	// unreadable is set if this host can't decode the job's items or results, so that it must not own the job.
+	unreadable bool
 	// spec is the job's specification, or nil if this host has not read it.
 	spec *Spec
 	// items holds the state of each item if this host runs the job, and is nil otherwise.
--- a/internal/berylbatch/record.go
+++ b/internal/berylbatch/record.go
@@ -130,6 +130,9 @@
 	Text []byte `cbor:"3,keyasint,omitempty"`
 }
 
+// errUnreadable marks a value in the store that this build can't decode: it is damaged or of a newer form.
+var errUnreadable = errors.New("the value can't be decoded")
+
 // encode returns the CBOR form of a value for the store.
 func encode(value any) []byte {
 	data, err := cbor.Marshal(value)
@@ -142,5 +145,5 @@
 func decode[T any](data []byte) (T, error) {
 	var value T
 	err := cbor.Unmarshal(data, &value)
-	return value, errors.Wrap(err, "value in the store")
+	return value, errors.Mark(errors.Wrap(err, "value in the store"), errUnreadable)
 }
