Report a stop that was cut even if its last answers were written in time

The test now checks it (fails before). The platform's server no longer arms the end of the grace period once all connections are closed. No decision of a stop changes.

--- a/internal/beryldrain/stop.go
+++ b/internal/beryldrain/stop.go
@@ -69,8 +69,7 @@
 }
 
 // Admits reports whether a request may start now. Without a stop, any may. One whose deadline is before the end is never cut. Others
-// start if they are expected to finish; while too little is known of their class they
-// start until the end of the notice.
+// start if they are expected to finish; while too little is known of their class they start until the end of the notice.
 func (s *Stop) Admits(r Request, now time.Time) bool {
 	if s == nil {
 		return true
--- a/internal/berylgate/gate.go
+++ b/internal/berylgate/gate.go
@@ -198,7 +198,7 @@
 	defer cancel()
 	defer context.AfterFunc(ctx, func() { time.AfterFunc(finalAnswerTime, cancel) })()
 	err := g.server.ShutdownWithContext(final)
-	if err != nil {
+	if ctx.Err() != nil {
 		err = ctx.Err()
 	}
 	g.streams.Wait()
--- a/internal/berylgate/stop_test.go
+++ b/internal/berylgate/stop_test.go
@@ -46,10 +46,11 @@
 		wait          time.Duration // from the head to the body; the notice ends after 0.2 s, the stop after 0.8 s
 		want          int
 		runs          int64
+		cut           bool // whether the stop ends by its time
 	}{
-		{"within the notice, still running at the end", "30", 50 * time.Millisecond, http.StatusGatewayTimeout, 1},
-		{"late, could run beyond the end", "30", 400 * time.Millisecond, http.StatusServiceUnavailable, 0},
-		{"late, ends before the stop", "0.2", 400 * time.Millisecond, http.StatusGatewayTimeout, 1},
+		{"within the notice, still running at the end", "30", 50 * time.Millisecond, http.StatusGatewayTimeout, 1, true},
+		{"late, could run beyond the end", "30", 400 * time.Millisecond, http.StatusServiceUnavailable, 0, false},
+		{"late, ends before the stop", "0.2", 400 * time.Millisecond, http.StatusGatewayTimeout, 1, false},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
@@ -68,7 +69,8 @@
 			is.NoErr(err)
 			is.Equal(response.StatusCode, tt.want)
 			is.Equal(runs.Load(), tt.runs)
-			<-stopped
+			err = <-stopped
+			is.Equal(err != nil, tt.cut)
 		})
 	}
 }
