--- a/internal/berylbatch/route_test.go
+++ b/internal/berylbatch/route_test.go
@@ -1,6 +1,7 @@
 package berylbatch
 
 import (
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -118,3 +119,35 @@
 		is.Equal(completed, 2)
 	})
 }
+
+// Guards against more waiting tokens than a route allows because jobs come at once at several hosts, each of which counts what it has
+// seen.
+func TestWaitingTokensOfJobsThatComeAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, ctx, cluster := setUp(t, 1)
+		limited := *cluster.routes.Get().Named("r")
+		limited.MaxWaitingTokens = 100
+		cluster.routes.Install(&berylroute.Config{Version: 2, Routes: []berylroute.Route{limited}})
+		accepted := int64(0)
+		for _, name := range []string{"a", "b", "c"} {
+			cluster.startHost(ctx, name, 1)
+		}
+		time.Sleep(time.Millisecond)
+		var group sync.WaitGroup
+		var mu sync.Mutex
+		for _, name := range []string{"a", "b", "c"} {
+			group.Go(func() {
+				job := cluster.submission("j-"+name, 3)
+				job.Route = &limited
+				setTokens(job.Items, 60)
+				if cluster.hosts[name].Submit(ctx, job) == nil {
+					mu.Lock()
+					defer mu.Unlock()
+					accepted += 60
+				}
+			})
+		}
+		group.Wait()
+		is.True(accepted <= 110) // the limit and the tenth by which operators allow it to be passed
+	})
+}
