--- /dev/null
+++ b/internal/berylbuild/doc.go
@@ -0,0 +1,2 @@
+// Package berylbuild tells which build of the program runs.
+package berylbuild
--- a/internal/berylcmd/entry/run/run.go
+++ b/internal/berylcmd/entry/run/run.go
@@ -1,11 +1,13 @@
 package run
 
 import (
+	"fmt"
 	"runtime/debug"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
 
+	"berylroad.example/berylroad/internal/berylbuild"
 	"berylroad.example/berylroad/internal/berylcmd/factory"
 	"berylroad.example/berylroad/internal/berylcmd/nodelog"
 	"berylroad.example/berylroad/internal/berylentry"
@@ -49,6 +51,7 @@
 	}
 	metricSet := metrics.NewSet()
 	metricSet.NewGauge("berylroad_log_lines_dropped_total", func() float64 { return float64(node.LogWriter.Dropped()) })
+	metricSet.NewGauge(fmt.Sprintf("berylroad_build_info{commit=%q}", berylbuild.Current()), func() float64 { return 1 })
 	store := berylplatform.NewStore(settings.StoreAddress)
 	store.Metrics = metricSet
 	host := berylentry.New(berylentry.Config{
@@ -61,7 +64,7 @@
 		Log:            node.Log,
 		Metrics:        metricSet,
 	})
-	node.Log.WithFields(logrus.Fields{"callers": settings.CallerAddress, "peers": settings.PeerAddress, "store": settings.StoreAddress}).Info("host: started")
+	node.Log.WithFields(logrus.Fields{"build": berylbuild.Current().String(), "callers": settings.CallerAddress, "peers": settings.PeerAddress, "store": settings.StoreAddress}).Info("host: started")
 	server := berylplatform.Server{Host: host, Log: node.Log, Metrics: metricSet}
 	err = server.Run(f.Context, settings)
 	node.Log.WithError(err).Info("host: stopped")
--- a/internal/berylcmd/root/root.go
+++ b/internal/berylcmd/root/root.go
@@ -26,6 +26,7 @@
 	"berylroad.example/berylroad/internal/berylcmd/load/compare"
 	"berylroad.example/berylroad/internal/berylcmd/serve"
 	settingscheck "berylroad.example/berylroad/internal/berylcmd/settings/check"
+	"berylroad.example/berylroad/internal/berylcmd/version"
 	"berylroad.example/berylroad/internal/berylsettings"
 )
 
@@ -77,6 +78,8 @@
 		CreateHost   createhost.Options   `cmd:"" help:"Create a host's certificate and key."`
 		CreateCaller createcaller.Options `cmd:"" help:"Create a caller's API key."`
 	} `cmd:"" help:"Create keys and certificates."`
+	// Version prints the build of the program.
+	Version version.Options `cmd:"" help:"Print the build of the program."`
 }
 
 // Run parses the arguments and runs the selected command. It does not print the error that it returns.
--- a/internal/berylentry/status.go
+++ b/internal/berylentry/status.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"berylroad.example/berylroad/internal/berylbatch"
+	"berylroad.example/berylroad/internal/berylbuild"
 	"berylroad.example/berylroad/internal/berylquarantine"
 )
 
@@ -13,6 +14,8 @@
 	Host          string `json:"host"`
 	FailureDomain string `json:"failure-domain"`
 	Boot          uint64 `json:"boot"`
+	// Build is the commit that this host was built from.
+	Build string `json:"build"`
 	// Serving and Ready are the results of the Host's methods of these names. Stopping is true after Drain was called.
 	Serving  bool `json:"serving"`
 	Ready    bool `json:"ready"`
@@ -84,7 +87,7 @@
 // Status returns this host's current view. Before Run has assembled the host it contains only the name and failure
 // domain.
 func (h *Host) Status() Status {
-	s := Status{Host: h.Settings.Host, FailureDomain: h.Settings.FailureDomain, ConfigVersion: -1}
+	s := Status{Host: h.Settings.Host, FailureDomain: h.Settings.FailureDomain, Build: berylbuild.Current().String(), ConfigVersion: -1}
 	if !h.assembled.Load() {
 		return s
 	}
