Add client accounts to the configuration and to requests, calls and permits

Cause: deployments with client accounts need the account of a request at the edge, in the scheduler and at the upstream, and nothing holds it. Permit requests get the fields 13 to 15, which older owners ignore (docs/design/upgrades.md). Nothing sets them yet.

--- a/internal/berylpermit/permit.go
+++ b/internal/berylpermit/permit.go
@@ -76,6 +76,12 @@
 	// MaxQueueWait is the longest acceptable wait in the queue: an owner that predicts a longer one refuses at once.
 	// Zero means any wait within the deadline.
 	MaxQueueWait time.Duration `cbor:"12,keyasint,omitempty"`
+	// Account is the name of the client account that the work is for, or empty.
+	Account string `cbor:"13,keyasint,omitempty"`
+	// Priority ranks the work within its class; 0 is the highest priority.
+	Priority int `cbor:"14,keyasint,omitempty"`
+	// PromptTokens is the length of the prompt in tokens, or zero if unknown.
+	PromptTokens int `cbor:"15,keyasint,omitempty"`
 }
 
 // Verdict is the owner's answer to a request.
--- a/internal/berylrelay/call.go
+++ b/internal/berylrelay/call.go
@@ -29,6 +29,8 @@
 	Header []HeaderField
 	// Body is the complete request body.
 	Body []byte
+	// Account is the name of the client account for which the upstream runs the request, or empty.
+	Account string
 	// Timeout is how long the upstream may work on the request; zero means no limit.
 	Timeout time.Duration
 	// Resume asks the upstream to continue a stream after the event ResumeAfter.
--- a/internal/berylrelay/relay.go
+++ b/internal/berylrelay/relay.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"berylroad.example/berylroad/internal/berylaccount"
 	"berylroad.example/berylroad/internal/beryldrain"
 	"berylroad.example/berylroad/internal/beryloutcome"
 	"berylroad.example/berylroad/internal/berylpermit"
@@ -100,10 +101,20 @@
 	FirstAttempt string
 	// PromptParts names the parts of the prompt that other prompts may hold too, in order.
 	PromptParts []string
+	// Account is the client account that sent the request; nil means that there are no accounts or the route is public.
+	Account *berylaccount.Account
 	// Caller identifies who sent the request; the same caller may send it again under another ID.
 	Caller string
 }
 
+// accountName returns the name of the request's account, or an empty string.
+func (r *Request) accountName() string {
+	if r.Account == nil {
+		return ""
+	}
+	return r.Account.Name
+}
+
 // Relay carries requests to upstreams.
 type Relay struct {
 	// Permits grants the permits to call upstreams.
@@ -291,6 +302,7 @@
 		Host:        x.request.Host,
 		Header:      x.request.Header,
 		Body:        x.request.Body,
+		Account:     x.request.accountName(),
 		Timeout:     time.Until(x.request.Deadline),
 		Resume:      x.hasEvent,
 		ResumeAfter: x.lastEvent,
--- a/internal/berylroute/config.go
+++ b/internal/berylroute/config.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"berylroad.example/berylroad/internal/berylaccount"
 )
 
 // Kind says how a route's requests are answered and whether they may be repeated.
@@ -66,8 +68,11 @@
 	CompletionTarget time.Duration
 	// Retention is the time from a job's submission after which items may be given up.
 	Retention time.Duration
-	// MaxWaitingTokens bounds the tokens of all waiting items of the route; zero means no limit.
+	// MaxWaitingTokens bounds the tokens of all waiting items of the route, of each account if there are accounts; zero means
+	// no limit.
 	MaxWaitingTokens int64
+	// Public marks a route whose requests need no API key.
+	Public bool
 }
 
 // Repeatable reports whether a request may run on a second upstream after a first one may have run it.
@@ -152,6 +157,8 @@
 	Services map[string]Service
 	// Limits bounds what a caller may send.
 	Limits Limits
+	// Accounts are the client accounts; nil means that requests need no API key.
+	Accounts *berylaccount.Directory
 
 	once   sync.Once
 	byHost map[string][]*Route // routes by host name in lower case, longest prefix first
