Tie jobs to the client account that submits them

Cause: with client accounts a job belongs to its account: other keys of the account read and cancel it, and to other accounts it does not exist. Change: a submission and a job's record name the account (record field 14, docs/design/upgrades.md); reads, cancellations and bodies of items take the account of the caller and answer 404 for a job of another one; items are sent in the account's name. Nothing names an account yet.

--- a/internal/berylbatch/forms_test.go
+++ b/internal/berylbatch/forms_test.go
@@ -35,7 +35,7 @@
 		rewrite func(t *testing.T, is *is.I, b *Manager)
 	}{
 		{"adopted and done", func(t *testing.T, _ *is.I, b *Manager) { readAll(t, b, "j", 10, 20*time.Second) }},
-		{"cancelled", func(t *testing.T, is *is.I, b *Manager) { is.Equal(b.Cancel(t.Context(), "j"), nil) }},
+		{"cancelled", func(t *testing.T, is *is.I, b *Manager) { is.Equal(b.Cancel(t.Context(), "", "j"), nil) }},
 		{"given back", func(_ *testing.T, _ *is.I, b *Manager) { time.Sleep(4 * time.Second); b.releaseJobs(true) }},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/berylbatch/job.go
+++ b/internal/berylbatch/job.go
@@ -34,8 +34,8 @@
 type item struct {
 	*Item
 	job *job
-	// host is the HTTP host name that the job was submitted to.
-	host string
+	// host is the HTTP host name that the job was submitted to, and account the name of the client account, or empty.
+	host, account string
 	// text is the answer received so far, events the number of events in it and last the ID of the last event.
 	text   []byte
 	events int
@@ -80,7 +80,7 @@
 	}
 	j.items = make([]*item, len(spec.Items))
 	for i := range spec.Items {
-		j.items[i] = &item{Item: &spec.Items[i], job: j, host: j.record.Host, ended: done[spec.Items[i].ID]}
+		j.items[i] = &item{Item: &spec.Items[i], job: j, host: j.record.Host, account: j.record.Account, ended: done[spec.Items[i].ID]}
 	}
 }
 
--- a/internal/berylbatch/largeresults_test.go
+++ b/internal/berylbatch/largeresults_test.go
@@ -32,7 +32,7 @@
 					kill()
 				}
 				for _, from := range []int{items - 1, items / 2, 0, 3, items - 1} {
-					page, refusal := b.Read(ctx, "j", from, 0)
+					page, refusal := b.Read(ctx, "", "j", from, 0)
 					is.Equal(refusal, nil)
 					is.True(len(page.Results) > 0) // of position from
 					is.Equal(len(page.Results[0].Text) > itemBytes, true)
--- a/internal/berylbatch/manager_test.go
+++ b/internal/berylbatch/manager_test.go
@@ -298,7 +298,7 @@
 	end := time.Now().Add(within)
 	var all []Result
 	for len(all) < total && time.Now().Before(end) {
-		page, refusal := m.Read(t.Context(), id, len(all), time.Second)
+		page, refusal := m.Read(t.Context(), "", id, len(all), time.Second)
 		if refusal != nil {
 			time.Sleep(200 * time.Millisecond)
 			continue
@@ -337,10 +337,10 @@
 				is.Equal(cluster.upstream.callsOf(id), 1)
 			}
 		}
-		body, refusal := b.ItemBody(ctx, "j", "j-3")
+		body, refusal := b.ItemBody(ctx, "", "j", "j-3")
 		is.Equal(refusal, nil)
 		is.Equal(string(body), "body")
-		_, refusal = b.Read(ctx, "other", 0, 0)
+		_, refusal = b.Read(ctx, "", "other", 0, 0)
 		is.Equal(refusal.Status, http.StatusNotFound)
 	})
 }
@@ -551,8 +551,8 @@
 		time.Sleep(time.Millisecond)
 		is.Equal(a.Submit(ctx, cluster.submission("j", 50)), nil)
 		time.Sleep(time.Second)
-		is.Equal(b.Cancel(ctx, "j"), nil)
-		is.Equal(b.Cancel(ctx, "j"), nil) // a repeated cancellation succeeds too
+		is.Equal(b.Cancel(ctx, "", "j"), nil)
+		is.Equal(b.Cancel(ctx, "", "j"), nil) // a repeated cancellation succeeds too
 		time.Sleep(time.Second)
 		cluster.upstream.mu.Lock()
 		runs := len(cluster.upstream.calls)
@@ -586,9 +586,9 @@
 		is, ctx, cluster := setUp(t, 1)
 		cluster.store.SetFault(func(string, string) berylfake.MemoryStoreFault { return berylfake.StoreLosesCall })
 		a, _ := cluster.startHost(ctx, "a", 1)
-		_, refusal := a.Read(ctx, "j", 0, 0)
+		_, refusal := a.Read(ctx, "", "j", 0, 0)
 		is.Equal(refusal.Status, http.StatusServiceUnavailable)
-		is.Equal(a.Cancel(ctx, "j").Status, http.StatusServiceUnavailable)
+		is.Equal(a.Cancel(ctx, "", "j").Status, http.StatusServiceUnavailable)
 	})
 }
 
--- a/internal/berylbatch/read.go
+++ b/internal/berylbatch/read.go
@@ -50,8 +50,8 @@
 
 // Read returns the committed results from a position on. If there are none, it waits for the first, at most for the given
 // time.
-func (m *Manager) Read(ctx context.Context, id string, from int, wait time.Duration) (Page, *beryloutcome.Refusal) {
-	record, _, refusal := m.lookUp(ctx, id)
+func (m *Manager) Read(ctx context.Context, account, id string, from int, wait time.Duration) (Page, *beryloutcome.Refusal) {
+	record, _, refusal := m.lookUp(ctx, account, id)
 	if refusal != nil {
 		return Page{}, refusal
 	}
@@ -197,8 +197,8 @@
 }
 
 // ItemBody returns an item's request body as its caller sent it.
-func (m *Manager) ItemBody(ctx context.Context, id, itemID string) ([]byte, *beryloutcome.Refusal) {
-	record, _, refusal := m.lookUp(ctx, id)
+func (m *Manager) ItemBody(ctx context.Context, account, id, itemID string) ([]byte, *beryloutcome.Refusal) {
+	record, _, refusal := m.lookUp(ctx, account, id)
 	if refusal != nil {
 		return nil, refusal
 	}
--- a/internal/berylbatch/record.go
+++ b/internal/berylbatch/record.go
@@ -61,6 +61,8 @@
 	// progress which that run stored.
 	PreviousOwner string `cbor:"12,keyasint,omitempty"`
 	PreviousBoot  uint64 `cbor:"13,keyasint,omitempty"`
+	// Account is the name of the client account that submitted the job, or empty if there are no accounts.
+	Account string `cbor:"14,keyasint,omitempty"`
 
 	unknown berylstore.UnknownFields
 }
@@ -84,6 +86,12 @@
 	return !r.Cancelled && !r.Done
 }
 
+// VisibleTo reports whether an account may read and cancel the job. An empty name stands for callers of a deployment without
+// accounts; a job without an account was accepted by a build that did not know accounts, or before there were any.
+func (r *Record) VisibleTo(account string) bool {
+	return r.Account == account || r.Account == "" || account == ""
+}
+
 func (r *Record) submitted() time.Time {
 	return time.UnixMilli(r.Submitted)
 }
--- a/internal/berylbatch/run.go
+++ b/internal/berylbatch/run.go
@@ -133,6 +133,7 @@
 		Host:        it.host,
 		Header:      it.Header,
 		Body:        it.Body,
+		Account:     it.account,
 		Resume:      it.events > 0,
 		ResumeAfter: it.last,
 	})
--- a/internal/berylbatch/submit.go
+++ b/internal/berylbatch/submit.go
@@ -30,6 +30,8 @@
 type Submission struct {
 	// ID is chosen by the caller; a second submission with the same ID has no effect.
 	ID string
+	// Account is the name of the client account that submits the job, or empty if there are no accounts.
+	Account string
 	// Route is the route that the job was sent to.
 	Route *berylroute.Route
 	// Host and Path are the HTTP host and path that the caller used.
@@ -49,6 +51,7 @@
 		Route:     s.Route.Name,
 		Total:     len(s.Items),
 		Submitted: time.Now().UnixMilli(),
+		Account:   s.Account,
 	}
 	for i := range s.Items {
 		record.Tokens += s.Items[i].Tokens
@@ -170,10 +173,10 @@
 	return sum
 }
 
-// Cancel cancels a job. A nil refusal means that the cancellation is durable, so that every host stops the job's items.
-func (m *Manager) Cancel(ctx context.Context, id string) *beryloutcome.Refusal {
+// Cancel cancels a job of an account. A nil refusal means that the cancellation is durable, so that every host stops the job's items.
+func (m *Manager) Cancel(ctx context.Context, account, id string) *beryloutcome.Refusal {
 	for {
-		record, revision, refusal := m.lookUp(ctx, id)
+		record, revision, refusal := m.lookUp(ctx, account, id)
 		if refusal != nil {
 			return refusal
 		}
@@ -204,8 +207,18 @@
 	}
 }
 
-// lookUp returns a job's record and its revision. It reads the store if this host has not seen the record.
-func (m *Manager) lookUp(ctx context.Context, id string) (Record, int64, *beryloutcome.Refusal) {
+// lookUp returns the record of a job that the account may see, and its revision. It reads the store if this host has not seen
+// the record. To other accounts the job is unknown.
+func (m *Manager) lookUp(ctx context.Context, account, id string) (Record, int64, *beryloutcome.Refusal) {
+	record, revision, refusal := m.findRecord(ctx, id)
+	if refusal == nil && !record.VisibleTo(account) {
+		m.Log.WithFields(logrus.Fields{"job": id, "account": account}).Info("job: belongs to another account")
+		return Record{}, 0, unknownJob()
+	}
+	return record, revision, refusal
+}
+
+func (m *Manager) findRecord(ctx context.Context, id string) (Record, int64, *beryloutcome.Refusal) {
 	m.mu.Lock()
 	if j := m.jobs[id]; j != nil {
 		defer m.mu.Unlock()
