Identify the client account of requests and jobs at the edge

Cause: the operators' configuration may list client accounts, and nothing decoded them: requests ran without a key, and Authorization and X-Tenant went to upstreams as the caller sent them. The relay's Caller contained the key. Job calls take the account. The caller's Authorization and X-Tenant are dropped where there are accounts, also from items, and X-Tenant names the account. Items hold the tokens of their prompts (field 7, docs/design/upgrades.md). Log lines and the status of jobs name the account.

--- a/internal/berylbatch/record.go
+++ b/internal/berylbatch/record.go
@@ -110,6 +110,8 @@
 	Tokens int64 `cbor:"5,keyasint,omitempty"`
 	// PromptParts names the parts of the prompt that other prompts may hold too, in order.
 	PromptParts []string `cbor:"6,keyasint,omitempty"`
+	// PromptTokens is the length of the prompt in tokens, or zero if unknown.
+	PromptTokens int `cbor:"7,keyasint,omitempty"`
 }
 
 // Spec is a job as its caller submitted it.
--- a/internal/berylbatch/run.go
+++ b/internal/berylbatch/run.go
@@ -93,6 +93,9 @@
 		"job": it.job.id, "item": it.ID, "upstream": permit.Upstream, "from-event": from, "events": it.events,
 		"busy-ms": report.HeldFor.Milliseconds(), "outcome": report.Kind.String(), "granted-by": permit.GrantedBy, "version": upstream.Version,
 	}
+	if it.account != "" {
+		fields["account"] = it.account
+	}
 	if status != 0 {
 		fields["status"] = status
 	}
@@ -125,6 +128,7 @@
 	began := time.Now()
 	stall := time.AfterFunc(itemStallTimeout, func() { cancel(errStalled) })
 	defer stall.Stop()
+	config := m.Routes.Get()
 	reply, err := m.Client.Call(ctx, &berylrelay.Call{
 		Upstream:    upstream,
 		ID:          it.ID,
@@ -134,6 +138,7 @@
 		Header:      it.Header,
 		Body:        it.Body,
 		Account:     it.account,
+		HasAccounts: config != nil && config.Accounts != nil,
 		Resume:      it.events > 0,
 		ResumeAfter: it.last,
 	})
--- a/internal/berylbatch/status.go
+++ b/internal/berylbatch/status.go
@@ -10,6 +10,8 @@
 	// ID is the job's ID and Route the name of its route.
 	ID    string `json:"id"`
 	Route string `json:"route"`
+	// Account is the name of the client account that sent the job, or empty.
+	Account string `json:"account,omitempty"`
 	// Owner names the host that runs the job; it is empty while no host does.
 	Owner string `json:"owner"`
 	// Here is set if this host runs the job.
@@ -37,7 +39,7 @@
 			continue
 		}
 		s := JobStatus{
-			ID: id, Route: j.record.Route, Owner: j.record.Owner, Here: j.isRunningHere(), Items: j.record.Total,
+			ID: id, Route: j.record.Route, Account: j.record.Account, Owner: j.record.Owner, Here: j.isRunningHere(), Items: j.record.Total,
 			Listed: len(j.results), Finished: len(j.finished), Adoptions: j.record.Adoptions, AcceptedMS: j.record.Submitted,
 		}
 		for _, it := range j.items {
--- a/internal/berylrelay/call.go
+++ b/internal/berylrelay/call.go
@@ -31,6 +31,9 @@
 	Body []byte
 	// Account is the name of the client account for which the upstream runs the request, or empty.
 	Account string
+	// HasAccounts says that the deployment has client accounts: what the caller sent to name its account or to prove its identity
+	// is not passed on.
+	HasAccounts bool
 	// Timeout is how long the upstream may work on the request; zero means no limit.
 	Timeout time.Duration
 	// Resume asks the upstream to continue a stream after the event ResumeAfter.
--- a/internal/berylrelay/relay.go
+++ b/internal/berylrelay/relay.go
@@ -92,6 +92,8 @@
 	Deadline time.Time
 	// Tokens is the estimated length of the answer in tokens.
 	Tokens int
+	// PromptTokens is the length of the prompt in tokens, or zero if unknown.
+	PromptTokens int
 	// PrefixHash is equal for prompts that begin alike; zero means unknown.
 	PrefixHash uint64
 	// TakesUp says that the caller has events of the stream already and asks for the rest.
@@ -103,7 +105,9 @@
 	PromptParts []string
 	// Account is the client account that sent the request; nil means that there are no accounts or the route is public.
 	Account *berylaccount.Account
-	// Caller identifies who sent the request; the same caller may send it again under another ID.
+	// HasAccounts says that the deployment has client accounts.
+	HasAccounts bool
+	// Caller identifies who sent the request; the same caller may send it again under another ID. It contains no key.
 	Caller string
 }
 
@@ -303,6 +307,7 @@
 		Header:      x.request.Header,
 		Body:        x.request.Body,
 		Account:     x.request.accountName(),
+		HasAccounts: x.request.HasAccounts,
 		Timeout:     time.Until(x.request.Deadline),
 		Resume:      x.hasEvent,
 		ResumeAfter: x.lastEvent,
--- a/internal/berylrelay/report.go
+++ b/internal/berylrelay/report.go
@@ -47,6 +47,9 @@
 		"first-ms":  x.timeToFirstEvent.Milliseconds(),
 		"total-ms":  time.Since(x.startedAt).Milliseconds(),
 	}
+	if x.request.Account != nil {
+		fields["account"] = x.request.Account.Name
+	}
 	if x.sends > 0 {
 		fields["granted-by"], fields["version"] = x.grantedBy, x.calledUpstream.Version
 	}
