Name account, priority and prompt length in permit requests

Cause: the owners of upstreams are to share slots fairly between accounts, and permit requests named no account. Change: where the configuration has accounts, permit requests of online requests and of items name the account, its priority (the route's where there is no account or it is no longer configured) and the tokens of the prompt; without accounts all three stay zero. A host asks for permits of items per account and runs only that account's items under them. The number of requests per service is bounded as before, but each account may have one, so that an account with many items does not keep out the others.

--- a/internal/berylbatch/dispatch.go
+++ b/internal/berylbatch/dispatch.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"berylroad.example/berylroad/internal/berylaccount"
 	"berylroad.example/berylroad/internal/berylconf"
 	"berylroad.example/berylroad/internal/beryloutcome"
 	"berylroad.example/berylroad/internal/berylpermit"
@@ -38,19 +39,63 @@
 		return
 	}
 	limit := min(max(fleetPendingPermits/max(m.Members.Count(), 1), minPendingPermits), maxPendingPermits)
-	for target, runnable := range m.countRunnable(now) {
-		for m.pendingPermits[target] < min(runnable, limit) {
+	runnable := m.findRunnable(now)
+	pending := make(map[string]int) // by the scheduler's name of the target
+	for target, n := range m.pendingPermits {
+		pending[target.name()] += n
+	}
+	// Accounts take turns. Each of them may have one request, so that requests which wait long do not keep out the others.
+	for turn := range limit {
+		for target, demand := range runnable {
+			n := m.pendingPermits[target]
+			if n > turn || n >= demand.items || n > 0 && pending[target.name()] >= limit {
+				continue
+			}
 			m.pendingPermits[target]++
-			m.items.Go(func() { m.runNext(m.itemContext, target) })
+			pending[target.name()]++
+			m.items.Go(func() { m.runNext(m.itemContext, target, demand.meanPrompt()) })
 		}
 	}
 }
 
-// permitTarget says which upstreams a permit is requested for: those of a service or, if pinned is set, those of them that
-// are of one software version.
+// permitTarget says which upstreams a permit is requested for and for whom. The upstreams are those of a service or, if pinned is
+// set, those of them that are of one software version.
 type permitTarget struct {
 	service, version string
 	pinned           bool
+	payer
+}
+
+// payer says for which account, and with which priority, items run. Without accounts it is zero.
+type payer struct {
+	account  string
+	priority int
+}
+
+// payerOf returns the payer of an item. An account that is no longer configured has the route's priority. The caller holds mu.
+func payerOf(it *item, route *berylroute.Route, accounts *berylaccount.Directory) payer {
+	if accounts == nil {
+		return payer{}
+	}
+	return payer{account: it.account, priority: route.PriorityOf(accounts.ByName(it.account))}
+}
+
+// accounts returns the accounts of the configuration in force, or nil.
+func (m *Manager) accounts() *berylaccount.Directory {
+	if config := m.Routes.Get(); config != nil {
+		return config.Accounts
+	}
+	return nil
+}
+
+// demand describes the runnable items of a target.
+type demand struct {
+	items, promptTokens int
+}
+
+// meanPrompt returns the mean length of the prompts in tokens. Which item a permit is used for is chosen when it is granted.
+func (d demand) meanPrompt() int {
+	return d.promptTokens / max(d.items, 1)
 }
 
 // name returns the scheduler's name of the target.
@@ -61,18 +106,26 @@
 	return berylconf.VersionTarget(t.service, t.version)
 }
 
-// countRunnable returns the number of runnable items by target; the caller holds mu.
-func (m *Manager) countRunnable(now time.Time) map[permitTarget]int {
-	counts := make(map[permitTarget]int)
+// findRunnable describes the runnable items by target; the caller holds mu.
+func (m *Manager) findRunnable(now time.Time) map[permitTarget]demand {
+	found := make(map[permitTarget]demand)
 	slots := make(map[string]map[string]int)
+	accounts := m.accounts()
 	m.forEachRunnable(now, func(it *item, route *berylroute.Route) {
 		service := it.service(route)
 		if slots[service] == nil {
 			slots[service] = m.Upstreams.VersionSlots(service)
 		}
-		counts[it.target(service, slots[service])]++
+		target := it.target(service, slots[service])
+		target.payer = payerOf(it, route, accounts)
+		d := found[target]
+		d.items++
+		if accounts != nil {
+			d.promptTokens += it.PromptTokens
+		}
+		found[target] = d
 	})
-	return counts
+	return found
 }
 
 // service returns the service that runs the item next. Text of a service to which the route no longer leads is dropped. The caller
@@ -121,18 +174,21 @@
 }
 
 // runNext waits for one permit and then runs the item that is most urgent at that time.
-func (m *Manager) runNext(ctx context.Context, target permitTarget) {
+func (m *Manager) runNext(ctx context.Context, target permitTarget, promptTokens int) {
 	permit, refusal := m.Permits.Acquire(ctx, berylpermit.Request{
-		Target:    target.name(),
-		Avoid:     m.Upstreams.LeavingIDs(target.service),
-		Class:     berylpermit.Batch,
-		Remaining: permitTimeout,
-		Queue:     true,
+		Target:       target.name(),
+		Avoid:        m.Upstreams.LeavingIDs(target.service),
+		Class:        berylpermit.Batch,
+		Remaining:    permitTimeout,
+		Queue:        true,
+		Account:      target.account,
+		Priority:     target.priority,
+		PromptTokens: promptTokens,
 	})
 	if refusal != nil {
 		pause(ctx, itemBackoff)
 		m.mu.Lock()
-		m.pendingPermits[target]--
+		m.endPending(target)
 		m.mu.Unlock()
 		return
 	}
@@ -154,14 +210,15 @@
 func (m *Manager) pickItem(ctx context.Context, target permitTarget, version string) (*item, context.Context, context.CancelCauseFunc) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.pendingPermits[target]--
+	m.endPending(target)
 	if m.stopping {
 		return nil, nil, nil
 	}
 	var best candidate
 	now := time.Now()
+	accounts := m.accounts()
 	m.forEachRunnable(now, func(it *item, route *berylroute.Route) {
-		if it.service(route) != target.service || it.events > 0 && it.origin.Version != version {
+		if payerOf(it, route, accounts) != target.payer || it.service(route) != target.service || it.events > 0 && it.origin.Version != version {
 			return
 		}
 		due := it.job.record.submitted().Add(route.CompletionTarget)
@@ -178,6 +235,13 @@
 	return best.item, callCtx, cancel
 }
 
+// endPending counts a permit request as ended; the caller holds mu.
+func (m *Manager) endPending(target permitTarget) {
+	if m.pendingPermits[target]--; m.pendingPermits[target] <= 0 {
+		delete(m.pendingPermits, target)
+	}
+}
+
 // candidate is a runnable item with the values that order it.
 type candidate struct {
 	item *item
--- a/internal/berylrelay/acquire.go
+++ b/internal/berylrelay/acquire.go
@@ -24,22 +24,34 @@
 		defer cancel()
 	}
 	for {
-		permit, refusal := x.Permits.Acquire(ctx, berylpermit.Request{
-			Target:       target,
-			Avoid:        x.avoidedUpstreams(),
-			Class:        berylpermit.Online,
-			Remaining:    time.Until(x.request.Deadline),
-			Tokens:       x.request.Tokens,
-			Queue:        true,
-			PrefixHash:   x.request.PrefixHash,
-			MaxQueueWait: x.maxQueueWait(),
-		})
+		permit, refusal := x.Permits.Acquire(ctx, x.permitRequest(target))
 		if refusal == nil || time.Since(began) > maxOriginWait || !x.awaitOrigin(ctx) {
 			return permit, refusal
 		}
 	}
 }
 
+// permitRequest returns the request for a permit. Without accounts it names neither account nor priority nor prompt, so that the
+// scheduler orders requests as it did before there were accounts.
+func (x *exchange) permitRequest(target string) berylpermit.Request {
+	request := berylpermit.Request{
+		Target:       target,
+		Avoid:        x.avoidedUpstreams(),
+		Class:        berylpermit.Online,
+		Remaining:    time.Until(x.request.Deadline),
+		Tokens:       x.request.Tokens,
+		Queue:        true,
+		PrefixHash:   x.request.PrefixHash,
+		MaxQueueWait: x.maxQueueWait(),
+	}
+	if x.request.HasAccounts {
+		request.Account = x.request.accountName()
+		request.Priority = x.request.Route.PriorityOf(x.request.Account)
+		request.PromptTokens = x.request.PromptTokens
+	}
+	return request
+}
+
 // maxQueueWait returns how long the request may queue and still be answered in time; zero means no limit. A request
 // that may have run already, or whose caller has events, waits for as long as its deadline allows, since a refusal would
 // waste the events that have arrived.
--- a/internal/berylroute/config.go
+++ b/internal/berylroute/config.go
@@ -75,6 +75,14 @@
 	Public bool
 }
 
+// PriorityOf returns the priority of an account's requests on the route; a nil account has the route's. It is never negative.
+func (r *Route) PriorityOf(account *berylaccount.Account) int {
+	if account != nil {
+		return account.Priority
+	}
+	return max(r.Priority, 0)
+}
+
 // Repeatable reports whether a request may run on a second upstream after a first one may have run it.
 func (r *Route) Repeatable() bool {
 	return r.Kind == Safe || r.Kind == Streaming && r.Resumable
