Check the waiting tokens of an account in the transaction that accepts a job

Cause: each host counted the jobs that it had seen, so jobs that came at once at several hosts passed the route's limit, and a job counted whole until it was done, so jobs that fit were refused. Change: an acceptance on a route with a limit checks and rewrites a guard, berylroad/waiting/ROUTE/ACCOUNT, which lists the jobs of the last minute. After a conflict the host counts again; a guard that has moved also proves that earlier attempts with an unknown outcome can't take effect. Hosts learn the guard's revision from the records that they follow. Before a refusal the owners are asked for the tokens of items without a result (field 5 of ReadRequest and ReadReply). Jobs count by account where there are accounts.

--- a/internal/berylbatch/dispatch.go
+++ b/internal/berylbatch/dispatch.go
@@ -204,6 +204,7 @@
 func (m *Manager) abandonExpired(now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.observeConfig()
 	if m.Routes.Get() == nil {
 		return
 	}
--- a/internal/berylbatch/manager.go
+++ b/internal/berylbatch/manager.go
@@ -94,6 +94,10 @@
 	stopping       bool
 	items          sync.WaitGroup  // permit waits and item calls; not a conc.WaitGroup, which would hold a panic back until Wait
 	itemContext    context.Context // parent of the contexts of all item calls
+	guards         map[string]*guardState
+	waitingReports map[string]waitingReport // by job ID
+	lastConfig     *berylroute.Config       // the configuration that observeConfig has seen last
+	formerConfigs  []formerConfig
 }
 
 // New returns a manager that does nothing until Run.
@@ -102,6 +106,8 @@
 		Config:         config,
 		jobs:           make(map[string]*job),
 		pendingPermits: make(map[permitTarget]int),
+		guards:         make(map[string]*guardState),
+		waitingReports: make(map[string]waitingReport),
 		wakeDispatch:   make(chan struct{}, 1),
 		wakeCommit:     make(chan struct{}, 1),
 	}
@@ -196,7 +202,7 @@
 	present := make(map[string]bool, len(items))
 	for _, item := range items {
 		present[jobID(item.Key)] = true
-		m.installRecord(item)
+		m.followRecord(item, asOf)
 	}
 	for id, j := range m.jobs {
 		if !present[id] && j.revision <= asOf {
@@ -216,7 +222,16 @@
 			}
 			continue
 		}
-		m.installRecord(e.Item)
+		m.followRecord(e.Item, e.Revision)
+	}
+}
+
+// followRecord installs a record that the follower has received; asOf is the revision up to which this host has seen all records. The
+// caller holds mu.
+func (m *Manager) followRecord(item berylstore.Item, asOf int64) {
+	isNew := m.jobs[jobID(item.Key)] == nil
+	if j := m.installRecord(item); j != nil && isNew && item.Revision <= asOf {
+		m.noteAcceptance(j)
 	}
 }
 
@@ -261,6 +276,7 @@
 		j.stop()
 		j.notifyReaders()
 		delete(m.jobs, id)
+		delete(m.waitingReports, id)
 	}
 }
 
--- a/internal/berylbatch/read.go
+++ b/internal/berylbatch/read.go
@@ -17,7 +17,7 @@
 	peerReadMargin = 400 * time.Millisecond
 )
 
-// ReadRequest asks a job's owner for results from a position on, or for an item's body.
+// ReadRequest asks a job's owner for results from a position on, for an item's body or for the tokens that wait.
 type ReadRequest struct {
 	// Job is the ID of the job to read.
 	Job string `cbor:"1,keyasint"`
@@ -27,6 +27,9 @@
 	Wait time.Duration `cbor:"3,keyasint,omitempty"`
 	// Item, if not empty, is the ID of an item whose body is to be returned instead of results.
 	Item string `cbor:"4,keyasint,omitempty"`
+	// Waiting, if not empty, holds the IDs of jobs whose waiting tokens are to be returned instead of results. Job is empty then, so
+	// that a host that does not know this field answers that it does not know the job.
+	Waiting []string `cbor:"5,keyasint,omitempty"`
 }
 
 // ReadReply answers a ReadRequest.
@@ -38,6 +41,8 @@
 	// Body is the item's body; Found is set if there is such an item.
 	Body  []byte `cbor:"3,keyasint,omitempty"`
 	Found bool   `cbor:"4,keyasint,omitempty"`
+	// Waiting holds the tokens of the items without a result, committed or not, by job. Jobs that the host does not run are absent.
+	Waiting map[string]int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Page is a part of a job's results.
@@ -170,6 +175,9 @@
 
 // HandleRead answers a ReadRequest of another host.
 func (m *Manager) HandleRead(ctx context.Context, _ string, r ReadRequest) (ReadReply, error) {
+	if len(r.Waiting) > 0 {
+		return ReadReply{Waiting: m.waitingOf(r.Waiting)}, nil
+	}
 	if r.Item != "" {
 		m.mu.Lock()
 		defer m.mu.Unlock()
--- a/internal/berylbatch/submit.go
+++ b/internal/berylbatch/submit.go
@@ -15,15 +15,10 @@
 const (
 	// commitTimeout bounds one transaction in the store, which answers within milliseconds when it is healthy.
 	commitTimeout = 800 * time.Millisecond
-	// acceptRetryTime is how long this host retries an acceptance whose outcome is not known. After that it answers
-	// that the outcome is not known, so that the caller can try again at a host that reaches the store.
-	acceptRetryTime = time.Second
 	// retryInterval is the time between two attempts of a transaction whose outcome is not known.
 	retryInterval = 100 * time.Millisecond
 	// storeRetryAfter is the Retry-After of a refusal while the store is unreachable.
 	storeRetryAfter = 300 * time.Millisecond
-	// quotaRetryAfter is the Retry-After of a job over the route's token limit: about the time of one item.
-	quotaRetryAfter = 2 * time.Second
 )
 
 // Submission is a job as a caller submits it.
@@ -64,67 +59,7 @@
 		log.Info("job: submitted again, already accepted")
 		return nil
 	}
-	if waiting := m.openTokens(s.Route); s.Route.MaxWaitingTokens > 0 && waiting+record.Tokens > s.Route.MaxWaitingTokens {
-		log.WithFields(logrus.Fields{"waiting-tokens": waiting, "limit": s.Route.MaxWaitingTokens}).Warn("job: refused, too many tokens wait")
-		return &beryloutcome.Refusal{
-			Status:     http.StatusTooManyRequests,
-			Code:       beryloutcome.CodeOverLimit,
-			Message:    "too many tokens wait on this route; no part of the job runs: send it again later",
-			RetryAfter: quotaRetryAfter,
-		}
-	}
-	spec := &Spec{Items: s.Items}
-	value := encode(&record)
-	txn := berylstore.Txn{
-		Checks: []berylstore.Check{{Key: recordKey(s.ID)}},
-		Puts:   []berylstore.Put{{Key: recordKey(s.ID), Value: value}, {Key: specKey(s.ID), Value: encode(spec)}},
-	}
-	return m.accept(ctx, s.ID, txn, value, spec, log)
-}
-
-// accept writes a new job to the store. After an attempt with an unknown outcome it retries until it is certain whether
-// the job is stored, or until acceptRetryTime is over. It never tells the caller that the job won't run while an earlier
-// write may still take effect.
-func (m *Manager) accept(ctx context.Context, id string, txn berylstore.Txn, value []byte, spec *Spec, log *logrus.Entry) *beryloutcome.Refusal {
-	mayBeStored := false
-	began := time.Now()
-	for {
-		result := m.commitWithTimeout(ctx, txn)
-		switch result.Status {
-		case berylstore.Done:
-			m.startAccepted(id, berylstore.Item{Key: recordKey(id), Value: value, Revision: result.Revision}, spec)
-			log.WithField("revision", result.Revision).Info("job: accepted")
-			return nil
-		case berylstore.Conflict:
-			m.mu.Lock()
-			for _, item := range result.Current {
-				m.installRecord(item)
-			}
-			j := m.jobs[id]
-			if j != nil && m.owns(j) && !j.isRunningHere() && mayBeStored {
-				j.load(spec, nil) // an earlier attempt has taken effect although its answer was lost
-			}
-			m.mu.Unlock()
-			log.Info("job: already accepted")
-			return nil
-		case berylstore.Unknown:
-			mayBeStored = true
-			log.WithError(result.Err).Warn("job: outcome of the acceptance not known, trying again")
-		default:
-			if !mayBeStored {
-				log.WithError(result.Err).Warn("job: refused, the store is away")
-				return storeUnavailable()
-			}
-		}
-		if time.Since(began) > acceptRetryTime || !pause(ctx, retryInterval) {
-			log.Warn("job: outcome of the acceptance not known in time")
-			return &beryloutcome.Refusal{
-				Status:  http.StatusGatewayTimeout,
-				Code:    beryloutcome.CodeUnknown,
-				Message: "it is not known whether the job was accepted; send it again under the same ID",
-			}
-		}
-	}
+	return m.accept(ctx, &s, &record, log)
 }
 
 // commitWithTimeout commits one transaction within commitTimeout, without retries.
@@ -134,17 +69,6 @@
 	return m.Store.Commit(bounded, txn)
 }
 
-// startAccepted installs a newly accepted job and makes its items runnable if this host owns it.
-func (m *Manager) startAccepted(id string, record berylstore.Item, spec *Spec) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	j := m.installRecord(record)
-	if m.owns(j) && !j.isRunningHere() {
-		j.load(spec, nil)
-	}
-	m.signal(m.wakeDispatch)
-}
-
 func (m *Manager) isStopping() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -157,22 +81,6 @@
 	return m.jobs[id] != nil
 }
 
-// openTokens returns the sum of the tokens of the open jobs that belong to a route, under whatever name it accepted them.
-func (m *Manager) openTokens(route *berylroute.Route) int64 {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	sum := int64(0)
-	for _, j := range m.jobs {
-		if !j.record.Open() {
-			continue
-		}
-		if r := m.routeOf(j); j.record.Route == route.Name || r != nil && r.Name == route.Name {
-			sum += j.record.Tokens
-		}
-	}
-	return sum
-}
-
 // Cancel cancels a job of an account. A nil refusal means that the cancellation is durable, so that every host stops the job's items.
 func (m *Manager) Cancel(ctx context.Context, account, id string) *beryloutcome.Refusal {
 	for {
