Let accounts take turns in a host's choice of items

Cause: a host's permits went to the items that are due first, so an account that sends many jobs at once made the jobs of others wait until its own were done. Change: among the items that can be completed in time, and among those that can't, accounts take turns by tokens of work (start-time fair queueing, for each service); within an account, and without accounts, the order is as before. Due times come after turns: by due time, many jobs that were sent first would still all go first.

--- a/internal/berylbatch/dispatch.go
+++ b/internal/berylbatch/dispatch.go
@@ -165,7 +165,7 @@
 			return
 		}
 		due := it.job.record.submitted().Add(route.CompletionTarget)
-		c := candidate{item: it, due: due, missesDue: now.Add(m.estimator.remaining(it)).After(due)}
+		c := candidate{item: it, due: due, missesDue: now.Add(m.estimator.remaining(it)).After(due), turn: m.turns[target.service].at(it.account)}
 		if best.item == nil || c.isMoreUrgent(&best) {
 			best = c
 		}
@@ -173,6 +173,12 @@
 	if best.item == nil {
 		return nil, nil, nil
 	}
+	turns := m.turns[target.service]
+	if turns == nil {
+		turns = &accountTurns{}
+		m.turns[target.service] = turns
+	}
+	turns.charge(best.item.account, best.item.Tokens-int64(best.item.events))
 	callCtx, cancel := context.WithCancelCause(ctx)
 	best.item.running, best.item.cancel = true, cancel
 	return best.item, callCtx, cancel
@@ -185,15 +191,20 @@
 	due time.Time
 	// missesDue is set if the item is predicted to complete after its due time even when it starts now.
 	missesDue bool
+	// turn is the virtual time of the account, which is the same for all items if there are no accounts.
+	turn float64
 }
 
 // isMoreUrgent reports whether c runs before other. Items that can still complete by their due time go first, so that a
-// job which is late anyway does not make all others late. Then the earlier due time goes first, then the item that has
-// received more events.
+// job which is late anyway does not make all others late. Among them the accounts take turns, so that one account's many jobs
+// do not make another's wait. Then the earlier due time goes first, then the item that has received more events.
 func (c *candidate) isMoreUrgent(other *candidate) bool {
 	if c.missesDue != other.missesDue {
 		return !c.missesDue
 	}
+	if c.turn != other.turn {
+		return c.turn < other.turn
+	}
 	if !c.due.Equal(other.due) {
 		return c.due.Before(other.due)
 	}
--- a/internal/berylbatch/manager.go
+++ b/internal/berylbatch/manager.go
@@ -98,6 +98,7 @@
 	waitingReports map[string]waitingReport // by job ID
 	lastConfig     *berylroute.Config       // the configuration that observeConfig has seen last
 	formerConfigs  []formerConfig
+	turns          map[string]*accountTurns // by service
 }
 
 // New returns a manager that does nothing until Run.
@@ -108,6 +109,7 @@
 		pendingPermits: make(map[permitTarget]int),
 		guards:         make(map[string]*guardState),
 		waitingReports: make(map[string]waitingReport),
+		turns:          make(map[string]*accountTurns),
 		wakeDispatch:   make(chan struct{}, 1),
 		wakeCommit:     make(chan struct{}, 1),
 	}
