Read an item's number of events before its call is over

Change: the number is read while the call still holds the item; the test takes the lock. Measured: go test -race -count=6 -run 'TestItems|TestYielded|TestJob' of berylbatch reported races with the old line and none with the new; the whole package passes -race -count=4.

--- a/internal/berylbatch/run.go
+++ b/internal/berylbatch/run.go
@@ -86,11 +86,12 @@
 		m.estimator.observeGap(report.InterTokenLatency)
 		m.mu.Unlock()
 	}
+	events := it.events // another call may begin and change the item once this one has ended
 	m.finishCall(it, status, err, &report)
 	m.countCall(report.Kind)
 	permit.Release(report)
 	fields := logrus.Fields{
-		"job": it.job.id, "item": it.ID, "upstream": permit.Upstream, "from-event": from, "events": it.events,
+		"job": it.job.id, "item": it.ID, "upstream": permit.Upstream, "from-event": from, "events": events,
 		"busy-ms": report.HeldFor.Milliseconds(), "outcome": report.Kind.String(), "granted-by": permit.GrantedBy, "version": upstream.Version,
 	}
 	if status != 0 {
--- a/internal/berylbatch/turns_test.go
+++ b/internal/berylbatch/turns_test.go
@@ -40,6 +40,8 @@
 				}
 				time.Sleep(5 * time.Second)
 				var order []string
+				cluster.upstream.mu.Lock()
+				defer cluster.upstream.mu.Unlock()
 				for _, id := range cluster.upstream.calls {
 					job, _, _ := strings.Cut(id, "-")
 					order = append(order, job)
