Spread the first permits of hosts that do not know each other yet

Change: hosts take equal upstreams in different orders. Refusals and latencies of permits granted within the grace period of a takeover say nothing about the upstream; faults still do.

--- a/internal/berylsched/health.go
+++ b/internal/berylsched/health.go
@@ -161,14 +161,16 @@
 }
 
 // observe updates the health with the report of an ended call. A refused call counts only while less than half of the
-// slots are in use by other calls, since a full upstream refuses some calls, and only without a limit.
+// slots are in use by other calls, since a full upstream refuses some calls, and only without a limit. Neither refusals nor
+// latencies count for a permit that was granted before the takeover had settled: other hosts may have granted the same slots.
 func (h *health) observe(now time.Time, p *permit, r berylpermit.Report, m latencyMedians) {
 	if r.Fault {
 		h.recordFault(now, p)
 		return
 	}
+	unsettled := p.grantedAt.Before(p.upstream.batchAllowedAt) && !p.probe
 	if r.Refused {
-		if !p.upstream.limit.Limited && 2*(p.upstream.inFlight()-1) < p.upstream.slots {
+		if !unsettled && !p.upstream.limit.Limited && 2*(p.upstream.inFlight()-1) < p.upstream.slots {
 			h.recordRefusal(now, p)
 		}
 		return
@@ -180,6 +182,9 @@
 	if r.Kind == beryloutcome.Answered {
 		h.heldFor[kindOf(p.class, p.long)].add(r.HeldFor)
 	}
+	if unsettled {
+		return
+	}
 	h.timeToFirstToken.add(r.TimeToFirstToken)
 	h.interTokenLatency.add(r.InterTokenLatency)
 	h.newSamples++
--- a/internal/berylsched/owner.go
+++ b/internal/berylsched/owner.go
@@ -49,6 +49,10 @@
 // Owner is the state machine of one host for the upstreams it owns: it grants their slots, queues requests for them and
 // preempts batch work. It has no clock, goroutine or I/O. The actions that a method returns are valid until the next call.
 type Owner struct {
+	// Host is the name of this host. Hosts with different names take otherwise equal upstreams in different orders, so that
+	// hosts that each own all upstreams, because they do not know each other yet, do not all choose the same ones.
+	Host string
+
 	upstreams map[string]*upstream
 	targets   map[string]*target
 	// sortedUpstreams lists the upstreams by name, and sortedTargets the targets with owned upstreams. They are iterated
--- a/internal/berylsched/owner_config.go
+++ b/internal/berylsched/owner_config.go
@@ -124,12 +124,25 @@
 		}
 	}
 	slices.SortFunc(o.sortedTargets, func(a, b *target) int { return cmp.Compare(a.name, b.name) })
+	for _, t := range o.sortedTargets {
+		o.sortByPreference(t.owned)
+	}
 	for _, t := range o.sortedTargets {
 		t.refreshThroughput(now, o)
 	}
 	o.dispatchAll(now)
 }
 
+// sortByPreference orders upstreams differently on each host; an Owner without a host name keeps them sorted by name.
+func (o *Owner) sortByPreference(list []*upstream) {
+	if o.Host == "" {
+		return
+	}
+	slices.SortFunc(list, func(a, b *upstream) int {
+		return cmp.Compare(rendezvousWeight(a.name, o.Host), rendezvousWeight(b.name, o.Host))
+	})
+}
+
 // rejectWaiters answers NotOwner to all waiters of a target, so that they look for its new owner.
 func (o *Owner) rejectWaiters(t *target) {
 	for k := range t.queues {
--- a/internal/berylsched/owner_loop.go
+++ b/internal/berylsched/owner_loop.go
@@ -53,6 +53,7 @@
 func newOwnerLoop(s *Scheduler) *ownerLoop {
 	return &ownerLoop{
 		sched:       s,
+		owner:       Owner{Host: s.Host},
 		events:      make(chan ownerEvent, eventQueueSize),
 		urgentReady: make(chan struct{}, 1),
 		pending:     make(map[berylpermit.ID]chan berylpermit.Reply),
--- a/internal/berylsched/upstream.go
+++ b/internal/berylsched/upstream.go
@@ -39,7 +39,8 @@
 	owned   bool
 	// term distinguishes successive ownerships of the upstream.
 	term uint64
-	// batchAllowedAt is when batch permits may be granted again after a takeover or a pause of the process.
+	// batchAllowedAt is when the counts have settled after a takeover or a pause of the process. Until then no batch permits are
+	// granted, and refusals and latencies say nothing about the upstream.
 	batchAllowedAt time.Time
 	// online counts the online permits, and long counts those among them that are for long work.
 	online int
