Presume listed hosts to be up while a host starts

Cause: after all hosts have restarted, each needs up to 1.8 s until it has heard of all others. Change: for 2 s after it has read the host list, a host takes listed hosts for up that it has not heard of, unless it knows nine in ten of them already. All hosts of a fleet that starts together then agree on the owners at once. An online request does not wait more than 30 ms for an owner that is only presumed to be up; its host grants it, as when no owner is reached.

--- a/internal/berylentry/follow.go
+++ b/internal/berylentry/follow.go
@@ -133,7 +133,7 @@
 		case <-debounce.C:
 		}
 		upstreamsChanged, membersChanged, hostsChanged := h.upstreamRegistry.Changed(), h.members.Changed(), h.hostRegistry.changed()
-		h.updateScheduler()
+		presumptionEnds := h.updateScheduler()
 		h.Upstreams.CloseStale(func(id string) bool { _, ok := h.upstreamRegistry.Get(id); return ok })
 		select {
 		case <-ctx.Done():
@@ -141,23 +141,29 @@
 		case <-upstreamsChanged:
 		case <-membersChanged:
 		case <-hostsChanged:
+		case <-presumptionEnds:
 		}
 		debounce.Reset(changeDebounce)
 	}
 }
 
-func (h *Host) updateScheduler() {
+// updateScheduler passes the upstreams and the hosts to the scheduler. While it includes hosts that are only presumed to be up, it
+// returns a channel that receives when that ends.
+func (h *Host) updateScheduler() <-chan time.Time {
 	live := h.members.Live()
+	presumed, presumptionEnds := h.startup.presume(time.Now(), live, h.hostRegistry.listed())
+	h.presumed.Store(&presumed)
 	var document berylconf.Document
 	// No request is classified as long: the platform's routes do not tell short from long online requests.
 	document.Rules.LongTokens = math.MaxInt32
-	members := make([]berylsched.Member, len(live))
-	document.Inventory.Hosts = make([]berylconf.Host, len(live))
-	for i, m := range live {
-		members[i] = berylsched.Member{Name: m.Name, Boot: m.Boot, Leaving: h.hostRegistry.isLeaving(m.Name, m.Boot)}
+	var members []berylsched.Member
+	for i, m := range slices.Concat(live, presumed) {
+		members = append(members, berylsched.Member{
+			Name: m.Name, Boot: m.Boot, Leaving: h.hostRegistry.isLeaving(m.Name, m.Boot), Presumed: i >= len(live),
+		})
 		// The scheduler assigns an upstream to a host of the upstream's region. The failure domain is passed as the
 		// region here, because only traffic across its boundary costs anything.
-		document.Inventory.Hosts[i] = berylconf.Host{Name: m.Name, Region: m.FailureDomain}
+		document.Inventory.Hosts = append(document.Inventory.Hosts, berylconf.Host{Name: m.Name, Region: m.FailureDomain})
 	}
 	all := h.upstreamRegistry.All()
 	for _, id := range h.upstreamRegistry.IDs() {
@@ -173,12 +179,17 @@
 	if len(all) > 0 {
 		h.schedulerHasUpstreams.Store(true)
 	}
+	return presumptionEnds
 }
 
 var errNotMember = errors.New("no address is known for the host")
 
 func (h *Host) findPeer(name string) (berylwire.Peer, error) {
-	for _, m := range h.members.Live() {
+	hosts := h.members.Live()
+	if presumed := h.presumed.Load(); presumed != nil {
+		hosts = slices.Concat(hosts, *presumed)
+	}
+	for _, m := range hosts {
 		if m.Name == name && m.PeerAddress != "" {
 			return berylwire.Peer{Name: name, Address: m.PeerAddress}, nil
 		}
--- a/internal/berylentry/host.go
+++ b/internal/berylentry/host.go
@@ -137,7 +137,9 @@
 	stopping              atomic.Bool
 	stop                  beryldrain.Stop
 	joinedAt              atomic.Pointer[time.Time]
-	jobsContext           context.Context // canceled when the jobs must stop
+	startup               startup
+	presumed              atomic.Pointer[[]berylhost.Member] // hosts that are only presumed to be up
+	jobsContext           context.Context                    // canceled when the jobs must stop
 	cancelJobs            context.CancelFunc
 }
 
--- a/internal/berylentry/registry.go
+++ b/internal/berylentry/registry.go
@@ -62,6 +62,7 @@
 
 	mu           sync.Mutex
 	hosts        map[string]hostRecord
+	unlisted     map[string]bool // names in hosts whose entry has been deleted
 	leaving      bool
 	lease        int64
 	changeNotice chan struct{}
@@ -71,7 +72,7 @@
 func newRegistry(store berylstore.Store, self berylhost.Member, log logrus.FieldLogger, sharing *berylstore.WatchSharing, install func([]berylhost.Member)) *registry {
 	r := &registry{
 		store: store, self: self, log: log, install: install,
-		hosts: make(map[string]hostRecord), changeNotice: make(chan struct{}), announceNow: make(chan struct{}, 1),
+		hosts: make(map[string]hostRecord), unlisted: make(map[string]bool), changeNotice: make(chan struct{}), announceNow: make(chan struct{}, 1),
 	}
 	r.follower = berylstore.Follower{
 		Store: store, Prefix: hostPrefix, Wait: registryWatchTimeout, SharedWait: registrySharedWatchTimeout, Debounce: registryDebounce,
@@ -216,9 +217,11 @@
 			default:
 			}
 		}
-		if !e.Deleted {
-			r.addItem(e.Item)
+		if e.Deleted {
+			r.unlisted[name] = true
+			continue
 		}
+		r.addItem(e.Item)
 	}
 	r.publish()
 }
@@ -233,6 +236,20 @@
 		return // the entry belongs to another run of this host, usually an earlier one
 	}
 	r.hosts[record.Member.Name] = record
+	delete(r.unlisted, record.Member.Name)
+}
+
+// listed returns the hosts that have an entry in the list, this one included.
+func (r *registry) listed() []berylhost.Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	members := []berylhost.Member{r.self}
+	for name, record := range r.hosts {
+		if name != r.self.Name && !r.unlisted[name] {
+			members = append(members, record.Member)
+		}
+	}
+	return members
 }
 
 // publish installs the current list as candidates and wakes those who wait for a change. The caller must hold mu.
--- a/internal/berylsched/broker_immediate.go
+++ b/internal/berylsched/broker_immediate.go
@@ -10,6 +10,10 @@
 // requestImmediately sends an online request to the owners in turn, without being queued. If none grants it, it returns
 // the owners in whose queues to wait. A slow owner does not delay the request: after nextOwnerDelay it also goes to the
 // next owner, and the first grant wins.
+//
+// A host that has just started has no connections to owners yet, and the fleet may be starting with it: when an owner that is only
+// presumed to be up does not answer in that time, this host grants the request itself, as when no owner can be reached. The
+// connection is established meanwhile.
 func (a *acquisition) requestImmediately(ctx context.Context, hosts []string) (*berylpermit.Permit, []string) {
 	var refusedBy []string
 	rest := hosts
@@ -32,6 +36,11 @@
 		case <-ctx.Done():
 			return nil, nil
 		case <-nextOwner.C:
+			if t := a.table.Load(); t.members[hosts[0]].Presumed {
+				if permit := a.grantWithoutOwner(t); permit != nil {
+					return permit, nil
+				}
+			}
 			requestNext()
 		case r := <-replies:
 			outstanding--
--- a/internal/berylsched/table.go
+++ b/internal/berylsched/table.go
@@ -18,6 +18,9 @@
 	Boot uint64
 	// Leaving marks a host that is about to stop and may no longer own upstreams.
 	Leaving bool
+	// Presumed marks a host that is listed but has not been heard of since this host started. It owns upstreams like the others;
+	// an online request does not wait for it.
+	Presumed bool
 }
 
 // OwnerFunc returns which of the hosts owns an upstream. The list is sorted by name and never empty. All hosts must use
