--- a/internal/berylentry/follow.go
+++ b/internal/berylentry/follow.go
@@ -65,6 +65,9 @@
 		return
 	}
 	log = log.WithFields(logrus.Fields{"version": config.Version, "routes": len(config.Routes)})
+	if config.Accounts != nil {
+		log = log.WithField("accounts", config.Accounts.Len())
+	}
 	if !h.routes.Install(config) {
 		log.Info("config: not newer than the one in force")
 		return
