Limit accounts by a type of the limiter's own

The limiter took berylconf.Caller, so that only the own interface could use it. It now takes Account, and finds accounts by name through Config.Account. berylserve converts its callers; the gate and all decisions are unchanged.

The index of names moves to berylserve, the only user of berylconf's inventory. The renewal of slot leases goes over the accounts that this host holds something of, in place of all that are configured; accounts without a quota were skipped before.

--- a/internal/beryllimit/account.go
+++ b/internal/beryllimit/account.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// account is the limit state that the owner keeps for one client account: a state machine without clock or I/O.
-type account struct {
+// accountState is the limit state that the owner keeps for one client account: a state machine without clock or I/O.
+type accountState struct {
 	requests bucket
 	tokens   bucket
 	// leases holds the concurrency slots leased to each host, by host name.
@@ -20,7 +20,7 @@
 
 // grant answers a lease request: slots as far as they are free, requests and tokens in full or not at all, and not at all
 // if fewer slots than requested are free.
-func (a *account) grant(now time.Time, l *limits, req LeaseRequest) LeaseGrant {
+func (a *accountState) grant(now time.Time, l *limits, req LeaseRequest) LeaseGrant {
 	var g LeaseGrant
 	defer func() { a.retainUntil = retentionEnd(now, l, &a.requests, &a.tokens) }()
 	g.Slots = a.leaseSlots(now, l, req)
@@ -49,7 +49,7 @@
 }
 
 // predictWait returns the time until both the requested requests and tokens are available.
-func (a *account) predictWait(now time.Time, l *limits, req LeaseRequest) time.Duration {
+func (a *accountState) predictWait(now time.Time, l *limits, req LeaseRequest) time.Duration {
 	return max(waitFor(a.requests, now, l.requests, req.Requests), waitFor(a.tokens, now, l.tokens, req.Tokens))
 }
 
@@ -72,7 +72,7 @@
 }
 
 // leaseSlots sets the host's lease to the requested number of slots, limited to what other hosts have not leased.
-func (a *account) leaseSlots(now time.Time, l *limits, req LeaseRequest) int {
+func (a *accountState) leaseSlots(now time.Time, l *limits, req LeaseRequest) int {
 	if l.slots == 0 {
 		return 0
 	}
--- a/internal/beryllimit/admission.go
+++ b/internal/beryllimit/admission.go
@@ -3,15 +3,13 @@
 import (
 	"context"
 	"time"
-
-	"berylroad.example/berylroad/internal/berylconf"
 )
 
 // admission is one request on its way through admission control.
 type admission struct {
 	limiter *Limiter
 	quota   *lockedQuota
-	caller  *berylconf.Caller
+	account *Account
 	limits  *limits
 	tokens  float64
 }
@@ -59,7 +57,7 @@
 	a.quota.mu.Lock()
 	req := a.quota.leaseRequest(a.limits, a.tokens)
 	a.quota.mu.Unlock()
-	grant, err := a.limiter.requestLease(ctx, a.caller.Name, req)
+	grant, err := a.limiter.requestLease(ctx, a.account.Name, req)
 	a.quota.mu.Lock()
 	defer a.quota.mu.Unlock()
 	a.limiter.applyGrant(&a.quota.quota, req, grant, err)
--- a/internal/beryllimit/bench_test.go
+++ b/internal/beryllimit/bench_test.go
@@ -5,24 +5,24 @@
 	"fmt"
 	"runtime"
 	"testing"
-
-	"berylroad.example/berylroad/internal/berylconf"
 )
 
 // benchLimiter returns the limiter of a single host and n accounts that have every kind of limit.
-func benchLimiter(n int) (*Limiter, []berylconf.Caller) {
-	document := &berylconf.Document{}
+func benchLimiter(n int) (*Limiter, []Account) {
+	accounts := make([]Account, 0, n)
+	byName := make(map[string]Account)
 	for i := range n {
-		document.Inventory.Callers = append(document.Inventory.Callers, berylconf.Caller{
+		accounts = append(accounts, Account{
 			Name: fmt.Sprintf("caller-%04d", i), RequestsPerSecond: 1e9, Concurrent: 1000, TokensPerMinute: 1e12,
 		})
+		byName[accounts[i].Name] = accounts[i]
 	}
 	limiter := New(Config{
 		Self:      "entry-1",
 		LiveHosts: func() []string { return []string{"entry-1"} },
-		Document:  func() *berylconf.Document { return document },
+		Account:   func(name string) (Account, bool) { a, ok := byName[name]; return a, ok },
 	})
-	return limiter, document.Inventory.Callers
+	return limiter, accounts
 }
 
 func BenchmarkTake(b *testing.B) {
@@ -41,7 +41,7 @@
 
 func BenchmarkTakeWithoutLimit(b *testing.B) {
 	limiter, _ := benchLimiter(0)
-	caller := &berylconf.Caller{Name: "free"}
+	caller := &Account{Name: "free"}
 	b.ReportAllocs()
 	for b.Loop() {
 		release, _ := limiter.Take(context.Background(), caller, 100)
--- a/internal/beryllimit/limiter.go
+++ b/internal/beryllimit/limiter.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 
-	"berylroad.example/berylroad/internal/berylconf"
 	"berylroad.example/berylroad/internal/beryloutcome"
 )
 
@@ -29,14 +27,14 @@
 	minRetryAfter = time.Second
 )
 
-// Config holds a limiter's dependencies; Self, LiveHosts and Document must be set.
+// Config holds a limiter's dependencies; Self, LiveHosts and Account must be set.
 type Config struct {
 	// Self is the name of this host.
 	Self string
 	// LiveHosts returns the names of the live hosts, this one included.
 	LiveHosts func() []string
-	// Document returns the configuration in force, or nil when there is none yet.
-	Document func() *berylconf.Document
+	// Account returns the account of that name in the configuration in force, and false if there is none.
+	Account func(name string) (Account, bool)
 	// RequestLease sends a lease request to another host, whose HandleLeaseRequest answers it. If it is nil, accounts
 	// that other hosts own are limited by this host's share.
 	RequestLease func(ctx context.Context, host string, req LeaseRequest) (LeaseGrant, error)
@@ -49,10 +47,9 @@
 type Limiter struct {
 	config Config
 	// returns queues the accounts for which a request has ended, so that Run returns the unused slots.
-	returns  chan *berylconf.Caller
+	returns  chan string
 	refused  *metrics.Counter
 	fallback *metrics.Counter
-	callers  atomic.Pointer[callerIndex]
 
 	// mu guards quotas, what this host holds of each account's limits.
 	mu     sync.RWMutex
@@ -60,7 +57,7 @@
 
 	// ownerMu guards accounts, the state of the accounts that this host owns.
 	ownerMu  sync.Mutex
-	accounts map[string]*account
+	accounts map[string]*accountState
 }
 
 // lockedQuota is a quota with its locks. The channel requesting has a capacity of one and serves as a lock: a goroutine
@@ -79,34 +76,34 @@
 	}
 	return &Limiter{
 		config:   config,
-		returns:  make(chan *berylconf.Caller, maxQueuedReturns),
+		returns:  make(chan string, maxQueuedReturns),
 		refused:  set.GetOrCreateCounter("berylroad_limit_refused_total"),
 		fallback: set.GetOrCreateCounter("berylroad_limit_fallback_total"),
 		quotas:   make(map[string]*lockedQuota),
-		accounts: make(map[string]*account),
+		accounts: make(map[string]*accountState),
 	}
 }
 
 // Take admits one request of the given number of tokens or refuses it. The caller of Take must call the returned
 // function when the request has ended. For an account without limits it takes no locks and sends nothing.
-func (l *Limiter) Take(ctx context.Context, caller *berylconf.Caller, tokens int) (func(), *beryloutcome.Refusal) {
-	if isUnlimited(caller) {
+func (l *Limiter) Take(ctx context.Context, account *Account, tokens int) (func(), *beryloutcome.Refusal) {
+	if isUnlimited(account) {
 		return noop, nil
 	}
-	bounds := limitsOf(caller)
+	bounds := limitsOf(account)
 	if bounds.tokens.rate > 0 && float64(tokens) > bounds.tokens.burst {
-		return nil, l.refuse(tooManyTokensRefusal(caller))
+		return nil, l.refuse(tooManyTokensRefusal(account))
 	}
-	q := l.quota(caller.Name)
-	r := admission{limiter: l, quota: q, caller: caller, limits: &bounds, tokens: float64(tokens)}
+	q := l.quota(account.Name)
+	r := admission{limiter: l, quota: q, account: account, limits: &bounds, tokens: float64(tokens)}
 	d := r.tryLocally()
 	if d.needsLease {
 		d = r.tryWithLease(ctx)
 	}
 	if !d.admitted {
-		return nil, l.refuse(overLimitRefusal(caller, d))
+		return nil, l.refuse(overLimitRefusal(account, d))
 	}
-	return func() { l.release(q, caller, &bounds) }, nil
+	return func() { l.release(q, account, &bounds) }, nil
 }
 
 func noop() {}
@@ -122,8 +119,8 @@
 }
 
 // requestLease sends a lease request to the account's owner, or answers it here if this host is the owner.
-func (l *Limiter) requestLease(ctx context.Context, caller string, req LeaseRequest) (LeaseGrant, error) {
-	req.Caller = caller
+func (l *Limiter) requestLease(ctx context.Context, account string, req LeaseRequest) (LeaseGrant, error) {
+	req.Caller = account
 	req.Host = l.config.Self
 	owner := Owner(req.Caller, l.config.LiveHosts())
 	if owner == l.config.Self || owner == "" {
@@ -152,7 +149,7 @@
 	return l.quotas[name]
 }
 
-func (l *Limiter) release(q *lockedQuota, caller *berylconf.Caller, bounds *limits) {
+func (l *Limiter) release(q *lockedQuota, account *Account, bounds *limits) {
 	q.mu.Lock()
 	notifyOwner := q.quota.release(bounds)
 	q.mu.Unlock()
@@ -160,7 +157,7 @@
 		return
 	}
 	select {
-	case l.returns <- caller:
+	case l.returns <- account.Name:
 	default: // The queue is full; the next renewal returns the slot.
 	}
 }
--- a/internal/beryllimit/limiter_test.go
+++ b/internal/beryllimit/limiter_test.go
@@ -13,7 +13,6 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	"berylroad.example/berylroad/internal/berylconf"
 	"berylroad.example/berylroad/internal/beryloutcome"
 )
 
@@ -21,7 +20,7 @@
 type cluster struct {
 	hosts    []string
 	limiters map[string]*Limiter
-	caller   *berylconf.Caller
+	caller   *Account
 
 	mu     sync.Mutex
 	live   map[string][]string
@@ -29,11 +28,10 @@
 }
 
 // inCluster runs f with n limiters and one client account.
-func inCluster(n int, caller berylconf.Caller, f func(c *cluster)) {
-	document := &berylconf.Document{Inventory: berylconf.Inventory{Callers: []berylconf.Caller{caller}}}
+func inCluster(n int, caller Account, f func(c *cluster)) {
 	c := &cluster{
 		limiters: map[string]*Limiter{},
-		caller:   &document.Inventory.Callers[0],
+		caller:   &caller,
 		live:     map[string][]string{},
 		frozen:   map[string]bool{},
 	}
@@ -48,7 +46,7 @@
 		limiter := New(Config{
 			Self:      host,
 			LiveHosts: func() []string { return c.liveFor(host) },
-			Document:  func() *berylconf.Document { return document },
+			Account:   func(name string) (Account, bool) { return caller, name == caller.Name },
 			RequestLease: func(ctx context.Context, to string, req LeaseRequest) (LeaseGrant, error) {
 				return c.forward(ctx, host, to, req)
 			},
@@ -125,11 +123,11 @@
 }
 
 func TestRatesHoldOverHosts(t *testing.T) {
-	requests := berylconf.Caller{Name: "counter", RequestsPerSecond: 20}
-	tokens := berylconf.Caller{Name: "counter", TokensPerMinute: 12000}
+	requests := Account{Name: "counter", RequestsPerSecond: 20}
+	tokens := Account{Name: "counter", TokensPerMinute: 12000}
 	for _, tc := range []struct {
 		name   string
-		caller berylconf.Caller
+		caller Account
 		tokens int
 		skew   int
 		fault  func(c *cluster)
@@ -185,7 +183,7 @@
 }
 
 func TestCallerWithinItsLimitsIsNeverRefused(t *testing.T) {
-	for _, caller := range []berylconf.Caller{
+	for _, caller := range []Account{
 		{Name: "slow", RequestsPerSecond: 1},
 		{Name: "single", Concurrent: 1},
 		{Name: "tokens", TokensPerMinute: 6000},
@@ -206,7 +204,7 @@
 func TestSequentialCallerKeepsItsOneSlot(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		inCluster(6, berylconf.Caller{Name: "single", Concurrent: 1}, func(c *cluster) {
+		inCluster(6, Account{Name: "single", Concurrent: 1}, func(c *cluster) {
 			for i := range 300 { // Each request follows the last one at once, on another host.
 				release, refusal := c.limiters[c.roundRobin(i)].Take(context.Background(), c.caller, 0)
 				is.True(refusal == nil)
@@ -219,7 +217,7 @@
 func TestConcurrencyHoldsOverHosts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		inCluster(6, berylconf.Caller{Name: "counter", Concurrent: 5}, func(c *cluster) {
+		inCluster(6, Account{Name: "counter", Concurrent: 5}, func(c *cluster) {
 			var mu sync.Mutex
 			var inFlight, most, admitted int
 			var requests sync.WaitGroup
@@ -253,7 +251,7 @@
 func TestLostHostFreesItsSlots(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		inCluster(3, berylconf.Caller{Name: "counter", Concurrent: 1}, func(c *cluster) {
+		inCluster(3, Account{Name: "counter", Concurrent: 1}, func(c *cluster) {
 			lost := c.hosts[0]
 			other := c.hosts[1]
 			if lost == c.owner() {
@@ -274,7 +272,7 @@
 func TestFrozenOwnerDelaysOnlyTheFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		inCluster(3, berylconf.Caller{Name: "counter", RequestsPerSecond: 60}, func(c *cluster) {
+		inCluster(3, Account{Name: "counter", RequestsPerSecond: 60}, func(c *cluster) {
 			c.freeze(c.owner(), true)
 			host := c.hosts[0]
 			if host == c.owner() {
@@ -294,7 +292,7 @@
 func TestRetryAfterIsSufficient(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		inCluster(2, berylconf.Caller{Name: "counter", TokensPerMinute: 600}, func(c *cluster) {
+		inCluster(2, Account{Name: "counter", TokensPerMinute: 600}, func(c *cluster) {
 			limiter := c.limiters[c.hosts[0]]
 			_, refusal := limiter.Take(context.Background(), c.caller, 600)
 			is.True(refusal == nil)
@@ -315,7 +313,7 @@
 func TestIdleCallersAreEvicted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		inCluster(1, berylconf.Caller{Name: "counter", RequestsPerSecond: 5}, func(c *cluster) {
+		inCluster(1, Account{Name: "counter", RequestsPerSecond: 5}, func(c *cluster) {
 			limiter := c.limiters[c.hosts[0]]
 			_, refusal := limiter.Take(context.Background(), c.caller, 0)
 			is.True(refusal == nil)
@@ -337,7 +335,7 @@
 		picks := rapid.SliceOfN(rapid.IntRange(0, n-1), 1, 30).Draw(r, "picks")
 		faults := rapid.SliceOfN(rapid.IntRange(-1, n-1), 20, 20).Draw(r, "faults")
 		synctest.Test(t, func(*testing.T) {
-			inCluster(n, berylconf.Caller{Name: "counter", RequestsPerSecond: float64(rate)}, func(c *cluster) {
+			inCluster(n, Account{Name: "counter", RequestsPerSecond: float64(rate)}, func(c *cluster) {
 				admitted := 0
 				start := time.Now()
 				for _, fault := range faults {
--- a/internal/beryllimit/limits.go
+++ b/internal/beryllimit/limits.go
@@ -1,10 +1,6 @@
 package beryllimit
 
-import (
-	"time"
-
-	"berylroad.example/berylroad/internal/berylconf"
-)
+import "time"
 
 const (
 	// requestBurst is the time for which an unused request rate accrues.
@@ -21,6 +17,21 @@
 	maxRetention = 24 * time.Hour
 )
 
+// Account is a client account with its limits over all hosts together. A zero limit means unlimited.
+type Account struct {
+	// Name is unique among the accounts.
+	Name string
+	// RequestsPerSecond bounds the rate of requests.
+	RequestsPerSecond float64
+	// TokensPerMinute bounds the rate of tokens. Concurrent bounds the requests in flight. Neither applies if Windowed is set.
+	TokensPerMinute int
+	Concurrent      int
+	// Windowed holds the account's requests to the bound on any window of 5 s, by Admit in place of Take.
+	Windowed bool
+	// Burst is how many requests may come at once if Windowed is set. Otherwise it is what accrues in requestBurst.
+	Burst float64
+}
+
 // limits are one account's limits over all hosts together.
 type limits struct {
 	requests limit
@@ -29,16 +40,16 @@
 	slots int
 }
 
-func limitsOf(c *berylconf.Caller) limits {
-	tokens := float64(c.TokensPerMinute)
+func limitsOf(a *Account) limits {
+	tokens := float64(a.TokensPerMinute)
 	return limits{
-		requests: limit{rate: c.RequestsPerSecond, burst: max(1, c.RequestsPerSecond*requestBurst.Seconds())},
+		requests: limit{rate: a.RequestsPerSecond, burst: max(1, a.RequestsPerSecond*requestBurst.Seconds())},
 		tokens:   limit{rate: tokens / time.Minute.Seconds(), burst: tokens},
-		slots:    c.Concurrent,
+		slots:    a.Concurrent,
 	}
 }
 
 // isUnlimited reports whether the account has no limit at all.
-func isUnlimited(c *berylconf.Caller) bool {
-	return c.RequestsPerSecond == 0 && c.TokensPerMinute == 0 && c.Concurrent == 0
+func isUnlimited(a *Account) bool {
+	return a.RequestsPerSecond == 0 && a.TokensPerMinute == 0 && a.Concurrent == 0
 }
--- a/internal/beryllimit/run.go
+++ b/internal/beryllimit/run.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
-
-	"berylroad.example/berylroad/internal/berylconf"
 )
 
 // Run returns released slots to their owners, renews slot leases and evicts idle accounts until ctx ends.
@@ -15,8 +15,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case caller := <-l.returns:
-			_ = l.renew(ctx, caller) // On an error the quota has fallen back to its share.
+		case name := <-l.returns:
+			_ = l.renew(ctx, name) // On an error the quota has fallen back to its share.
 		case <-ticker.C:
 			l.renewAll(ctx)
 			l.evictIdle(time.Now())
@@ -27,27 +27,29 @@
 // renewAll renews the slot leases of all accounts. After an owner has failed to answer it skips that owner's other
 // accounts, so that one frozen host costs one timeout.
 func (l *Limiter) renewAll(ctx context.Context) {
-	document := l.config.Document()
-	if document == nil {
-		return
-	}
 	unresponsive := make(map[string]bool)
-	for i := range document.Inventory.Callers {
-		caller := &document.Inventory.Callers[i]
-		if caller.Concurrent == 0 || ctx.Err() != nil {
+	for _, name := range l.quotaNames() {
+		account, known := l.config.Account(name)
+		if !known || account.Concurrent == 0 || ctx.Err() != nil {
 			continue
 		}
-		owner := Owner(caller.Name, l.config.LiveHosts())
-		if !unresponsive[owner] && l.renew(ctx, caller) != nil {
+		owner := Owner(name, l.config.LiveHosts())
+		if !unresponsive[owner] && l.renew(ctx, name) != nil {
 			unresponsive[owner] = true
 		}
 	}
 }
 
+func (l *Limiter) quotaNames() []string {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return slices.Sorted(maps.Keys(l.quotas))
+}
+
 // renew sets this host's slot lease at the owner to the number of slots in use.
-func (l *Limiter) renew(ctx context.Context, caller *berylconf.Caller) error {
+func (l *Limiter) renew(ctx context.Context, name string) error {
 	l.mu.RLock()
-	q := l.quotas[caller.Name]
+	q := l.quotas[name]
 	l.mu.RUnlock()
 	if q == nil {
 		return nil
@@ -65,7 +67,7 @@
 	if !hasSlots {
 		return nil
 	}
-	grant, err := l.requestLease(ctx, caller.Name, req)
+	grant, err := l.requestLease(ctx, name, req)
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	l.applyGrant(&q.quota, req, grant, err)
--- a/internal/berylserve/host.go
+++ b/internal/berylserve/host.go
@@ -57,6 +57,7 @@
 	callRunner       *berylcall.Runner
 	idempotency      *berylonce.Manager
 	limiter          *beryllimit.Limiter
+	callers          callerIndexes
 	jobManager       *beryljob.Manager
 	gate             *berylgate.Gate
 	callerListener   net.Listener
@@ -174,7 +175,7 @@
 	h.limiter = beryllimit.New(beryllimit.Config{
 		Self:         h.Settings.Host,
 		LiveHosts:    h.liveNames,
-		Document:     h.configStore.Current,
+		Account:      func(name string) (beryllimit.Account, bool) { return h.callers.account(h.configStore.Current(), name) },
 		RequestLease: newPeerTransport(h).RequestLimitLease,
 		Metrics:      h.metrics,
 	})
@@ -184,7 +185,7 @@
 		Document:       h.configStore.Current,
 		Calls:          h.callRunner,
 		Idempotency:    h.idempotency,
-		Limits:         h.limiter,
+		Limits:         callerLimits{h.limiter},
 		Ready:          h.ready,
 		Metrics:        h.metrics,
 		Log:            h.Log,
