Hold accounts of the platform to their limit over all hosts

An account of the platform has a rate of requests and a burst over all hosts together, and nothing held it to them.

beryllimit gets a second lease scheme for such windowed accounts, beside that of the own interface, with the same messages and new fields. A host leases what its requests need and what it recently spent in 250 ms, for 500 ms, and asks before the lease runs out. The owner keeps the bucket; unspent requests, refunds and debts of further sends are reported as sums, so that a lost or repeated message changes nothing. A new, restarted or paused owner starts with an almost empty bucket and half of the rate for 1 s; a host without an owner admits by half of its share of the listed hosts; an owner that sees less than 9 in 10 of them grants in proportion.

berylrelay asks berylrelay.Limits before a permit, gives back what did not run and charges each further run. berylentry chooses the owners by groups, counts the listed hosts, handles limit-ask, and shows the accounts in the status and the metrics. Without an account or with one without a limit nothing is asked or sent.

--- a/internal/berylcmd/entry/status/status.go
+++ b/internal/berylcmd/entry/status/status.go
@@ -15,6 +15,7 @@
 
 	"berylroad.example/berylroad/internal/berylcmd/factory"
 	"berylroad.example/berylroad/internal/berylentry"
+	"berylroad.example/berylroad/internal/beryllimit"
 	"berylroad.example/berylroad/internal/berylpath"
 	"berylroad.example/berylroad/internal/berylquarantine"
 )
@@ -123,6 +124,9 @@
 		}
 		return fmt.Sprintf("%s\t%s\t%s\t%s\t%d\t%s\t%s", u.ID, u.FailureDomain, u.Owner, status, u.Slots, online, batch)
 	})
+	if len(s.Accounts) > 0 {
+		printTable(t, "ACCOUNT\tLIMIT\tRECENT HERE\tADMITTED\tREFUSED\tLAST REFUSED\tOWNER\tSTATE", limit, s.Accounts, formatAccount)
+	}
 	var lines []string
 	for _, j := range s.Jobs {
 		lines = append(lines, fmt.Sprintf("%s\t%s\t%s\t%d of %d\t%d", j.ID, j.Route, choose(j.Owner == "", "nobody", j.Owner), j.Listed, j.Items, j.Running))
@@ -136,6 +140,11 @@
 	return t.Flush()
 }
 
+func formatAccount(a beryllimit.AccountStatus) string {
+	return fmt.Sprintf("%s\t%g/s, burst %g\t%.1f/s\t%d\t%d\t%s\t%s\t%s", a.Account, a.RatePerS, a.Burst, a.Recent, a.Admitted, a.Refused,
+		formatAge(a.RefusedAgeMS), a.Owner, choose(a.Fallback, "by its share", "by leases"))
+}
+
 // printTable prints a header, the first entries and the number of entries left out.
 func printTable[T any](t *tabwriter.Writer, header string, limit int, entries []T, format func(T) string) {
 	fmt.Fprintf(t, "\n%s\n", header)
--- a/internal/berylentry/host.go
+++ b/internal/berylentry/host.go
@@ -15,6 +15,7 @@
 	"berylroad.example/berylroad/internal/berylbatch"
 	"berylroad.example/berylroad/internal/beryldrain"
 	"berylroad.example/berylroad/internal/berylhost"
+	"berylroad.example/berylroad/internal/beryllimit"
 	"berylroad.example/berylroad/internal/beryllink"
 	"berylroad.example/berylroad/internal/berylpath"
 	"berylroad.example/berylroad/internal/berylpermit"
@@ -130,6 +131,8 @@
 	scheduler             *berylsched.Scheduler
 	quarantine            *berylquarantine.Quarantine
 	versions              *berylversion.Versions
+	limiter               *beryllimit.Limiter
+	limitHosts            limitHosts
 	assembled             atomic.Bool // true once assemble has returned
 	schedulerHasUpstreams atomic.Bool // true once the scheduler knows at least one upstream
 	serving               atomic.Bool
@@ -213,7 +216,7 @@
 	defer stop()
 	var components, jobs conc.WaitGroup
 	for _, run := range []func(context.Context){
-		h.endpoint.Serve, h.members.Run, h.scheduler.Run, h.paths.Run, h.operatorItems.Run, h.announcements.Run, h.hostRegistry.run, h.quarantine.Run, h.versions.Run, h.forwardChanges, h.expire,
+		h.endpoint.Serve, h.members.Run, h.scheduler.Run, h.paths.Run, h.operatorItems.Run, h.announcements.Run, h.hostRegistry.run, h.quarantine.Run, h.versions.Run, h.limiter.Run, h.forwardChanges, h.expire,
 	} {
 		components.Go(func() { run(runCtx) })
 	}
@@ -278,8 +281,10 @@
 		Routes: &h.routes, Peers: &versionPeers{host: h, links: links}, Rank: (*memberView)(h).Rank, Sharing: sharing, Log: h.Log, Metrics: h.Metrics,
 	})
 	berylwire.Handle(h.endpoint, kindVersion, h.versions.HandleMessage)
+	h.limiter = h.newLimiter(links)
+	berylwire.Handle(h.endpoint, kindLimit, h.limiter.HandleLeaseRequest)
 	h.Relay = &berylrelay.Relay{
-		Permits: h.scheduler, Upstreams: &h.upstreamRegistry, Client: h.Upstreams, Versions: h.versions, Quarantine: h.quarantine, Stop: &h.stop, Log: h.Log, Metrics: h.Metrics,
+		Permits: h.scheduler, Upstreams: &h.upstreamRegistry, Client: h.Upstreams, Versions: h.versions, Quarantine: h.quarantine, Limits: accountLimits{h.limiter}, Stop: &h.stop, Log: h.Log, Metrics: h.Metrics,
 	}
 	h.Jobs = berylbatch.New(berylbatch.Config{
 		Host: h.Settings.Host, Boot: h.boot, Store: h.fallbackStore, Permits: h.scheduler, Upstreams: &h.upstreamRegistry, Client: h.Upstreams,
--- a/internal/berylentry/registry.go
+++ b/internal/berylentry/registry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -62,6 +63,7 @@
 
 	mu           sync.Mutex
 	hosts        map[string]hostRecord
+	deleted      map[string]bool // hosts whose entry is deleted
 	leaving      bool
 	lease        int64
 	changeNotice chan struct{}
@@ -71,7 +73,7 @@
 func newRegistry(store berylstore.Store, self berylhost.Member, log logrus.FieldLogger, sharing *berylstore.WatchSharing, install func([]berylhost.Member)) *registry {
 	r := &registry{
 		store: store, self: self, log: log, install: install,
-		hosts: make(map[string]hostRecord), changeNotice: make(chan struct{}), announceNow: make(chan struct{}, 1),
+		hosts: make(map[string]hostRecord), deleted: make(map[string]bool), changeNotice: make(chan struct{}), announceNow: make(chan struct{}, 1),
 	}
 	r.follower = berylstore.Follower{
 		Store: store, Prefix: hostPrefix, Wait: registryWatchTimeout, SharedWait: registrySharedWatchTimeout, Debounce: registryDebounce,
@@ -196,6 +198,9 @@
 func (r *registry) reset(items []berylstore.Item, _ int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	for name := range r.hosts {
+		r.deleted[name] = true
+	}
 	for _, item := range items {
 		r.addItem(item)
 	}
@@ -216,7 +221,9 @@
 			default:
 			}
 		}
-		if !e.Deleted {
+		if e.Deleted {
+			r.deleted[name] = true
+		} else {
 			r.addItem(e.Item)
 		}
 	}
@@ -233,6 +240,21 @@
 		return // the entry belongs to another run of this host, usually an earlier one
 	}
 	r.hosts[record.Member.Name] = record
+	delete(r.deleted, record.Member.Name)
+}
+
+// listed returns the number of hosts in the list, this one included. A host whose entry was deleted counts only while it is
+// live: its lease may have expired while it could not reach the store.
+func (r *registry) listed(live []string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 1
+	for name := range r.hosts {
+		if name != r.self.Name && (!r.deleted[name] || slices.Contains(live, name)) {
+			n++
+		}
+	}
+	return n
 }
 
 // publish installs the current list as candidates and wakes those who wait for a change. The caller must hold mu.
--- a/internal/berylentry/status.go
+++ b/internal/berylentry/status.go
@@ -5,6 +5,7 @@
 
 	"berylroad.example/berylroad/internal/berylbatch"
 	"berylroad.example/berylroad/internal/berylbuild"
+	"berylroad.example/berylroad/internal/beryllimit"
 	"berylroad.example/berylroad/internal/berylquarantine"
 )
 
@@ -37,6 +38,9 @@
 	Upstreams []UpstreamStatus `json:"upstreams"`
 	// Quarantine lists the prompt parts that are kept away from upstreams, sorted by key.
 	Quarantine []berylquarantine.Status `json:"quarantine"`
+	// Accounts lists client accounts with a limit of which this host holds something: at most 20, those with the most refusals
+	// first and then the busiest.
+	Accounts []beryllimit.AccountStatus `json:"accounts"`
 	// Jobs lists the open batch jobs in the order of their acceptance.
 	Jobs []berylbatch.JobStatus `json:"jobs"`
 }
@@ -111,6 +115,7 @@
 	}
 	s.Upstreams = h.upstreamStatus()
 	s.Quarantine = h.quarantine.Status()
+	s.Accounts = h.limiter.Status()
 	s.Jobs = h.Jobs.Status()
 	return s
 }
--- a/internal/beryllimit/limiter.go
+++ b/internal/beryllimit/limiter.go
@@ -7,6 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 
 	"berylroad.example/berylroad/internal/beryloutcome"
 )
@@ -38,6 +39,14 @@
 	// RequestLease sends a lease request to another host, whose HandleLeaseRequest answers it. If it is nil, accounts
 	// that other hosts own are limited by this host's share.
 	RequestLease func(ctx context.Context, host string, req LeaseRequest) (LeaseGrant, error)
+	// Owners returns the host that owns each group of windowed accounts. Nil means that there are no windowed accounts. A
+	// list of which any entry has changed must be another slice.
+	Owners func() []string
+	// Listed returns the number of hosts in the fleet, live or not, and zero while it is not known. It is needed if Owners is
+	// set.
+	Listed func() int
+	// Log receives a bounded number of lines about windowed accounts; nil means none.
+	Log logrus.FieldLogger
 	// Metrics is where the limiter's metrics are registered; nil leaves them unpublished.
 	Metrics *metrics.Set
 }
@@ -51,13 +60,20 @@
 	refused  *metrics.Counter
 	fallback *metrics.Counter
 
-	// mu guards quotas, what this host holds of each account's limits.
-	mu     sync.RWMutex
-	quotas map[string]*lockedQuota
+	asked *metrics.Counter
 
-	// ownerMu guards accounts, the state of the accounts that this host owns.
-	ownerMu  sync.Mutex
-	accounts map[string]*accountState
+	// mu guards quotas and holdings, what this host holds of each account's limits; holdings are those of windowed accounts.
+	mu       sync.RWMutex
+	quotas   map[string]*lockedQuota
+	holdings map[string]*lockedHolding
+
+	// ownerMu guards accounts and ownership, the state of the accounts that this host owns.
+	ownerMu   sync.Mutex
+	accounts  map[string]*accountState
+	ownership ownership
+
+	logMu sync.Mutex
+	lines lineBudget
 }
 
 // lockedQuota is a quota with its locks. The channel requesting has a capacity of one and serves as a lock: a goroutine
@@ -79,7 +95,9 @@
 		returns:  make(chan string, maxQueuedReturns),
 		refused:  set.GetOrCreateCounter("berylroad_limit_refused_total"),
 		fallback: set.GetOrCreateCounter("berylroad_limit_fallback_total"),
+		asked:    set.GetOrCreateCounter("berylroad_limit_lease_requests_total"),
 		quotas:   make(map[string]*lockedQuota),
+		holdings: make(map[string]*lockedHolding),
 		accounts: make(map[string]*accountState),
 	}
 }
--- a/internal/beryllimit/message.go
+++ b/internal/beryllimit/message.go
@@ -15,11 +15,26 @@
 	Tokens float64 `cbor:"4,keyasint,omitempty"`
 	// Slots is the total number of requests in flight that the host wants to be allowed, including those it already has.
 	Slots int `cbor:"5,keyasint,omitempty"`
+	// Sequence numbers the requests of a host for a windowed account, from the time in nanoseconds at which the host first
+	// held something of it. Zero means that the account is not windowed; then the fields below are absent.
+	Sequence uint64 `cbor:"6,keyasint,omitempty"`
+	// Received is the sequence of the last request whose grant the host has received. A grant that it has not received is
+	// void.
+	Received uint64 `cbor:"7,keyasint,omitempty"`
+	// Ahead is how many requests the host would like to lease beyond Requests; the owner grants any part of it.
+	Ahead float64 `cbor:"8,keyasint,omitempty"`
+	// Held is how many requests the host has leased and not spent.
+	Held float64 `cbor:"9,keyasint,omitempty"`
+	// Returned is the sum of the leased requests that the host has not spent and no longer holds.
+	Returned float64 `cbor:"10,keyasint,omitempty"`
+	// Debt is the sum of the requests that the host has run without a lease.
+	Debt float64 `cbor:"11,keyasint,omitempty"`
 }
 
 // LeaseGrant answers a LeaseRequest.
 type LeaseGrant struct {
-	// Requests is how many requests are leased: at least as many as requested, or zero.
+	// Requests is how many requests are leased: at least as many as requested, or zero. For a windowed account it is any
+	// number; if it is lower than requested, Wait is set.
 	Requests float64 `cbor:"1,keyasint,omitempty"`
 	// Tokens is how many tokens are leased: at least as many as requested, or zero.
 	Tokens float64 `cbor:"2,keyasint,omitempty"`
--- a/internal/beryllimit/owner.go
+++ b/internal/beryllimit/owner.go
@@ -16,6 +16,9 @@
 		return LeaseGrant{}, errors.Newf("account %q is not in the configuration", req.Caller)
 	}
 	req.Host = peer
+	if req.Sequence > 0 {
+		return l.grantWindowLease(time.Now(), &configured, req)
+	}
 	bounds := limitsOf(&configured)
 	l.ownerMu.Lock()
 	defer l.ownerMu.Unlock()
--- a/internal/beryllimit/run.go
+++ b/internal/beryllimit/run.go
@@ -4,11 +4,17 @@
 	"context"
 	"maps"
 	"slices"
+	"sync"
 	"time"
 )
 
 // Run returns released slots to their owners, renews slot leases and evicts idle accounts until ctx ends.
 func (l *Limiter) Run(ctx context.Context) {
+	if l.config.Owners != nil {
+		var windowed sync.WaitGroup
+		windowed.Go(func() { l.runWindowed(ctx) })
+		defer windowed.Wait()
+	}
 	ticker := time.NewTicker(renewInterval)
 	defer ticker.Stop()
 	for {
--- a/internal/berylrelay/relay.go
+++ b/internal/berylrelay/relay.go
@@ -127,6 +127,8 @@
 	Versions *berylversion.Versions
 	// Quarantine refuses prompts with parts that crash upstreams; nil refuses none.
 	Quarantine *berylquarantine.Quarantine
+	// Limits holds requests to the limits of their accounts; nil means no limits.
+	Limits Limits
 	// Stop is the planned stop of this host; nil means that it never stops.
 	Stop *beryldrain.Stop
 	// Log receives one line for each request.
@@ -144,7 +146,11 @@
 	}
 	requestCtx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
-	result := x.run(requestCtx)
+	result, admitted := x.admit(requestCtx)
+	if admitted {
+		result = x.run(requestCtx)
+		x.settle()
+	}
 	if result.Kind == beryloutcome.Answered && !request.TakesUp {
 		r.Stop.Observe(x.drainRequest(), time.Since(x.startedAt))
 	}
@@ -175,6 +181,8 @@
 	triedUpstreams []string
 	// sends counts the upstreams that the request was sent to, possibleRuns those that may have run it.
 	sends, possibleRuns int
+	// admission is what the limit of the account admitted; nil without a limit.
+	admission Admission
 	// started marks that the sink has received the head of the answer.
 	started bool
 	// hasEvent marks that the sink has received a numbered event, lastEvent is the number of the last one.
@@ -271,7 +279,7 @@
 	reply, err := x.Client.Call(callCtx, x.newCall(upstream))
 	if err != nil {
 		if !errors.Is(err, ErrUnsent) {
-			x.possibleRuns++
+			x.countRun()
 		}
 		return x.handleFailure(callCtx, &report, err)
 	}
@@ -283,7 +291,7 @@
 		x.cause = errors.Newf("the upstream refused it unrun with status %d", reply.Status)
 		return stepRetry
 	}
-	x.possibleRuns++
+	x.countRun()
 	if !reply.Signed {
 		return x.handleFailure(callCtx, &report, errors.Newf("the answer with status %d has no signature", reply.Status))
 	}
--- a/internal/berylrelay/report.go
+++ b/internal/berylrelay/report.go
@@ -50,6 +50,9 @@
 	if x.sends > 0 {
 		fields["granted-by"], fields["version"] = x.grantedBy, x.calledUpstream.Version
 	}
+	if x.request.Account != nil {
+		fields["account"] = x.request.Account.Name
+	}
 	if x.carriedBy != "" {
 		fields["carried-by"] = x.carriedBy
 	}
