--- a/internal/berylentry/fleet_bench_test.go
+++ b/internal/berylentry/fleet_bench_test.go
@@ -100,7 +100,7 @@
 	answered atomic.Int64
 }
 
-func startBenchFleet(b *testing.B, ctx context.Context, count int) *benchFleet {
+func startBenchFleet(b testing.TB, ctx context.Context, count int, decoder Decoder) *benchFleet {
 	b.Helper()
 	f := &benchFleet{}
 	f.store.Write("op/config", "{}")
@@ -116,7 +116,7 @@
 		_ = socket.Close()
 		h := New(Config{
 			Settings: Settings{Host: fmt.Sprintf("host-%d", i), Region: "r", FailureDomain: fmt.Sprintf("z-%d", i%benchDomains), PeerAddress: address},
-			Store:    &f.store, Decoder: benchDecoder{}, OperatorPrefix: "op/", UpstreamPrefix: "servers/", Upstreams: benchClient{},
+			Store:    &f.store, Decoder: decoder, OperatorPrefix: "op/", UpstreamPrefix: "servers/", Upstreams: benchClient{},
 			Log: discardLogger(), Metrics: metrics.NewSet(),
 		})
 		f.hosts = append(f.hosts, h)
@@ -154,7 +154,7 @@
 	}
 }
 
-func (f *benchFleet) waitReady(b *testing.B, within time.Duration) {
+func (f *benchFleet) waitReady(b testing.TB, within time.Duration) {
 	b.Helper()
 	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		ready := 0
@@ -195,7 +195,7 @@
 					}
 					b.ReportMetric(perHost/span.Seconds()*100, name+"-%core")
 				}
-				f := startBenchFleet(b, ctx, count)
+				f := startBenchFleet(b, ctx, count, benchDecoder{})
 				f.waitReady(b, time.Minute)
 				report("start", 0)
 				time.Sleep(benchSpan)
--- a/internal/beryllimit/fleet_test.go
+++ b/internal/beryllimit/fleet_test.go
@@ -173,6 +173,22 @@
 	return owners[groupOf(v.account.Name, len(owners))]
 }
 
+// setCut puts a host into the part of the network with that number.
+func (v *fleet) setCut(host string, part int) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.cut[host] = part
+}
+
+// takeAdmitted returns how many requests have been admitted since the last call, and forgets them.
+func (v *fleet) takeAdmitted() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	n := len(v.admitted)
+	v.admitted = nil
+	return n
+}
+
 func (v *fleet) setLimit(rate, burst float64) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -216,6 +232,8 @@
 
 // worst returns the most admitted in any window and the bound of the requirement.
 func (v *fleet) worst(rate, burst float64) (most int, bound float64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
 	slices.SortFunc(v.admitted, func(a, b time.Time) int { return a.Compare(b) })
 	first := 0
 	for i, at := range v.admitted {
@@ -246,11 +264,13 @@
 	case "cut-one", "cut-some":
 		for i, host := range v.hosts {
 			if host == victim || kind == "cut-some" && i%2 == 0 {
-				v.cut[host] = 1
+				v.setCut(host, 1)
 			}
 		}
 		v.detect(rate, lasts, pick)
-		clear(v.cut)
+		for _, host := range v.hosts {
+			v.setCut(host, 0)
+		}
 	case "freeze":
 		v.freeze(victim, true)
 		v.detect(rate, lasts, pick)
--- a/internal/beryllimit/window_test.go
+++ b/internal/beryllimit/window_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -85,10 +86,10 @@
 			v.kill(host)
 		}
 		time.Sleep(1200 * time.Millisecond)
+		before := len(v.admitted)
 		for _, host := range v.hosts {
 			v.start(host)
 		}
-		before := len(v.admitted)
 		v.load(3*rate, 4*time.Second, pick)
 		time.Sleep(time.Second)
 		after := len(v.admitted) - before
@@ -107,6 +108,7 @@
 		pick := func() string { return v.hosts[rand.IntN(len(v.hosts))] }
 		v.load(3*rate, 3*time.Second, pick)
 		v.kill(v.owner())
+		time.Sleep(leaseRequestTimeout)
 		before := len(v.admitted)
 		v.detect(3*rate, 4*time.Second, pick)
 		time.Sleep(time.Second)
@@ -133,21 +135,22 @@
 			return v.hosts[rand.IntN(len(v.hosts))]
 		}
 		v.load(400, 3*time.Second, pick)
-		v.cut[alone] = 1
+		v.setCut(alone, 1)
 		v.detect(400, 2*time.Second, pick)
 		v.setLimit(20, 20)
 		v.load(400, windowLength, pick)
-		v.admitted = nil
+		v.takeAdmitted()
 		v.load(400, 10*time.Second, pick)
 		most, bound := v.worst(20, 20)
 		t.Logf("%d in a window, bound %.0f", most, bound)
 		is.True(float64(most) <= bound)
 		is.True(most >= 100)
 		v.setLimit(199, 199)
-		v.admitted = nil
+		v.takeAdmitted()
 		v.load(400, 10*time.Second, pick)
-		t.Log("admitted after the limit was raised", len(v.admitted), "refused", len(v.refused))
-		is.True(len(v.admitted) >= 9*199)
+		raised := v.takeAdmitted()
+		t.Log("admitted after the limit was raised", raised)
+		is.True(raised >= 9*199)
 	})
 }
 
@@ -179,6 +182,50 @@
 	})
 }
 
+// Guards against an owner that was frozen and grants from what it knew before, while another one has granted since.
+func TestOwnerThatWasPaused(t *testing.T) {
+	is := is.NewRelaxed(t)
+	inFleet(t, 6, windowed(20, 200), func(v *fleet) {
+		owner := v.owner()
+		others := slices.DeleteFunc(slices.Clone(v.hosts), func(h string) bool { return h == owner })
+		pick := func() string { return others[rand.IntN(len(others))] }
+		v.load(10, time.Second, pick)
+		v.freeze(owner, true)
+		v.detect(100, 20*time.Second, pick) // The other owner's bucket is filled and spent.
+		v.freeze(owner, false)
+		v.refresh()
+		v.load(300, 4*time.Second, pick)
+		time.Sleep(leaseRequestTimeout)
+		most, bound := v.worst(20, 200)
+		t.Logf("%d in a window, bound %.0f", most, bound)
+		is.True(float64(most) <= bound)
+		is.True(v.takeAdmitted() < 20*25+100)
+	})
+}
+
+// Guards against two hosts that both grant the whole limit for as long as they do not agree who the owner is.
+func TestTwoOwnersForASecond(t *testing.T) {
+	is := is.NewRelaxed(t)
+	inFleet(t, 12, windowed(199, 199), func(v *fleet) {
+		pick := func() string { return v.hosts[rand.IntN(len(v.hosts))] }
+		v.load(600, 3*time.Second, pick)
+		owner := v.owner()
+		left := slices.DeleteFunc(slices.Clone(v.hosts), func(h string) bool { return h == owner })
+		v.mu.Lock()
+		for _, host := range left[:6] {
+			v.setViewLocked(host, left)
+		}
+		v.mu.Unlock()
+		v.load(600, time.Second, pick)
+		v.refresh()
+		v.load(600, 3*time.Second, pick)
+		time.Sleep(leaseRequestTimeout)
+		most, bound := v.worst(199, 199)
+		t.Logf("%d in a window, bound %.0f", most, bound)
+		is.True(float64(most) <= bound)
+	})
+}
+
 // Guards against a Retry-After that sends callers back before they can be admitted, or much later.
 func TestPredictedTimeOfARefusal(t *testing.T) {
 	is := is.NewRelaxed(t)
