--- a/internal/berylentry/follow.go
+++ b/internal/berylentry/follow.go
@@ -155,7 +155,11 @@
 func (h *Host) updateScheduler() <-chan time.Time {
 	live := h.members.Live()
 	presumed, presumptionEnds := h.startup.presume(time.Now(), live, h.hostRegistry.listed())
-	h.presumed.Store(&presumed)
+	if len(presumed) > 0 {
+		h.presumed.Store(&presumed)
+	} else {
+		h.presumed.Store(nil)
+	}
 	var document berylconf.Document
 	// No request is classified as long: the platform's routes do not tell short from long online requests.
 	document.Rules.LongTokens = math.MaxInt32
