Share an owner's slots fairly between client accounts

Cause: an owner orders waiting requests by deadline alone, so an account that sends five times its usual rate crowds out all others, and a large job delays the jobs of other accounts. Change: waiting requests are ordered by priority, then accounts within their fair share of the slots first, then start-time fair queueing between accounts in tokens of work, then deadline; batch in the same way within its own queue. The predicted wait, on which refusals are based, is that of this order. A full queue gives up its last request for one of another account that comes before it.

--- a/internal/berylpermit/permit.go
+++ b/internal/berylpermit/permit.go
@@ -221,6 +221,8 @@
 	Age time.Duration `cbor:"4,keyasint"`
 	// Long marks work whose estimated tokens exceed the long-tokens rule.
 	Long bool `cbor:"5,keyasint,omitempty"`
+	// Account is the name of the client account that the work is for, or empty.
+	Account string `cbor:"6,keyasint,omitempty"`
 }
 
 // Statement is what an answer says about the upstream that gave it. The zero value says nothing.
--- a/internal/berylsched/bench_test.go
+++ b/internal/berylsched/bench_test.go
@@ -88,6 +88,47 @@
 	}
 }
 
+// BenchmarkDecisionWithAccounts is BenchmarkDecision with requests of many accounts, of which one sends every second one,
+// and with a full queue.
+func BenchmarkDecisionWithAccounts(b *testing.B) {
+	for _, accounts := range []int{2, 86, 3700} {
+		for _, waiting := range []int{100, 1000, 8000} {
+			b.Run(fmt.Sprintf("accounts=%d/waiting=%d", accounts, waiting), func(b *testing.B) {
+				o, now, seq := fullOwner(50, 0)
+				request := func() {
+					seq++
+					req := benchRequest(seq, "model-0")
+					req.Account, req.Tokens = "hot", 100+int(seq%7)*50
+					if n := splitMix64(seq); n%2 == 0 {
+						req.Account = fmt.Sprint("account-", n/2%uint64(accounts-1))
+					}
+					o.Request(now, req)
+				}
+				for range waiting {
+					request()
+				}
+				report := berylpermit.Report{Kind: beryloutcome.Answered, HeldFor: time.Second, TimeToFirstToken: 10 * time.Millisecond}
+				var held []berylpermit.ID
+				for id := range o.permits {
+					held = append(held, id)
+				}
+				next := 0
+				b.ReportAllocs()
+				for b.Loop() {
+					actions := o.Release(now, berylpermit.Release{ID: held[next%len(held)], Report: report})
+					if len(actions) != 1 || actions[0].Reply.Verdict != berylpermit.Granted {
+						b.Fatal("the slot was not granted to a waiting request")
+					}
+					held[next%len(held)] = actions[0].Reply.ID
+					next++
+					request()
+				}
+				b.ReportMetric(float64(o.targets["model-0"].onlineSharing.entries), "entries")
+			})
+		}
+	}
+}
+
 // BenchmarkGrant measures one request that gets a slot and its release, with all upstreams half full.
 func BenchmarkGrant(b *testing.B) {
 	for _, upstreams := range []int{60, 600} {
--- a/internal/berylsched/held.go
+++ b/internal/berylsched/held.go
@@ -93,7 +93,7 @@
 // addHeld records a granted permit and returns the Permit for the caller of Acquire.
 func (s *Scheduler) addHeld(req *berylpermit.Request, upstream, owner string) *berylpermit.Permit {
 	h := &heldPermit{owner: owner, grantedAt: time.Now(), yield: make(chan struct{})}
-	h.HeldPermit = berylpermit.HeldPermit{ID: req.ID, Upstream: upstream, Class: req.Class, Long: req.Long}
+	h.HeldPermit = berylpermit.HeldPermit{ID: req.ID, Upstream: upstream, Class: req.Class, Long: req.Long, Account: req.Account}
 	s.held.add(h)
 	h.view = s.table.Load().viewOf(upstream)
 	h.view.ownPermits.Add(1)
--- a/internal/berylsched/owner.go
+++ b/internal/berylsched/owner.go
@@ -66,8 +66,10 @@
 	// sparePermits and spareWaiters are kept for reuse, so that a busy owner allocates none.
 	sparePermits []*permit
 	spareWaiters []*waiter
-	now          time.Time
-	sweptAt      time.Time
+	// late is a buffer of refuseLate, kept to save allocations.
+	late    []*waiter
+	now     time.Time
+	sweptAt time.Time
 }
 
 // beginEvent starts the handling of an event: it sets the time, empties the list of actions and makes the maps of a new
@@ -128,10 +130,11 @@
 	}
 	w := o.newWaiter()
 	*w = waiter{target: t, renewedAt: now, deadline: now.Add(req.Remaining), arrival: o.nextArrival}
+	w.flow = t.sharing(k).flow(req.Account, req.Priority)
 	q := &t.queues[k]
-	wait := t.throughput.predictWait(now, k, q.rank(w)+1)
+	wait := t.throughput.predictWait(now, k, q.position(w, t.sharedSlots(k))+1)
 	exceedsMaxWait := req.MaxQueueWait > 0 && wait > req.MaxQueueWait
-	if !req.Queue || req.Hedge || exceedsMaxWait || q.len() >= maxQueueLength || !t.canServe(req) || !t.throughput.meetsDeadline(k, req.Remaining, wait) {
+	if !req.Queue || req.Hedge || exceedsMaxWait || !t.canServe(req) || !t.throughput.meetsDeadline(k, req.Remaining, wait) || !o.makeRoom(now, q, w.flow) {
 		o.refuse(t, req.ID, wait)
 		o.recycle(w)
 		return
@@ -142,6 +145,24 @@
 	o.waiting[req.ID] = w
 }
 
+// makeRoom reports whether the queue has room for a request of the flow. If it is full, the request in the last place is
+// refused instead of one of another account that would come before it.
+func (o *Owner) makeRoom(now time.Time, q *queue, fl *flow) bool {
+	if q.len() < maxQueueLength {
+		return true
+	}
+	last := q.lastBehind(fl)
+	if last == nil {
+		return false
+	}
+	t := last.target
+	wait := t.throughput.predictWait(now, q.kind, q.len())
+	o.dequeue(last)
+	o.refuse(t, last.req.ID, wait)
+	o.recycle(last)
+	return true
+}
+
 // findSlot returns an upstream with a slot for the request, or nil. For an online request it preempts batch work if no
 // slot is free; hedges and batch requests never preempt.
 func (o *Owner) findSlot(now time.Time, t *target, req *berylpermit.Request, k workKind) *upstream {
@@ -248,6 +269,7 @@
 func (o *Owner) grant(now time.Time, t *target, u *upstream, req *berylpermit.Request) {
 	p := o.newPermit()
 	*p = permit{id: req.ID, upstream: u, class: req.Class, long: req.Long, grantedAt: now, confirmedAt: now}
+	p.account = t.sharing(kindOf(req.Class, req.Long)).account(req.Account)
 	o.addPermit(p)
 	u.limit.take(now)
 	u.health.markProbe(p)
--- a/internal/berylsched/owner_config.go
+++ b/internal/berylsched/owner_config.go
@@ -47,6 +47,9 @@
 		t := o.targets[name]
 		if t == nil {
 			t = &target{name: name}
+			for k := range t.queues {
+				t.queues[k].kind = workKind(k)
+			}
 			o.targets[name] = t
 		}
 		list = append(list, t)
@@ -134,7 +137,7 @@
 func (o *Owner) rejectWaiters(t *target) {
 	for k := range t.queues {
 		for q := &t.queues[k]; q.len() > 0; {
-			w := q.waiting()[0]
+			w := q.candidate(0, 0)
 			o.dequeue(w)
 			o.reply(berylpermit.Reply{ID: w.req.ID, Verdict: berylpermit.NotOwner})
 		}
@@ -183,16 +186,16 @@
 			lease = batchWaitLease
 		}
 		q := &t.queues[k]
-		for i := 0; i < q.len(); {
-			w := q.waiting()[i]
-			wait := t.throughput.predictWait(now, k, i)
+		o.late = q.removable(o.late[:0], t.sharedSlots(k), func(w *waiter, position int) bool {
+			w.predicted = t.throughput.predictWait(now, k, position)
 			valid := now.Sub(w.renewedAt) <= lease && t.canServe(&w.req)
-			if valid && t.throughput.meetsDeadline(k, w.deadline.Sub(now), wait) {
-				i++
-				continue
-			}
+			return valid && t.throughput.meetsDeadline(k, w.deadline.Sub(now), w.predicted)
+		})
+		for _, w := range o.late {
 			o.dequeue(w)
-			o.refuse(t, w.req.ID, wait)
+			o.refuse(t, w.req.ID, w.predicted)
+			o.recycle(w)
 		}
+		clear(o.late)
 	}
 }
--- a/internal/berylsched/owner_permits.go
+++ b/internal/berylsched/owner_permits.go
@@ -28,6 +28,9 @@
 	h.permits = append(h.permits, p)
 	o.permits[p.id] = p
 	p.upstream.addPermit(p)
+	if p.account != nil {
+		p.account.hold()
+	}
 }
 
 // removePermit removes a permit from the Owner's indexes and from its upstream, and keeps it for reuse.
@@ -44,6 +47,9 @@
 	}
 	delete(o.permits, p.id)
 	p.upstream.removePermit(p)
+	if p.account != nil {
+		p.account.giveBack()
+	}
 	p.upstream.health.permitEnded(p)
 	o.sparePermits = append(o.sparePermits, p)
 }
@@ -91,9 +97,12 @@
 	p := o.newPermit()
 	age := min(max(hp.Age, 0), maxRemaining)
 	*p = permit{id: hp.ID, upstream: u, class: hp.Class.Normalized(), long: hp.Long, grantedAt: now.Add(-age), confirmedAt: now}
+	if len(u.targets) > 0 {
+		p.account = u.targets[0].sharing(kindOf(p.class, p.long)).account(hp.Account)
+	}
 	o.addPermit(p)
 	if w != nil {
-		o.dequeue(w)
+		o.takeFromQueue(w)
 		o.replyGranted(p, nil)
 	}
 }
--- a/internal/berylsched/owner_random_test.go
+++ b/internal/berylsched/owner_random_test.go
@@ -31,6 +31,7 @@
 var (
 	modelUpstreams = []string{"u1", "u2"}
 	modelHosts     = []string{"h1", "h2", "h3"}
+	modelAccounts  = []string{"", "a", "b"}
 )
 
 const modelSlots = 2
@@ -109,7 +110,7 @@
 		return
 	}
 	p := m.owner().permits[r.ID]
-	m.held[r.ID] = berylpermit.HeldPermit{ID: r.ID, Upstream: r.Upstream, Class: p.class, Long: p.long}
+	m.held[r.ID] = berylpermit.HeldPermit{ID: r.ID, Upstream: r.Upstream, Class: p.class, Long: p.long, Account: p.account.name}
 	delete(m.openRequests, r.ID)
 }
 
@@ -129,6 +130,9 @@
 	req.ID = berylpermit.ID{Host: rapid.SampledFrom(modelHosts).Draw(t, "host"), Boot: 1, Seq: m.seq}
 	req.Class = berylpermit.Class(rapid.IntRange(0, 1).Draw(t, "class"))
 	req.Long = rapid.Bool().Draw(t, "long")
+	req.Account = rapid.SampledFrom(modelAccounts).Draw(t, "account")
+	req.Priority = rapid.IntRange(0, 1).Draw(t, "priority")
+	req.Tokens = rapid.IntRange(-1, 300).Draw(t, "tokens")
 	req.Remaining = time.Duration(rapid.IntRange(0, 20000).Draw(t, "remaining")) * time.Millisecond
 	m.openRequests[req.ID] = true
 	m.deliver(func() []Action { return m.owner().Request(m.now, req) })
@@ -189,6 +193,7 @@
 			m.t.Fatalf("%s: counts of online %d, long %d, batch %d, yielding %d differ from its permits", u.name, u.online, u.long, len(u.batch), len(u.yielding))
 		}
 		t := m.owner().targets["m"]
+		m.checkFairness(t)
 		if u.freeSlots()+batch > 0 && !u.health.ejected && t.queues[shortOnline].len() > 0 {
 			m.t.Fatalf("%s: a short online request waits: %d slots, %d online, %d batch, %d yielding, %d overdue",
 				u.name, u.health.effectiveSlots(u.slots), online, batch, yielding, u.overdue)
@@ -268,6 +273,7 @@
 					Class:     berylpermit.Class(rapid.IntRange(0, 1).Draw(t, "class")),
 					Long:      rapid.Bool().Draw(t, "long"),
 					Queue:     true,
+					Account:   rapid.SampledFrom(modelAccounts).Draw(t, "account"),
 					Remaining: time.Minute,
 				}))
 			},
--- a/internal/berylsched/owner_test.go
+++ b/internal/berylsched/owner_test.go
@@ -92,7 +92,7 @@
 	return c
 }
 
-// request reads "h1/7 batch long queue hedge remaining=5s avoid=u1,u2 prefer=u3 target=m".
+// request reads "h1/7 batch long queue hedge remaining=5s avoid=u1,u2 prefer=u3 target=m account=a priority=1 tokens=9".
 func (s *ownerScript) request(t *testing.T, d *datadriven.TestData) berylpermit.Request {
 	req := berylpermit.Request{Target: "m", Remaining: time.Minute, ID: parseID(t, d.CmdArgs[0].Key)}
 	for _, a := range d.CmdArgs[1:] {
@@ -113,6 +113,12 @@
 			req.Prefer = a.Vals
 		case "target":
 			req.Target = a.Vals[0]
+		case "account":
+			req.Account = a.Vals[0]
+		case "priority":
+			req.Priority, _ = strconv.Atoi(a.Vals[0])
+		case "tokens":
+			req.Tokens, _ = strconv.Atoi(a.Vals[0])
 		default:
 			t.Fatalf("%s: unknown argument %q", d.Pos, a.Key)
 		}
@@ -143,7 +149,7 @@
 	return r
 }
 
-// held reads "h1" and lines such as "h1/7 u1 batch long age=2s".
+// held reads "h1" and lines such as "h1/7 u1 batch long age=2s account=a".
 func (s *ownerScript) held(t *testing.T, d *datadriven.TestData) berylpermit.HeldReport {
 	h := berylpermit.HeldReport{Host: d.CmdArgs[0].Key, Boot: 1}
 	for _, line := range strings.Split(d.Input, "\n") {
@@ -158,6 +164,8 @@
 				p.Class = berylpermit.Batch
 			case f == "long":
 				p.Long = true
+			case strings.HasPrefix(f, "account="):
+				p.Account = f[len("account="):]
 			case strings.HasPrefix(f, "age="):
 				p.Age = duration(t, f[len("age="):])
 			}
--- a/internal/berylsched/upstream.go
+++ b/internal/berylsched/upstream.go
@@ -12,6 +12,8 @@
 	id       berylpermit.ID
 	upstream *upstream
 	class    berylpermit.Class
+	// account counts the permit; it is nil if the upstream serves no target.
+	account *account
 	// long marks work whose estimated answer is over the rules' long-tokens.
 	long bool
 	// probe marks a permit whose call tests whether an ejected upstream has recovered.
@@ -66,8 +68,11 @@
 	owned []*upstream
 	all   []*upstream
 	// queues holds the waiters by kind of work.
-	queues   [kindCount]queue
-	arrivals arrivalRate
+	queues [kindCount]queue
+	// onlineSharing and batchSharing share the slots between client accounts.
+	onlineSharing fairness
+	batchSharing  fairness
+	arrivals      arrivalRate
 	// cachedLoads are the loads for replies, computed at cachedAt. They end with the upstream at index
 	// loadCursor of owned.
 	cachedLoads []berylpermit.Load
