Name the account in the log of an adopted job

Cause: `berylroad explain` of a job that changed its host names the account only on lines of item calls. Change: lines about an adoption name the job's account, if it has one. No test checks the line.

--- a/internal/berylbatch/adopt.go
+++ b/internal/berylbatch/adopt.go
@@ -102,6 +102,9 @@
 	ownedAlready, unreadable := m.owns(j), j.unreadable
 	m.mu.Unlock()
 	log := m.Log.WithFields(logrus.Fields{"job": id, "from": record.Owner, "revision": revision})
+	if record.Account != "" {
+		log = log.WithField("account", record.Account)
+	}
 	if unreadable {
 		m.leaveToOthers(bounded, id, log)
 		return
