Keep only the former names of routes, not former configurations

Cause: acceptances looked at all routes of the configurations of the last minute, and a host held these configurations. With accounts each change of a key is a configuration, so a small host would hold dozens of them. Change: when the configuration changes, the batch routes whose names left it are kept for a minute, 256 at most. The test of a renamed route builds its configuration anew instead of copying one.

--- a/internal/berylbatch/guard.go
+++ b/internal/berylbatch/guard.go
@@ -22,6 +22,8 @@
 	// maxGuardKeys bounds the guards of one acceptance: the route's own and those of its former names. The store allows 32 entries in
 	// a transaction.
 	maxGuardKeys = 4
+	// maxFormerRoutes bounds the former names that are kept; the oldest are dropped first.
+	maxFormerRoutes = 256
 	// guardTurnWait is how long a submission waits for another one of this host to the same guard, so that they do not conflict with
 	// each other. After that it goes ahead: the check in the store decides.
 	guardTurnWait = 300 * time.Millisecond
@@ -141,18 +143,13 @@
 	}
 	m.observeConfig()
 	config := m.Routes.Get()
-	for _, former := range m.formerConfigs {
-		for i := range former.config.Routes {
-			r := &former.config.Routes[i]
-			if r.Kind != berylroute.Batch {
-				continue
-			}
-			if n := config.Named(r.Name); n != nil && n.Kind == berylroute.Batch {
-				continue
-			}
-			if now := config.Match(r.Host, r.Prefix); now != nil && now.Kind == berylroute.Batch && now.Name == route.Name {
-				add(r.Name)
-			}
+	for i := range m.formerRoutes {
+		former := &m.formerRoutes[i]
+		if isBatch(config.Named(former.name)) {
+			continue // it has its name again
+		}
+		if now := config.Match(former.host, former.prefix); isBatch(now) && now.Name == route.Name {
+			add(former.name)
 		}
 	}
 	for _, j := range m.jobs {
@@ -166,24 +163,31 @@
 	return names
 }
 
-// formerConfig is a configuration that was in force until a short time ago.
-type formerConfig struct {
-	config *berylroute.Config
-	until  time.Time
+// formerRoute is a batch route whose name was in the configuration until a short time ago.
+type formerRoute struct {
+	name, host, prefix string
+	until              time.Time
 }
 
-// observeConfig keeps the configurations that were in force within guardSpan; the caller holds mu.
+// observeConfig keeps the batch routes whose names have left the configuration within guardSpan; the caller holds mu.
 func (m *Manager) observeConfig() {
 	now := time.Now()
-	if config := m.Routes.Get(); config != m.lastConfig {
-		if m.lastConfig != nil {
-			m.formerConfigs = append(m.formerConfigs, formerConfig{m.lastConfig, now})
+	m.formerRoutes = slices.DeleteFunc(m.formerRoutes, func(f formerRoute) bool { return now.Sub(f.until) > guardSpan })
+	config, last := m.Routes.Get(), m.lastConfig
+	m.lastConfig = config
+	if config == last || last == nil {
+		return
+	}
+	for i := range last.Routes {
+		if r := &last.Routes[i]; isBatch(r) && !isBatch(config.Named(r.Name)) {
+			m.formerRoutes = append(m.formerRoutes, formerRoute{r.Name, r.Host, r.Prefix, now})
 		}
-		m.lastConfig = config
 	}
-	m.formerConfigs = slices.DeleteFunc(m.formerConfigs, func(f formerConfig) bool { return now.Sub(f.until) > guardSpan })
+	m.formerRoutes = m.formerRoutes[max(len(m.formerRoutes)-maxFormerRoutes, 0):]
 }
 
+func isBatch(r *berylroute.Route) bool { return r != nil && r.Kind == berylroute.Batch }
+
 // mergeGuard returns the given entries and those of the recent jobs whose records this host has seen, oldest first. It drops entries
 // older than guardSpan. Times in the future, from a host whose clock is ahead, become the present. The caller holds mu.
 func (m *Manager) mergeGuard(entries []guardEntry, route, account string) []guardEntry {
--- a/internal/berylbatch/manager.go
+++ b/internal/berylbatch/manager.go
@@ -97,7 +97,7 @@
 	guards         map[string]*guardState
 	waitingReports map[string]waitingReport // by job ID
 	lastConfig     *berylroute.Config       // the configuration that observeConfig has seen last
-	formerConfigs  []formerConfig
+	formerRoutes   []formerRoute
 	turns          map[string]*accountTurns // by service
 }
 
--- a/internal/berylbatch/waiting_test.go
+++ b/internal/berylbatch/waiting_test.go
@@ -165,17 +165,16 @@
 		},
 		"renamed, a host has the older configuration": func(g *guardTest) {
 			a, b := g.lagging("a"), g.lagging("b")
-			old, renamed := g.routes.Get(), *g.routes.Get()
-			route := renamed.Routes[0]
+			old := g.routes.Get()
+			route := old.Routes[0]
 			route.Name = "r-2"
-			renamed.Version, renamed.Routes = old.Version+1, []berylroute.Route{route}
 			b.Routes = &berylroute.CurrentConfig{}
 			b.Routes.Install(old)
 			a.mu.Lock()
 			a.observeConfig()
 			a.mu.Unlock()
 			g.Equal(g.submit(b, "j", "x", 60), 202)
-			g.routes.Install(&renamed)
+			g.routes.Install(&berylroute.Config{Version: old.Version + 1, Routes: []berylroute.Route{route}})
 			s := g.submission("k", 1)
 			s.Account = "x"
 			s.Items[0].Tokens = 60
