Read a job's record before a refusal that rests on silent owners

Cause: a job can be sent again because the host that had accepted it was lost. A host whose copy of the records lags counted that host's other jobs with all their tokens and could answer 429, which says that the job never runs, although it was stored. Change: if the refusal rests on owners that have not answered, and no conflict has shown the guard, the job's record is read first, at most ten times a second on a host.

--- a/internal/berylbatch/accept.go
+++ b/internal/berylbatch/accept.go
@@ -44,6 +44,10 @@
 				return nil
 			}
 			if count, fits := m.fits(ctx, s, record.Tokens, guards); !fits {
+				if count.unsure && conflicts == 0 && m.isStored(ctx, s.ID) {
+					log.Info("job: already accepted")
+					return nil
+				}
 				log.WithFields(logrus.Fields{
 					"route": s.Route.Name, "account": s.Account, "waiting-tokens": count.tokens, "waiting-jobs": count.jobs,
 					"limit": s.Route.MaxWaitingTokens, "conflicts": conflicts,
--- a/internal/berylbatch/manager.go
+++ b/internal/berylbatch/manager.go
@@ -84,21 +84,22 @@
 	Config
 	follower berylstore.Follower
 
-	mu             sync.Mutex
-	jobs           map[string]*job      // all jobs whose records this host has seen, by ID
-	pendingPermits map[permitTarget]int // permit requests in flight
-	estimator      durationEstimator
-	lastProgress   progressCache
-	wakeDispatch   chan struct{} // signals dispatchLoop
-	wakeCommit     chan struct{} // signals commitLoop
-	stopping       bool
-	items          sync.WaitGroup  // permit waits and item calls; not a conc.WaitGroup, which would hold a panic back until Wait
-	itemContext    context.Context // parent of the contexts of all item calls
-	guards         map[string]*guardState
-	waitingReports map[string]waitingReport // by job ID
-	lastConfig     *berylroute.Config       // the configuration that observeConfig has seen last
-	formerRoutes   []formerRoute
-	turns          map[string]*accountTurns // by service
+	mu              sync.Mutex
+	jobs            map[string]*job      // all jobs whose records this host has seen, by ID
+	pendingPermits  map[permitTarget]int // permit requests in flight
+	estimator       durationEstimator
+	lastProgress    progressCache
+	wakeDispatch    chan struct{} // signals dispatchLoop
+	wakeCommit      chan struct{} // signals commitLoop
+	stopping        bool
+	items           sync.WaitGroup  // permit waits and item calls; not a conc.WaitGroup, which would hold a panic back until Wait
+	itemContext     context.Context // parent of the contexts of all item calls
+	guards          map[string]*guardState
+	waitingReports  map[string]waitingReport // by job ID
+	lastConfig      *berylroute.Config       // the configuration that observeConfig has seen last
+	formerRoutes    []formerRoute
+	lastStoredCheck time.Time                // when isStored last read the store
+	turns           map[string]*accountTurns // by service
 }
 
 // New returns a manager that does nothing until Run.
--- a/internal/berylbatch/waiting.go
+++ b/internal/berylbatch/waiting.go
@@ -18,6 +18,8 @@
 	waitingReportFresh = 500 * time.Millisecond
 	// waitingReportTTL is how long an owner's answer is used. The tokens that wait only become fewer while the job keeps its owner.
 	waitingReportTTL = 5 * time.Second
+	// storedCheckInterval is the least time between two reads of records before refusals, which bounds their price.
+	storedCheckInterval = 100 * time.Millisecond
 	// maxWaitingReports is the number of reports above which the expired ones are dropped.
 	maxWaitingReports = 1024
 )
@@ -38,6 +40,8 @@
 	// stale holds the IDs of the jobs that count with more than their owner may say now, by owner, and staleTokens their sum.
 	stale       map[string][]string
 	staleTokens int64
+	// unsure is set if jobs count with all their tokens because their owners have not said otherwise.
+	unsure bool
 }
 
 // waitsOn reports whether a job belongs to a route, under whatever name the route accepted it, and to an account. Without accounts,
@@ -92,6 +96,8 @@
 	known = known && report.owner == owner && !report.at.Before(since) && now.Sub(report.at) < waitingReportTTL
 	if known && report.answered {
 		tokens = min(tokens, report.tokens)
+	} else {
+		c.unsure = true
 	}
 	c.add(tokens)
 	if owner != "" && owner != m.Host && (!known || now.Sub(report.at) >= waitingReportFresh) {
@@ -179,3 +185,20 @@
 	}
 	return waiting
 }
+
+// isStored reports whether the store has the record of a job that is about to be refused. The job may be sent again because the host
+// that accepted it was lost, and that host's other jobs count with all their tokens then. It returns false without a read if the last
+// one was within storedCheckInterval.
+func (m *Manager) isStored(ctx context.Context, id string) bool {
+	m.mu.Lock()
+	recent := time.Since(m.lastStoredCheck) < storedCheckInterval
+	if !recent {
+		m.lastStoredCheck = time.Now()
+	}
+	m.mu.Unlock()
+	if recent {
+		return false
+	}
+	_, _, refusal := m.findRecord(ctx, id)
+	return refusal == nil
+}
--- a/internal/berylbatch/waiting_test.go
+++ b/internal/berylbatch/waiting_test.go
@@ -57,6 +57,17 @@
 	return refusal.Status
 }
 
+// failFirst applies a fault to the first acceptance of a job.
+func (g *guardTest) failFirst(job string, fault berylfake.MemoryStoreFault) {
+	g.store.SetFault(func(call, key string) berylfake.MemoryStoreFault {
+		if call != "commit" || key != recordKey(job) {
+			return berylfake.StoreHealthy
+		}
+		defer func() { fault = berylfake.StoreHealthy }()
+		return fault
+	})
+}
+
 func (g *guardTest) commits() int { return g.store.Calls()["commit"] }
 
 func (g *guardTest) put(key string, value []byte) {
@@ -127,14 +138,7 @@
 		},
 		"an attempt that is overtaken by another job can't take effect late": func(g *guardTest) {
 			a, b := g.lagging("a"), g.lagging("b")
-			first := true
-			g.store.SetFault(func(call, key string) berylfake.MemoryStoreFault {
-				if first && call == "commit" && key == recordKey("j") {
-					first = false
-					return berylfake.StoreDelaysCall
-				}
-				return berylfake.StoreHealthy
-			})
+			g.failFirst("j", berylfake.StoreDelaysCall)
 			go func() {
 				time.Sleep(50 * time.Millisecond)
 				g.Equal(g.submit(b, "k", "x", 60), 202)
@@ -147,14 +151,7 @@
 		},
 		"lost answer, then another job": func(g *guardTest) {
 			a, b := g.lagging("a"), g.lagging("b")
-			first := true
-			g.store.SetFault(func(call, key string) berylfake.MemoryStoreFault {
-				if first && call == "commit" && key == recordKey("j") {
-					first = false
-					return berylfake.StoreLosesAnswer
-				}
-				return berylfake.StoreHealthy
-			})
+			g.failFirst("j", berylfake.StoreLosesAnswer)
 			go func() {
 				time.Sleep(50 * time.Millisecond)
 				g.Equal(g.submit(b, "k", "x", 60), 429)
@@ -163,6 +160,19 @@
 			g.Equal(g.submit(a, "j", "x", 60), 202)
 			g.Equal(g.guard("x"), []string{"j"})
 		},
+		"sent again after its host was lost, whose jobs count whole": func(g *guardTest) {
+			a, b := g.lagging("a"), g.lagging("b")
+			g.Equal(g.submit(a, "k", "x", 90), 202)
+			g.Equal(g.submit(b, "l", "x", 50), 429) // b knows of k now
+			a.mu.Lock()
+			a.finishItem(a.jobs["k"].items[0], Completed)
+			a.mu.Unlock()
+			g.Equal(g.submit(a, "j", "x", 90), 202)
+			delete(g.alive, "a")
+			time.Sleep(waitingReportTTL)
+			g.Equal(g.submit(b, "j", "x", 90), 202)
+			g.Equal(g.submit(b, "l", "x", 50), 429)
+		},
 		"renamed, a host has the older configuration": func(g *guardTest) {
 			a, b := g.lagging("a"), g.lagging("b")
 			old := g.routes.Get()
