Refuse queued requests that other accounts have overtaken

Cause: a request's predicted wait holds when it is queued; requests of accounts that hold less than their fair share come before it later. Change: where several accounts hold slots or wait, a queued request is refused once its wait so far and the predicted rest exceed twice the wait that it accepted.

--- a/internal/berylsched/owner_config.go
+++ b/internal/berylsched/owner_config.go
@@ -189,7 +189,7 @@
 		o.late = q.removable(o.late[:0], t.sharedSlots(k), func(w *waiter, position int) bool {
 			w.predicted = t.throughput.predictWait(now, k, position)
 			valid := now.Sub(w.renewedAt) <= lease && t.canServe(&w.req)
-			return valid && t.throughput.meetsDeadline(k, w.deadline.Sub(now), w.predicted)
+			return valid && t.throughput.meetsDeadline(k, w.deadline.Sub(now), w.predicted) && !w.isOvertaken(now)
 		})
 		for _, w := range o.late {
 			o.dequeue(w)
--- a/internal/berylsched/queue.go
+++ b/internal/berylsched/queue.go
@@ -12,6 +12,9 @@
 	// maxScannedAccounts is how many accounts are looked at to find one that holds no more than its fair share, so that the
 	// cost of a decision does not grow with the number of accounts.
 	maxScannedAccounts = 64
+	// maxWaitFactor is the multiple of its longest acceptable wait after which a request that others have overtaken is
+	// refused. The relay takes half of the time to the first event as that wait.
+	maxWaitFactor = 2
 	// maxSparePlaces is the most places that a queue keeps for reuse.
 	maxSparePlaces = 256
 )
@@ -30,6 +33,16 @@
 	arrival uint64
 }
 
+// isOvertaken reports whether the request, by its predicted wait, will have waited for a multiple of what it accepted when
+// it was queued, because requests of other accounts have come before it since.
+func (w *waiter) isOvertaken(now time.Time) bool {
+	if w.req.MaxQueueWait <= 0 || w.flow.account.isOnly() {
+		return false
+	}
+	waited := w.req.Remaining - w.deadline.Sub(now)
+	return waited+w.predicted > maxWaitFactor*w.req.MaxQueueWait
+}
+
 // compareWaiters orders waiters by deadline, then by arrival.
 func compareWaiters(a, b *waiter) int {
 	if c := a.deadline.Compare(b.deadline); c != 0 {
