Add an adaptive pace for new and recovered upstreams

Cause: a new upstream gets all its slots at once, and one that answers a probe half of them and then a tenth at each evaluation, whatever it answers. So it is overloaded while cold, or idle while it could serve. Change: berylpace is a state machine of one upstream's limit of calls in flight. It starts with an eighth of the slots or the share of the kind's slots that is missing, doubles at the first answer, rises with answers of calls that use the limit and falls at faults, refusals and slowness in comparison with its own past and its kind. The Owner uses it where Settings.AdaptivePace is set, off by default; berylentry.Settings has the field AdaptivePace. Loads carry the pace and its cause for the next owner (Load fields 13 and 14, docs/design/upgrades.md). Metrics, entry status, a log line of at most one a second for an upstream; docs/design/pace.md.

--- a/internal/berylcmd/entry/status/status.go
+++ b/internal/berylcmd/entry/status/status.go
@@ -121,6 +121,9 @@
 		if u.Limit != nil {
 			status += fmt.Sprintf(", limit %g/s", *u.Limit)
 		}
+		if u.Pace > 0 {
+			status += fmt.Sprintf(", pace %d (%s)", u.Pace, u.PaceCause)
+		}
 		return fmt.Sprintf("%s\t%s\t%s\t%s\t%d\t%s\t%s", u.ID, u.FailureDomain, u.Owner, status, u.Slots, online, batch)
 	})
 	var lines []string
--- a/internal/berylentry/host.go
+++ b/internal/berylentry/host.go
@@ -260,6 +260,7 @@
 	berylwire.HandleDuplex(h.endpoint, kindTunnel, h.handleTunnel)
 	h.scheduler = berylsched.New(berylsched.Settings{
 		Host: h.Settings.Host, Boot: h.boot, Transport: links, Metrics: h.Metrics, Log: h.Log, Paths: h.paths,
+		AdaptivePace: h.Settings.AdaptivePace,
 		OnLeaving: func(upstream string, run int64, answered bool) {
 			h.upstreamRegistry.MarkLeaving(time.Now(), upstream, run, answered)
 		},
@@ -319,6 +320,7 @@
 		}
 		return 0
 	})
+	gauge("berylroad_owner_paced_upstreams", func(l berylpermit.Load) int { return min(l.Pace, 1) })
 }
 
 // allFollowers returns the followers of all parts of the store that this host keeps a copy of.
--- a/internal/berylentry/settings.go
+++ b/internal/berylentry/settings.go
@@ -27,4 +27,6 @@
 	Retention time.Duration
 	// MinLease is the shortest lease that the store grants.
 	MinLease time.Duration
+	// AdaptivePace makes new and recovered upstreams get slots as they show that they can handle them (docs/design/pace.md).
+	AdaptivePace bool
 }
--- a/internal/berylentry/status.go
+++ b/internal/berylentry/status.go
@@ -82,6 +82,10 @@
 	// Limit is the number of requests a second to which this host, as the owner, holds the upstream because the upstream
 	// names that limit. It is nil without a limit.
 	Limit *float64 `json:"limit"`
+	// Pace is how many slots this host, as the owner, grants until the upstream has shown that it can handle more, and
+	// PaceCause why. Zero means all slots.
+	Pace      int    `json:"pace,omitempty"`
+	PaceCause string `json:"pace-cause,omitempty"`
 }
 
 // Status returns this host's current view. Before Run has assembled the host it contains only the name and failure
@@ -131,6 +135,9 @@
 	for _, l := range h.scheduler.Loads() {
 		if i, known := index[l.Upstream]; known {
 			list[i].Online, list[i].Batch, list[i].Straggler = l.Online, l.Batch, l.Straggler
+			if l.Pace > 0 {
+				list[i].Pace, list[i].PaceCause = l.Pace, l.PaceCause.String()
+			}
 			if l.Limit.Limited {
 				list[i].Limit = &l.Limit.PerSecond
 			}
--- a/internal/berylpermit/permit.go
+++ b/internal/berylpermit/permit.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"berylroad.example/berylroad/internal/beryloutcome"
+	"berylroad.example/berylroad/internal/berylpace"
 )
 
 // Class is the priority class of a piece of work.
@@ -140,6 +141,10 @@
 	Admitted int `cbor:"11,keyasint,omitempty"`
 	// LeavingRun is the run (see Statement.Run) of which an answer has said that it leaves, or zero.
 	LeavingRun int64 `cbor:"12,keyasint,omitempty"`
+	// Pace is how many slots the upstream may use as far as it has shown that it can handle them, or zero for all.
+	Pace int `cbor:"13,keyasint,omitempty"`
+	// PaceCause is why Pace is not zero.
+	PaceCause berylpace.Cause `cbor:"14,keyasint,omitempty"`
 }
 
 // Withdraw tells an owner that a request is no longer wanted. A permit already granted for it is released.
--- a/internal/berylsched/action.go
+++ b/internal/berylsched/action.go
@@ -1,6 +1,9 @@
 package berylsched
 
-import "berylroad.example/berylroad/internal/berylpermit"
+import (
+	"berylroad.example/berylroad/internal/berylpace"
+	"berylroad.example/berylroad/internal/berylpermit"
+)
 
 // Upstream is the configuration of one upstream.
 type Upstream struct {
@@ -34,6 +37,8 @@
 	ActionLimit
 	// ActionHealth announces that an owned upstream was ejected or is back in use.
 	ActionHealth
+	// ActionPace announces how many slots an owned upstream may use, with AdaptivePace.
+	ActionPace
 )
 
 // LimitChange is a new limit of an upstream.
@@ -56,6 +61,16 @@
 	ReportedBy string
 }
 
+// PaceChange is a change of the number of slots that an upstream may use.
+type PaceChange struct {
+	// Upstream is the upstream's name.
+	Upstream string
+	// Limit is the number that it may use, and Slots the configured one.
+	Limit, Slots int
+	// Cause is why it may not use all of them.
+	Cause berylpace.Cause
+}
+
 // Action is an output of the Owner, which its caller carries out.
 type Action struct {
 	// Kind determines which of the fields below is set.
@@ -68,4 +83,6 @@
 	Limit LimitChange
 	// Health is for the log.
 	Health HealthChange
+	// Pace is for the log.
+	Pace PaceChange
 }
--- a/internal/berylsched/health.go
+++ b/internal/berylsched/health.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"berylroad.example/berylroad/internal/beryloutcome"
+	"berylroad.example/berylroad/internal/berylpace"
 	"berylroad.example/berylroad/internal/berylpermit"
 )
 
@@ -84,6 +85,8 @@
 // health is the outlier detection state of one upstream, derived from the reports of its calls. The zero value is an
 // upstream in full use.
 type health struct {
+	// pace limits the slots in place of withheldShare; it is nil unless AdaptivePace is set.
+	pace *berylpace.Pace
 	// heldFor is how long permits were held, by kind of work.
 	heldFor           [kindCount]movingMean
 	timeToFirstToken  movingMean
@@ -117,6 +120,9 @@
 
 // effectiveSlots returns how many of the configured slots may be granted, at least one.
 func (h *health) effectiveSlots(slots int) int {
+	if h.pace != nil {
+		return h.pace.Limit(slots)
+	}
 	if h.withheldShare == 0 {
 		return slots
 	}
@@ -215,7 +221,11 @@
 	}
 	h.ejected = false
 	h.recoveredAt = now
-	h.withheldShare = 1 - recoverySlotShare
+	if h.pace != nil {
+		h.pace.Start(now, p.upstream.slots, p.upstream.unprovenShare(now), berylpace.Recovered)
+	} else {
+		h.withheldShare = 1 - recoverySlotShare
+	}
 	h.slowdown = 0
 	h.timeToFirstToken = movingMean{}
 	h.interTokenLatency = movingMean{}
@@ -245,6 +255,7 @@
 	switch {
 	case h.slowdown >= ejectRatio && mayEject:
 		h.eject(now, causeSlow, minSlowBackoff, maxSlowBackoff)
+	case h.pace != nil:
 	case h.slowdown >= slowRatio:
 		h.withheldShare = 1 - (1-h.withheldShare)*slowSlotFactor
 	case h.withheldShare > 0:
--- a/internal/berylsched/metrics.go
+++ b/internal/berylsched/metrics.go
@@ -61,6 +61,11 @@
 	return c.set.GetOrCreateCounter(fmt.Sprintf("berylroad_owner_ejections_total{cause=%q}", cause))
 }
 
+// paceChanges returns the counter of changes of an upstream's pace for a cause.
+func (c *counters) paceChanges(cause string) *metrics.Counter {
+	return c.set.GetOrCreateCounter(fmt.Sprintf("berylroad_owner_pace_changes_total{cause=%q}", cause))
+}
+
 func (c *counters) countVerdict(v berylpermit.Verdict) {
 	c.verdicts[v].Inc()
 }
--- a/internal/berylsched/owner.go
+++ b/internal/berylsched/owner.go
@@ -49,6 +49,10 @@
 // Owner is the state machine of one host for the upstreams it owns: it grants their slots, queues requests for them and
 // preempts batch work. It has no clock, goroutine or I/O. The actions that a method returns are valid until the next call.
 type Owner struct {
+	// AdaptivePace makes new and recovered upstreams get slots as they show that they can handle them. It is set before the
+	// first event.
+	AdaptivePace bool
+
 	upstreams map[string]*upstream
 	targets   map[string]*target
 	// sortedUpstreams lists the upstreams by name, and sortedTargets the targets with owned upstreams. They are iterated
@@ -270,6 +274,7 @@
 	p := o.newPermit()
 	*p = permit{id: req.ID, upstream: u, class: req.Class, long: req.Long, grantedAt: now, confirmedAt: now}
 	p.account = t.sharing(kindOf(req.Class, req.Long)).account(req.Account)
+	p.inFlight = u.inFlight() + 1
 	o.addPermit(p)
 	u.limit.take(now)
 	u.health.markProbe(p)
@@ -318,6 +323,7 @@
 		return o.actions
 	}
 	wasEjected := p.upstream.health.ejected
+	observePace(now, p, &r.Report)
 	p.upstream.health.observe(now, p, r.Report, p.upstream.medians())
 	o.reportHealth(p.upstream, wasEjected, p.id.Host)
 	o.freePermit(now, p)
@@ -332,6 +338,9 @@
 	change := HealthChange{Upstream: u.name, Ejected: u.health.ejected, ReportedBy: reportedBy}
 	if change.Ejected {
 		change.Cause = u.health.ejectedFor
+		if u.health.pace != nil {
+			u.health.pace.Eject(o.now, u.slots)
+		}
 	}
 	o.actions = append(o.actions, Action{Kind: ActionHealth, Health: change})
 }
--- a/internal/berylsched/owner_config.go
+++ b/internal/berylsched/owner_config.go
@@ -84,6 +84,10 @@
 
 // dropOwnedState drops the permits and the health of an upstream that this host no longer owns.
 func (o *Owner) dropOwnedState(u *upstream) {
+	if u.health.pace != nil && len(u.targets) > 0 {
+		// If this host owns the upstream again soon, it continues from here.
+		u.peerLoad = peerLoad{Load: u.load(o.now, u.targets[0]), receivedAt: o.now}
+	}
 	u.owned = false
 	for _, p := range o.permitsOf(u) {
 		o.removePermit(p)
@@ -127,6 +131,7 @@
 		}
 	}
 	slices.SortFunc(o.sortedTargets, func(a, b *target) int { return cmp.Compare(a.name, b.name) })
+	o.startPaces(now)
 	for _, t := range o.sortedTargets {
 		t.refreshThroughput(now, o)
 	}
@@ -151,6 +156,7 @@
 	for _, u := range o.sortedUpstreams {
 		if u.owned {
 			o.repeatYields(now, u)
+			o.reportPace(now, u)
 		}
 	}
 	o.freeExpired(now)
--- a/internal/berylsched/owner_loop.go
+++ b/internal/berylsched/owner_loop.go
@@ -134,6 +134,8 @@
 			l.sched.outbox.send(y.ID.Host, message{yield: &y})
 		case ActionLimit:
 			l.sched.logLimit(a.Limit)
+		case ActionPace:
+			l.sched.logPace(a.Pace)
 		case ActionHealth:
 			l.sched.logHealth(a.Health)
 		}
--- a/internal/berylsched/owner_random_test.go
+++ b/internal/berylsched/owner_random_test.go
@@ -59,7 +59,9 @@
 	for _, name := range modelUpstreams {
 		config.Upstreams = append(config.Upstreams, Upstream{Name: name, Slots: modelSlots, Targets: []string{"m"}})
 	}
+	paced := rapid.Bool().Draw(t, "paced")
 	for i := range m.owners {
+		m.owners[i].AdaptivePace = paced
 		m.owners[i].Configure(m.now, config)
 	}
 	m.owners[0].SetOwned(m.now, modelUpstreams)
--- a/internal/berylsched/owner_test.go
+++ b/internal/berylsched/owner_test.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/datadriven"
 
 	"berylroad.example/berylroad/internal/beryloutcome"
+	"berylroad.example/berylroad/internal/berylpace"
 	"berylroad.example/berylroad/internal/berylpermit"
 	"berylroad.example/berylroad/internal/berylsched"
 )
@@ -64,9 +65,10 @@
 	}
 }
 
-// config reads "long-share=0.5" and lines such as "u1 slots=2 targets=m,n leaving".
+// config reads "long-share=0.5 pace" and lines such as "u1 slots=2 targets=m,n leaving".
 func (s *ownerScript) config(t *testing.T, d *datadriven.TestData) berylsched.Config {
 	c := berylsched.Config{LongShare: 0.5}
+	s.owner.AdaptivePace = s.owner.AdaptivePace || d.HasArg("pace")
 	if d.HasArg("long-share") {
 		var share string
 		d.ScanArgs(t, "long-share", &share)
@@ -189,6 +191,11 @@
 				l.InterTokenLatency = duration(t, value)
 			case "straggler":
 				l.Straggler = true
+			case "slots":
+				l.Slots, _ = strconv.Atoi(value)
+			case "pace":
+				l.Pace, _ = strconv.Atoi(value)
+				l.PaceCause = berylpace.Slow
 			case "limit":
 				l.Limit = parseLimit(t, value)
 			default:
@@ -243,6 +250,10 @@
 			fmt.Fprintf(&b, "limit of %s: %s\n", a.Limit.Upstream, showLimit(a.Limit.Limit))
 			continue
 		}
+		if a.Kind == berylsched.ActionPace {
+			fmt.Fprintf(&b, "pace of %s: %d of %d (%s)\n", a.Pace.Upstream, a.Pace.Limit, a.Pace.Slots, a.Pace.Cause)
+			continue
+		}
 		if a.Kind == berylsched.ActionHealth {
 			b.WriteString(showHealth(a.Health))
 			continue
--- a/internal/berylsched/scheduler.go
+++ b/internal/berylsched/scheduler.go
@@ -57,6 +57,9 @@
 	OnLeaving func(upstream string, run int64, answered bool)
 	// Paths tells whether this host reaches upstreams; nil means that it always does.
 	Paths Paths
+	// AdaptivePace makes new and recovered upstreams get slots as they show that they can handle them (package berylpace).
+	// Without it, new ones get all slots at once, and recovered ones half and then a tenth at each evaluation.
+	AdaptivePace bool
 	// Metrics is where the metrics are registered; nil leaves them unpublished.
 	Metrics *metrics.Set
 	// Log is the logger for changes of state; nil means logrus's standard logger.
@@ -91,6 +94,7 @@
 	}
 	s.counters = newCounters(s.Metrics)
 	s.loop = newOwnerLoop(s)
+	s.loop.owner.AdaptivePace = s.AdaptivePace
 	s.outbox = newOutbox(s)
 	s.table.Store(newTable(berylconf.Document{}, nil, s.Host, s.Owner, nil))
 	return s
@@ -237,6 +241,12 @@
 	log.WithField("cause", c.Cause).Info("upstream: ejected")
 }
 
+// logPace logs and counts a change of the number of slots that an owned upstream may use.
+func (s *Scheduler) logPace(c PaceChange) {
+	s.counters.paceChanges(c.Cause.String()).Inc()
+	s.Log.WithFields(logrus.Fields{"upstream": c.Upstream, "pace": c.Limit, "slots": c.Slots, "cause": c.Cause.String()}).Info("upstream: pace")
+}
+
 // nextID returns the ID for a new permit request.
 func (s *Scheduler) nextID() berylpermit.ID {
 	return berylpermit.ID{Host: s.Host, Boot: s.Boot, Seq: s.seq.Add(1)}
--- a/internal/berylsched/throughput.go
+++ b/internal/berylsched/throughput.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"berylroad.example/berylroad/internal/berylpace"
 	"berylroad.example/berylroad/internal/berylpermit"
 )
 
@@ -188,6 +189,9 @@
 		Limit:             u.limit.Limit,
 		LeavingRun:        u.leavingRun,
 	}
+	if p := u.health.pace; p != nil && p.Cause() != berylpace.None {
+		l.Pace, l.PaceCause = p.Limit(u.slots), p.Cause()
+	}
 	if u.limit.Limited {
 		l.Admitted = int(u.limit.tokens(now))
 	}
--- a/internal/berylsched/upstream.go
+++ b/internal/berylsched/upstream.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"berylroad.example/berylroad/internal/berylpace"
 	"berylroad.example/berylroad/internal/berylpermit"
 )
 
@@ -29,6 +30,8 @@
 	yieldSentAt time.Time
 	// overdue marks a permit that was not given back within yieldGrace.
 	overdue bool
+	// inFlight counts the upstream's permits, itself included, when it was granted.
+	inFlight int
 	// index is the position in the list of the holder's permits.
 	index int
 }
@@ -57,6 +60,10 @@
 	limit   rateLimit
 	// leavingRun is the run of which an answer has said that it leaves, or zero; leaving is what the configuration says.
 	leavingRun int64
+	// reportedPace is the limit that was last reported, and reportedCause its cause, at paceReportedAt.
+	reportedPace   int
+	reportedCause  berylpace.Cause
+	paceReportedAt time.Time
 	// peerLoad is the last load reported by another host that owns the upstream.
 	peerLoad peerLoad
 }
