Keep the pace from holding back upstreams for scattered faults

Cause: each fault halved an upstream's limit and a round of answers gave one slot back, so faults that have nothing to do with the number of calls would settle a limit of 64 slots near 6 at 5 in 100 (computed), on all upstreams at once. A refusal beside few calls left it at one more a round. Change: a fault of an upstream that may use all slots costs a quarter; the rise is an eighth of the slots a round above half of the last limit and an answer a slot below it; no fall goes below the share of the kind's slots that may not be used.

--- a/internal/berylpace/pace.go
+++ b/internal/berylpace/pace.go
@@ -19,9 +19,13 @@
 	// recentWeight is the weight of a new sample in the upstream's recent latencies, over which calls with long prompts
 	// average out.
 	recentWeight = 0.3
-	// slowFactor and faultFactor are the factors by which the limit falls after slow calls and after a fault.
+	// slowFactor and faultFactor are the factors by which the limit falls after slow calls and after a fault. A fault of an
+	// upstream that has shown that it can use all slots counts like slowness: a few calls in a hundred may fail for reasons
+	// that have nothing to do with the number of calls.
 	slowFactor  = 0.75
 	faultFactor = 0.5
+	// stepShare is the share of the slots by which the limit rises in each round above the threshold, at least one slot.
+	stepShare = 1.0 / 8
 )
 
 // Cause is why an upstream has the limit that it has.
@@ -83,6 +87,9 @@
 	Result Result
 	// Latency is how fast the answer was, and Kind the usual latency of upstreams of the same kind.
 	Latency, Kind Latency
+	// Missing is the share, from 0 to 1, of the slots of the upstream's kind that may not be used now. The limit does not
+	// fall below that share of the slots: if all upstreams are in trouble, holding back more only refuses more.
+	Missing float64
 }
 
 // Pace is the limit of one upstream's calls in flight. The zero value allows all slots.
@@ -165,7 +172,7 @@
 	switch {
 	case c.Result == Success && isSlow(c.Latency, p.usual, c.Kind) && isSlow(p.recent, p.usual, c.Kind):
 		if p.blamesUpstream(c.Host) && current {
-			p.fall(now, slots, int(float64(before)*slowFactor), Slow)
+			p.fall(now, slots, int(float64(before)*slowFactor), Slow, c.Missing)
 		}
 	case c.Result == Success:
 		p.slowHost, p.slowCalls = "", 0
@@ -175,15 +182,17 @@
 			p.settle(slots)
 		}
 	case current && c.Result == Refusal:
-		p.fall(now, slots, min(c.InFlight-1, before-1), Refused)
+		p.fall(now, slots, c.InFlight-1, Refused, c.Missing)
+	case current && c.Result == Failure && p.cause == None:
+		p.fall(now, slots, int(float64(before)*slowFactor), Fault, c.Missing)
 	case current && c.Result == Failure:
-		p.fall(now, slots, int(float64(before)*faultFactor), Fault)
+		p.fall(now, slots, int(float64(before)*faultFactor), Fault, c.Missing)
 	}
 	return p.Limit(slots) != before
 }
 
 // raise raises the limit after a success: it doubles at the first one, and once per round of successes up to the
-// threshold. Above the threshold it grows by one each round.
+// threshold. Above the threshold it grows by stepShare each round.
 func (p *Pace) raise(now time.Time, slots int) {
 	threshold := slots
 	if p.threshold > 0 && now.Sub(p.troubleAt) < memory {
@@ -196,16 +205,18 @@
 		p.limit++
 	default:
 		if p.successes++; p.successes >= p.limit {
-			p.limit, p.successes = p.limit+1, 0
+			p.limit, p.successes = p.limit+max(int(float64(slots)*stepShare), 1), 0
 		}
 	}
 	p.doubles = false
 }
 
-// fall lowers the limit. A later rise is slow above the new one.
-func (p *Pace) fall(now time.Time, slots, limit int, cause Cause) {
-	p.limit = max(min(limit, p.Limit(slots)-1), 1)
-	p.cause, p.threshold, p.troubleAt, p.changedAt = cause, p.limit, now, now
+// fall lowers the limit, but not below the missing share. A later rise is slow above half of the last limit.
+func (p *Pace) fall(now time.Time, slots, limit int, cause Cause, missing float64) {
+	before := p.Limit(slots)
+	p.limit = max(min(limit, before-1), min(int(float64(slots)*missing), before), 1)
+	p.threshold = max(p.limit, before/2)
+	p.cause, p.troubleAt, p.changedAt = cause, now, now
 	p.successes, p.doubles = 0, false
 	p.slowHost, p.slowCalls, p.recent = "", 0, Latency{}
 	p.settle(slots)
--- a/internal/berylsched/outliers.go
+++ b/internal/berylsched/outliers.go
@@ -63,6 +63,7 @@
 		return
 	}
 	t.evaluatedAt = now
+	t.refreshMissing(now, o)
 	total, ejected := t.updateMedians(now)
 	for _, u := range t.owned {
 		if u.targets[0] != t {
--- a/internal/berylsched/owner_pace.go
+++ b/internal/berylsched/owner_pace.go
@@ -43,7 +43,16 @@
 // unprovenShare returns the share of the slots of the upstream's kind that may not be used now, this upstream's included,
 // because upstreams are new, ejected or held back. Upstreams of which nothing is known are left out.
 func (u *upstream) unprovenShare(now time.Time) float64 {
-	total, usable := u.slots, 0
+	total, usable := u.otherSlots(now)
+	total += u.slots
+	return 1 - float64(min(usable, total))/float64(max(total, 1))
+}
+
+// otherSlots counts the slots of the other upstreams of the upstream's kind, and those that may be used now.
+func (u *upstream) otherSlots(now time.Time) (total, usable int) {
+	if len(u.targets) == 0 {
+		return 0, 0
+	}
 	for _, other := range u.targets[0].all {
 		if other == u || other.leaving {
 			continue
@@ -60,20 +69,34 @@
 		}
 		total += other.slots
 	}
-	return 1 - float64(min(usable, total))/float64(max(total, 1))
+	return total, usable
+}
+
+// refreshMissing recomputes the share of the target's slots that may not be used now.
+func (t *target) refreshMissing(now time.Time, o *Owner) {
+	if o.AdaptivePace && len(t.owned) > 0 {
+		u := t.owned[0]
+		own := 0
+		if !u.health.ejected && u.health.pace != nil {
+			own = u.health.pace.Limit(u.slots)
+		}
+		total, usable := u.otherSlots(now)
+		t.missing = 1 - float64(usable+own)/float64(max(total+u.slots, usable+own, 1))
+	}
 }
 
 // observePace tells the pace of the permit's upstream how the call ended. Probes are taken into account when they put the
 // upstream back into use, and refusals only without a limit of requests a second.
 func observePace(now time.Time, p *permit, r *berylpermit.Report) {
 	u := p.upstream
-	if u.health.pace == nil || u.health.ejected || p.probe {
+	if u.health.pace == nil || u.health.ejected || p.probe || len(u.targets) == 0 {
 		return
 	}
 	kind := u.medians()
 	c := berylpace.Call{
 		Host: p.id.Host, GrantedAt: p.grantedAt, InFlight: max(p.inFlight, u.inFlight()),
 		Latency: berylpace.Latency{FirstEvent: r.TimeToFirstToken, BetweenEvents: r.InterTokenLatency},
+		Missing: u.targets[0].missing,
 		Kind:    berylpace.Latency{FirstEvent: kind.timeToFirstToken, BetweenEvents: kind.interTokenLatency},
 	}
 	switch {
--- a/internal/berylsched/upstream.go
+++ b/internal/berylsched/upstream.go
@@ -88,6 +88,8 @@
 	throughput  throughput
 	medians     latencyMedians
 	evaluatedAt time.Time
+	// missing is the share of the slots of all that may not be used, as of evaluatedAt. It is kept with AdaptivePace only.
+	missing float64
 	// firstTokenSamples and interTokenSamples are buffers of updateMedians, kept to save allocations.
 	firstTokenSamples []time.Duration
 	interTokenSamples []time.Duration
