Raise the pace faster after refusals and single ejections

Change: a fault of an upstream that may use all slots has no effect, as an upstream whose calls all fail is ejected; after refusals each answer adds an eighth of the slots and one; the rise is slow after an ejection for slowness or a second one within 30 s, not after a first one.

--- a/internal/berylpace/pace.go
+++ b/internal/berylpace/pace.go
@@ -19,9 +19,10 @@
 	// recentWeight is the weight of a new sample in the upstream's recent latencies, over which calls with long prompts
 	// average out.
 	recentWeight = 0.3
-	// slowFactor and faultFactor are the factors by which the limit falls after slow calls and after a fault. A fault of an
-	// upstream that has shown that it can use all slots counts like slowness: a few calls in a hundred may fail for reasons
-	// that have nothing to do with the number of calls.
+	// slowFactor is the factor by which the limit falls after slow calls, and faultFactor that after a fault of a new or
+	// recovered upstream. Once another cause holds, a fault counts like slowness. While all slots may be used it has no
+	// effect: a few calls in a hundred may fail for reasons that have nothing to do with the number of calls, and an upstream
+	// whose calls all fail is ejected.
 	slowFactor  = 0.75
 	faultFactor = 0.5
 	// stepShare is the share of the slots by which the limit rises in each round above the threshold, at least one slot.
@@ -152,12 +153,17 @@
 	p.settle(slots)
 }
 
-// Eject records that the upstream was taken out of use.
-func (p *Pace) Eject(now time.Time, slots int) {
+// Eject records that the upstream was taken out of use, for slowness or another cause. The later rise is slow after
+// slowness, which the number of calls may have caused, and after a second ejection within memory.
+func (p *Pace) Eject(now time.Time, slots int, slow bool) {
 	if p.cause == None {
 		p.limit = slots
 	}
-	p.threshold = max(min(p.limit, slots)/2, 1)
+	if slow || p.hasTrouble(now) {
+		p.threshold = max(min(p.limit, slots)/2, 1)
+	} else {
+		p.threshold = slots
+	}
 	p.troubleAt = now
 }
 
@@ -183,40 +189,53 @@
 		}
 	case current && c.Result == Refusal:
 		p.fall(now, slots, c.InFlight-1, Refused, c.Missing)
-	case current && c.Result == Failure && p.cause == None:
-		p.fall(now, slots, int(float64(before)*slowFactor), Fault, c.Missing)
-	case current && c.Result == Failure:
-		p.fall(now, slots, int(float64(before)*faultFactor), Fault, c.Missing)
+	case current && c.Result == Failure && p.cause != None:
+		factor := slowFactor
+		if p.cause == New || p.cause == Recovered {
+			factor = faultFactor
+		}
+		p.fall(now, slots, int(float64(before)*factor), Fault, c.Missing)
 	}
 	return p.Limit(slots) != before
 }
 
+// hasTrouble reports whether there was trouble within memory.
+func (p *Pace) hasTrouble(now time.Time) bool {
+	return now.Sub(p.troubleAt) < memory
+}
+
 // raise raises the limit after a success: it doubles at the first one, and once per round of successes up to the
-// threshold. Above the threshold it grows by stepShare each round.
+// threshold. Above the threshold it grows by stepShare each round. After refusals it rises faster, since too high a limit
+// costs no more than a few further refusals.
 func (p *Pace) raise(now time.Time, slots int) {
-	threshold := slots
-	if p.threshold > 0 && now.Sub(p.troubleAt) < memory {
+	threshold, step := slots, max(int(float64(slots)*stepShare), 1)
+	if p.threshold > 0 && p.hasTrouble(now) {
 		threshold = p.threshold
 	}
 	switch {
 	case p.doubles && p.limit < threshold:
 		p.limit = min(2*p.limit, threshold)
+	case p.cause == Refused:
+		p.limit += 1 + step
 	case p.limit < threshold:
 		p.limit++
 	default:
 		if p.successes++; p.successes >= p.limit {
-			p.limit, p.successes = p.limit+max(int(float64(slots)*stepShare), 1), 0
+			p.limit, p.successes = p.limit+step, 0
 		}
 	}
 	p.doubles = false
 }
 
-// fall lowers the limit, but not below the missing share. A later rise is slow above half of the last limit.
+// fall lowers the limit, but not below the missing share. A later rise is slow above half of the last limit, except after
+// refusals: they cost little, and end as soon as the upstream has finished what it runs.
 func (p *Pace) fall(now time.Time, slots, limit int, cause Cause, missing float64) {
 	before := p.Limit(slots)
 	p.limit = max(min(limit, before-1), min(int(float64(slots)*missing), before), 1)
-	p.threshold = max(p.limit, before/2)
-	p.cause, p.troubleAt, p.changedAt = cause, now, now
+	p.cause, p.changedAt = cause, now
+	if cause != Refused {
+		p.threshold, p.troubleAt = max(p.limit, before/2), now
+	}
 	p.successes, p.doubles = 0, false
 	p.slowHost, p.slowCalls, p.recent = "", 0, Latency{}
 	p.settle(slots)
--- a/internal/berylsched/owner.go
+++ b/internal/berylsched/owner.go
@@ -339,7 +339,7 @@
 	if change.Ejected {
 		change.Cause = u.health.ejectedFor
 		if u.health.pace != nil {
-			u.health.pace.Eject(o.now, u.slots)
+			u.health.pace.Eject(o.now, u.slots, change.Cause == causeSlow)
 		}
 	}
 	o.actions = append(o.actions, Action{Kind: ActionHealth, Health: change})
--- a/internal/berylsched/pace_test.go
+++ b/internal/berylsched/pace_test.go
@@ -164,3 +164,33 @@
 	})
 	is.New(t).Equal(after, before)
 }
+
+// TestFullOfRunsOfLostHosts guards against sending to upstreams that refuse because they still run calls of hosts that were
+// lost: at first each has room for two calls, and 1.5 s later for all.
+func TestFullOfRunsOfLostHosts(t *testing.T) {
+	before, after := compare(t, func(p *paceTrial) float64 {
+		p.behave = func(upstream string, inFlight int, held time.Duration) berylpermit.Report {
+			at := p.now.Sub(time.Unix(1000, 0))
+			if at < 1500*time.Millisecond && inFlight > 2+int(at/(300*time.Millisecond)) {
+				return berylpermit.Report{Kind: beryloutcome.NotRun, Refused: true, HeldFor: 2 * time.Millisecond}
+			}
+			return behaveSound(upstream, inFlight, held)
+		}
+		return p.good(steady(0.95*paceCapacity), 0, 12*time.Second)
+	})
+	is.New(t).True(after > before+0.05)
+}
+
+// TestScatteredFaults guards against caution for faults that have nothing to do with the number of calls: 3 in 100 calls fail.
+func TestScatteredFaults(t *testing.T) {
+	before, after := compare(t, func(p *paceTrial) float64 {
+		p.behave = func(upstream string, inFlight int, held time.Duration) berylpermit.Report {
+			if p.random.IntN(33) == 0 {
+				return berylpermit.Report{Kind: beryloutcome.Failed, Fault: true, HeldFor: held}
+			}
+			return behaveSound(upstream, inFlight, held)
+		}
+		return p.good(steady(0.95*paceCapacity), 0, 12*time.Second)
+	})
+	is.New(t).True(after > before-0.01)
+}
