--- a/internal/berylcmd/entry/status/status_test.go
+++ b/internal/berylcmd/entry/status/status_test.go
@@ -35,6 +35,7 @@
 			"k1          a,b           h2         3        1       2s",
 		}},
 		{name: "isolated", status: 200, body: `{"host":"h1","failure-domain":"z","path":"isolated"}`, limit: 5, want: []string{"not reached by this host itself: isolated"}},
+		{name: "pace", status: 200, body: `{"upstreams":[{"id":"i-1","pace":2,"pace-cause":"recovered"}]}`, limit: 5, want: []string{"in use, pace 2 (recovered)"}},
 		{name: "limit", status: 200, body: statusBody, limit: 1, want: []string{"and 1 more, shown with --limit or --json"}},
 		{name: "json", status: 200, body: statusBody, json: true, want: []string{`"config-version":7`}},
 		{name: "error response", status: 404, fails: "status 404"},
