Raise the pace while requests wait and no call ends

Cause: the pace rises with ended calls only. Beside calls that run for a minute an upstream would stay at its limit although requests wait; seen with the setting forced on, where TestFullUpstreamStaysInUse waited until its deadline. Change: while requests wait and the limit is in use, it rises by one slot if it has not changed for 1 s, or 250 ms after a refusal. TestDecisionsWithoutAccounts finds no difference with the setting off. With the setting forced on all tests of berylsched pass but TestFullUpstreamStaysInUse, which asks for a call at once to an upstream that has just refused 20; with the pace it waits for up to 250 ms.

--- a/internal/berylpace/pace.go
+++ b/internal/berylpace/pace.go
@@ -11,6 +11,10 @@
 	// maxSlowOfOneHost is how many slow calls in a row of one host count as slowness of the upstream. Fewer may come from
 	// the host's own path.
 	maxSlowOfOneHost = 3
+	// relaxInterval is how long requests wait without any change of the limit before it rises by one slot: long calls show
+	// nothing until they end. After refusals refusedRelaxInterval applies, since one more refusal costs little.
+	relaxInterval        = time.Second
+	refusedRelaxInterval = 250 * time.Millisecond
 	// memory is how long the limit at which trouble began slows down later rises.
 	memory = 30 * time.Second
 	// usualWeight is the weight of a new sample in the upstream's usual latencies. It is small, so that these are its past
@@ -108,6 +112,8 @@
 	// changedAt is the time of the last start or fall. Calls that were granted before it say nothing about the limit.
 	changedAt time.Time
 	troubleAt time.Time
+	// movedAt is the time of the last start, fall or rise.
+	movedAt time.Time
 	// usual is the mean latency of calls that were not slow, and recent that of all calls since the last start or fall.
 	usual  Latency
 	recent Latency
@@ -134,7 +140,7 @@
 // serve the demand meanwhile, so that share of the slots is allowed at once, and all of them if all upstreams are new.
 func (p *Pace) Start(now time.Time, slots int, unproven float64, cause Cause) {
 	p.limit = max(int(float64(slots)*max(startShare, unproven)+0.5), 1)
-	p.cause, p.doubles, p.successes, p.changedAt = cause, true, 0, now
+	p.cause, p.doubles, p.successes, p.changedAt, p.movedAt = cause, true, 0, now, now
 	p.slowHost, p.slowCalls, p.recent = "", 0, Latency{}
 	if unproven >= 1 {
 		p.threshold = 0
@@ -149,7 +155,7 @@
 
 // Inherit continues with the limit of the upstream's last owner.
 func (p *Pace) Inherit(now time.Time, slots, limit int, cause Cause) {
-	*p = Pace{limit: max(limit, 1), cause: cause, doubles: true, changedAt: now}
+	*p = Pace{limit: max(limit, 1), cause: cause, doubles: true, changedAt: now, movedAt: now}
 	p.settle(slots)
 }
 
@@ -224,7 +230,20 @@
 			p.limit, p.successes = p.limit+step, 0
 		}
 	}
-	p.doubles = false
+	p.doubles, p.movedAt = false, now
+}
+
+// Relax raises the limit by one slot if it has not changed for a while. It is called from time to time while requests wait
+// and the limit is in use.
+func (p *Pace) Relax(now time.Time, slots int) {
+	interval := relaxInterval
+	if p.cause == Refused {
+		interval = refusedRelaxInterval
+	}
+	if p.cause != None && now.Sub(p.movedAt) >= interval {
+		p.limit, p.movedAt = p.limit+1, now
+		p.settle(slots)
+	}
 }
 
 // fall lowers the limit, but not below the missing share. A later rise is slow above half of the last limit, except after
@@ -232,7 +251,7 @@
 func (p *Pace) fall(now time.Time, slots, limit int, cause Cause, missing float64) {
 	before := p.Limit(slots)
 	p.limit = max(min(limit, before-1), min(int(float64(slots)*missing), before), 1)
-	p.cause, p.changedAt = cause, now
+	p.cause, p.changedAt, p.movedAt = cause, now, now
 	if cause != Refused {
 		p.threshold, p.troubleAt = max(p.limit, before/2), now
 	}
--- a/internal/berylpace/pace_test.go
+++ b/internal/berylpace/pace_test.go
@@ -122,6 +122,13 @@
 			p.Start(*now, 8, 0, berylpace.Recovered)
 			rounds(p, now, 8, 2, fine) // twice, and one more for each round
 		}, 4},
+		{"new, with long calls only", 8, func(p *berylpace.Pace, now *time.Time) {
+			p.Start(*now, 8, 0, berylpace.New)
+			for range 12 {
+				*now = now.Add(250 * time.Millisecond)
+				p.Relax(*now, 8)
+			}
+		}, 4},
 		{"fine after a fall", 8, func(p *berylpace.Pace, now *time.Time) {
 			rounds(p, now, 8, 3, slow)
 			rounds(p, now, 8, 2, fine) // one more for each round
--- a/internal/berylsched/outliers.go
+++ b/internal/berylsched/outliers.go
@@ -64,6 +64,7 @@
 	}
 	t.evaluatedAt = now
 	t.refreshMissing(now, o)
+	t.relaxPaces(now)
 	total, ejected := t.updateMedians(now)
 	for _, u := range t.owned {
 		if u.targets[0] != t {
--- a/internal/berylsched/owner_pace.go
+++ b/internal/berylsched/owner_pace.go
@@ -85,6 +85,18 @@
 	}
 }
 
+// relaxPaces raises the pace of the target's upstreams that have used it up while requests wait.
+func (t *target) relaxPaces(now time.Time) {
+	if t.queues[shortOnline].len()+t.queues[longOnline].len()+t.queues[batchWork].len() == 0 {
+		return
+	}
+	for _, u := range t.owned {
+		if u.health.pace != nil && !u.health.ejected && u.freeSlots() <= 0 {
+			u.health.pace.Relax(now, u.slots)
+		}
+	}
+}
+
 // observePace tells the pace of the permit's upstream how the call ended. Probes are taken into account when they put the
 // upstream back into use, and refusals only without a limit of requests a second.
 func observePace(now time.Time, p *permit, r *berylpermit.Report) {
