--- a/internal/berylsched/owner.go
+++ b/internal/berylsched/owner.go
@@ -52,6 +52,9 @@
 	// Host is the name of this host. Hosts with different names take otherwise equal upstreams in different orders, so that
 	// hosts that each own all upstreams, because they do not know each other yet, do not all choose the same ones.
 	Host string
+	// AdaptivePace makes new and recovered upstreams get slots as they show that they can handle them. It is set before the
+	// first event.
+	AdaptivePace bool
 
 	upstreams map[string]*upstream
 	targets   map[string]*target
@@ -274,6 +277,7 @@
 	p := o.newPermit()
 	*p = permit{id: req.ID, upstream: u, class: req.Class, long: req.Long, grantedAt: now, confirmedAt: now}
 	p.account = t.sharing(kindOf(req.Class, req.Long)).account(req.Account)
+	p.inFlight = u.inFlight() + 1
 	o.addPermit(p)
 	u.limit.take(now)
 	u.health.markProbe(p)
@@ -322,6 +326,7 @@
 		return o.actions
 	}
 	wasEjected := p.upstream.health.ejected
+	observePace(now, p, &r.Report)
 	p.upstream.health.observe(now, p, r.Report, p.upstream.medians())
 	o.reportHealth(p.upstream, wasEjected, p.id.Host)
 	o.freePermit(now, p)
@@ -336,6 +341,9 @@
 	change := HealthChange{Upstream: u.name, Ejected: u.health.ejected, ReportedBy: reportedBy}
 	if change.Ejected {
 		change.Cause = u.health.ejectedFor
+		if u.health.pace != nil {
+			u.health.pace.Eject(o.now, u.slots, change.Cause == causeSlow)
+		}
 	}
 	o.actions = append(o.actions, Action{Kind: ActionHealth, Health: change})
 }
--- a/internal/berylsched/owner_config.go
+++ b/internal/berylsched/owner_config.go
@@ -84,6 +84,10 @@
 
 // dropOwnedState drops the permits and the health of an upstream that this host no longer owns.
 func (o *Owner) dropOwnedState(u *upstream) {
+	if u.health.pace != nil && len(u.targets) > 0 {
+		// If this host owns the upstream again soon, it continues from here.
+		u.peerLoad = peerLoad{Load: u.load(o.now, u.targets[0]), receivedAt: o.now}
+	}
 	u.owned = false
 	for _, p := range o.permitsOf(u) {
 		o.removePermit(p)
@@ -127,6 +131,7 @@
 		}
 	}
 	slices.SortFunc(o.sortedTargets, func(a, b *target) int { return cmp.Compare(a.name, b.name) })
+	o.startPaces(now)
 	for _, t := range o.sortedTargets {
 		o.sortByPreference(t.owned)
 	}
@@ -164,6 +169,7 @@
 	for _, u := range o.sortedUpstreams {
 		if u.owned {
 			o.repeatYields(now, u)
+			o.reportPace(now, u)
 		}
 	}
 	o.freeExpired(now)
@@ -202,7 +208,7 @@
 		o.late = q.removable(o.late[:0], t.sharedSlots(k), func(w *waiter, position int) bool {
 			w.predicted = t.throughput.predictWait(now, k, position)
 			valid := now.Sub(w.renewedAt) <= lease && t.canServe(&w.req)
-			return valid && t.throughput.meetsDeadline(k, w.deadline.Sub(now), w.predicted)
+			return valid && t.throughput.meetsDeadline(k, w.deadline.Sub(now), w.predicted) && !w.isOvertaken(now)
 		})
 		for _, w := range o.late {
 			o.dequeue(w)
