Reserve memory and connections before clients' bytes are read

Cause: a body was read whole, up to 8 MB whatever the operators' limit is, before its memory was counted, and nothing bounded connections. Clients beyond the limits could end a process. Change: internal/berylintake holds one budget (half of limits.memoryMb) for heads, bodies, running requests, answers being written and jobs being decoded. The Ledger decides without clock or I/O: at most 0.6 of the budget for what is still arriving; if there is no room, the connection with the fewest recent bytes for the memory it holds is closed, never one whose request runs; heads and bodies time out by progress. Connections of callers are bounded by limits.fileDescriptors (and memory), those of the readiness and operators' addresses by 32 each. Bodies are read through fasthttp's StreamRequestBody within the operators' limit in force. 413, 431, 408, 400 and 503 are answered before a request can run; a length beside chunks is refused. The handler no longer copies the body a second time.

--- a/internal/berylentry/settings.go
+++ b/internal/berylentry/settings.go
@@ -19,6 +19,8 @@
 	StoreAddress string
 	// MemoryLimit is the number of bytes that the process may use before the platform kills it. Zero means unknown.
 	MemoryLimit int64
+	// DescriptorLimit is the number of file descriptors that the process may have open. Zero means unknown.
+	DescriptorLimit int
 	// DataDirectory is the directory for files on a host with a disk. It is empty on other hosts.
 	DataDirectory string
 	// GracePeriod is the time between the notice of a planned stop and the kill.
