Read bodies of the own interface through the intake

Cause: on the own interface, bodies that stop just before their end held the budget for bodies until the read timeout of 20 s, and everyone else got 503. Change: berylgate's listener, connections and bodies use berylintake with the gate's budget: bodies time out by progress, and one that has stopped is closed when others need its room. A request that outlasts its connection retains its memory until it ends. ReadBody releases what it reserved if the body is refused. Conn passes the socket of a TLS connection on, without which callers that leave were not noticed. The gate's processor time was not measured.

--- a/internal/berylgate/body.go
+++ b/internal/berylgate/body.go
@@ -3,17 +3,37 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
+	"os"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"berylroad.example/berylroad/internal/berylintake"
 	"berylroad.example/berylroad/internal/beryloutcome"
 )
 
-// initialBodyBuffer is the size, in bytes, of the first buffer for a body without Content-Length.
-const initialBodyBuffer = 4 << 10
+const (
+	// bodyProgressTime is the time within which an arriving body must grow by bodyProgress bytes or end.
+	bodyProgressTime = 5 * time.Second
+	bodyProgress     = 256
+	// closingGrace is how long a connection that has begun to send is not closed for others.
+	closingGrace = 500 * time.Millisecond
+)
+
+func newIntake(config Config) *berylintake.Intake {
+	return berylintake.New(berylintake.Rules{
+		Bytes: config.BodyBudget, HeadTime: config.ReadTimeout, ProgressTime: bodyProgressTime, ProgressBytes: bodyProgress, GraceTime: closingGrace,
+	}, config.Log, config.Metrics)
+}
+
+// connChanged tells the intake of a connection whose answer has been written.
+func connChanged(conn net.Conn, state fasthttp.ConnState) {
+	if c, ok := conn.(*berylintake.Conn); ok && state == fasthttp.StateIdle {
+		c.Enter(berylintake.Idle)
+	}
+}
 
 // readBody returns a copy of the request body that stays valid after the handler returns, or a refusal if the body is
 // longer than limit bytes. The copy counts against Config.BodyBudget until the exchange ends.
@@ -22,91 +42,33 @@
 	if stream == nil {
 		return nil, nil
 	}
-	r := &bodyReader{gate: x.gate, declared: ctx.Request.Header.ContentLength(), limit: limit}
-	x.body = r
-	if r.declared > limit {
-		return nil, tooLarge(limit)
-	}
-	return r.read(stream)
-}
-
-// bodyReader reads one request body within its limit and the gate's body budget.
-type bodyReader struct {
-	gate *Gate
-	// declared is the Content-Length; it is negative if there is none.
-	declared int
-	// limit is the largest body to accept, in bytes.
-	limit int
-	// reserved is this body's share of the gate's body budget, in bytes.
-	reserved int64
-}
-
-// read reads the body. A body without Content-Length is read into a buffer that doubles in size up to the limit.
-func (r *bodyReader) read(stream io.Reader) ([]byte, *beryloutcome.Refusal) {
-	size := min(initialBodyBuffer, r.limit+1)
-	if r.declared >= 0 {
-		size = r.declared
-	}
-	var body []byte
-	for {
-		if !r.reserve(size) {
-			return nil, notRun("This host holds too many request bodies and has not run this one; send it again.")
-		}
-		body = append(make([]byte, 0, size), body...)
-		n, err := readFull(stream, body[len(body):size])
-		body = body[:len(body)+n]
-		switch {
-		case errors.Is(err, io.EOF):
-			return r.finishAtEOF(body)
-		case err != nil:
-			return nil, unreadable(err)
-		case r.declared >= 0:
-			return body, nil
-		case size > r.limit:
-			return nil, tooLarge(r.limit)
-		}
-		size = min(2*size, r.limit+1)
-	}
-}
-
-// readFull reads until the buffer is full or the stream fails, and returns the stream's error unchanged. io.ReadFull would
-// turn the io.EOF of a clean end after some bytes into io.ErrUnexpectedEOF, as for a truncated body.
-func readFull(stream io.Reader, buffer []byte) (int, error) {
-	n := 0
-	for n < len(buffer) {
-		m, err := stream.Read(buffer[n:])
-		n += m
-		if err != nil {
-			return n, err
+	body, cause := x.conn.ReadBody(stream, ctx.Request.Header.ContentLength(), limit)
+	x.conn.Enter(berylintake.Running)
+	if cause != berylintake.None {
+		x.gate.intake.Refuse(cause)
+		if x.conn.Cause() != berylintake.None {
+			ctx.SetConnectionClose()
 		}
+		return nil, refusalForCause(cause, limit)
 	}
-	return n, nil
-}
-
-// finishAtEOF returns the body at the end of the stream, or a refusal if Content-Length declared a longer one.
-func (r *bodyReader) finishAtEOF(body []byte) ([]byte, *beryloutcome.Refusal) {
-	if r.declared > len(body) {
-		return nil, unreadable(io.ErrUnexpectedEOF)
+	if x.bodyBytes = int64(cap(body)); x.bodyBytes > 0 {
+		x.conn.Retain()
 	}
 	return body, nil
 }
 
-// reserve raises this body's share of the gate's body budget to size bytes. If the budget does not allow that, it changes
-// nothing and returns false.
-func (r *bodyReader) reserve(size int) bool {
-	more := int64(size) - r.reserved
-	if r.gate.bodyBytes.Add(more) > r.gate.config.BodyBudget {
-		r.gate.bodyBytes.Add(-more)
-		return false
+// refusalForCause returns the refusal of a request that did not arrive.
+func refusalForCause(cause berylintake.Cause, limit int) *beryloutcome.Refusal {
+	switch cause {
+	case berylintake.BodyTooLarge:
+		return tooLarge(limit)
+	case berylintake.TooSlow:
+		return unreadable(os.ErrDeadlineExceeded)
+	case berylintake.Malformed:
+		return unreadable(nil)
+	default:
+		return notRun("This host holds too many request bodies and has not run this one; send it again.")
 	}
-	r.reserved += more
-	return true
-}
-
-// release returns this body's share to the gate's body budget.
-func (r *bodyReader) release() {
-	r.gate.bodyBytes.Add(-r.reserved)
-	r.reserved = 0
 }
 
 func tooLarge(limit int) *beryloutcome.Refusal {
--- a/internal/berylgate/exchange.go
+++ b/internal/berylgate/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"berylroad.example/berylroad/internal/berylconf"
+	"berylroad.example/berylroad/internal/berylintake"
 	"berylroad.example/berylroad/internal/beryloutcome"
 )
 
@@ -38,8 +39,9 @@
 	// index is the configuration that was in force when the request was authenticated.
 	index  *configIndex
 	caller *berylconf.Caller
-	// body accounts for the request body in the gate's body budget; nil if no body was read.
-	body *bodyReader
+	// conn is the caller's connection, and bodyBytes what the exchange holds of the gate's body budget; zero if no body was read.
+	conn      *berylintake.Conn
+	bodyBytes int64
 	// release undoes admit; nil if the request was not admitted.
 	release func()
 	// detached is set if the answer is streamed after the handler has returned.
@@ -59,7 +61,8 @@
 // handleExchange is the outermost handler. It assigns the request id, counts the request in the metrics and turns errors
 // of the other handlers into answers.
 func (g *Gate) handleExchange(c fiber.Ctx) error {
-	x := &exchange{gate: g, id: g.nextID(), started: time.Now(), route: "other", class: "online"}
+	x := &exchange{gate: g, id: g.nextID(), started: time.Now(), route: "other", class: "online", conn: c.RequestCtx().Conn().(*berylintake.Conn)}
+	x.conn.Enter(berylintake.Running)
 	c.Locals(exchangeKey{}, x)
 	g.setIDs(c.RequestCtx(), x.id)
 	if g.stopping.Load() {
@@ -109,8 +112,9 @@
 
 // end releases the exchange's resources and counts the request, once the answer has ended.
 func (x *exchange) end(code string) {
-	if x.body != nil {
-		x.body.release()
+	if x.bodyBytes > 0 {
+		x.conn.Release(berylintake.Bodies, x.bodyBytes)
+		x.conn.Done()
 	}
 	if x.release != nil {
 		x.release()
@@ -154,7 +158,11 @@
 // protocolError answers input that could not be parsed as an HTTP request, and closes the connection.
 func (g *Gate) protocolError(ctx *fasthttp.RequestCtx, err error) {
 	g.setIDs(ctx, g.nextID())
-	writeRefusal(ctx, protocolRefusal(err))
+	if conn, ok := ctx.Conn().(*berylintake.Conn); ok && conn.Cause() != berylintake.None {
+		writeRefusal(ctx, refusalForCause(conn.Cause(), 0))
+	} else {
+		writeRefusal(ctx, protocolRefusal(err))
+	}
 	ctx.Response.SetConnectionClose()
 }
 
--- a/internal/berylgate/gate.go
+++ b/internal/berylgate/gate.go
@@ -17,6 +17,7 @@
 	"berylroad.example/berylroad/internal/berylcall"
 	"berylroad.example/berylroad/internal/berylconf"
 	"berylroad.example/berylroad/internal/beryldrain"
+	"berylroad.example/berylroad/internal/berylintake"
 	"berylroad.example/berylroad/internal/berylonce"
 	"berylroad.example/berylroad/internal/beryloutcome"
 	"berylroad.example/berylroad/internal/berylstream"
@@ -104,8 +105,8 @@
 	streams    conc.WaitGroup
 	background conc.WaitGroup
 	startWatch sync.Once
-	// bodyBytes is the part of Config.BodyBudget in use.
-	bodyBytes atomic.Int64
+	// intake bounds the connections and the memory of bodies.
+	intake *berylintake.Intake
 	// sequence is the number in the last request id.
 	sequence atomic.Uint64
 	inFlight atomic.Int64
@@ -130,9 +131,11 @@
 	g := &Gate{config: config}
 	g.baseContext, g.cancel = context.WithCancel(context.Background())
 	g.metrics = newRequestMetrics(config.Metrics, func() float64 { return float64(g.inFlight.Load()) })
+	g.intake = newIntake(config)
 	g.server = &fasthttp.Server{
 		Handler:                      g.routes().Handler(),
 		ErrorHandler:                 g.protocolError,
+		ConnState:                    connChanged,
 		Logger:                       discardLog(),
 		Concurrency:                  maxConnections,
 		ReadBufferSize:               maxHeaderBytes,
@@ -172,8 +175,9 @@
 func (g *Gate) Serve(listener net.Listener) error {
 	g.startWatch.Do(func() {
 		g.background.Go(func() { g.disconnects.Run(g.baseContext) })
+		g.background.Go(func() { g.intake.Run(g.baseContext) })
 	})
-	return g.server.Serve(&berylstream.Listener{Listener: listener, Log: g.config.Log})
+	return g.server.Serve(g.intake.NewListener(&berylstream.Listener{Listener: listener, Log: g.config.Log}, maxConnections))
 }
 
 // Shutdown performs a planned stop: the host becomes unready, keeps serving for Config.BalancerNotice, then accepts no
--- a/internal/berylintake/body.go
+++ b/internal/berylintake/body.go
@@ -15,12 +15,23 @@
 	prefetchedBody = 8 << 10
 )
 
-// ReadBody reads a request's body into memory that is reserved before it is read, and that Finish or Close releases. A negative
-// length means that none was announced. It returns a cause if the body is refused or did not arrive whole.
+// ReadBody reads a request's body into memory that is reserved before it is read: the body's capacity, which Finish, Close or Release
+// returns. A negative length means that none was announced. If the body is refused or did not arrive whole, ReadBody returns a cause
+// and nothing stays reserved.
 func (c *Conn) ReadBody(stream io.Reader, length, limit int) ([]byte, Cause) {
 	if length > limit {
 		return nil, BodyTooLarge
 	}
+	body, cause := c.readBody(stream, length, limit)
+	if cause != None {
+		c.Release(Bodies, int64(cap(body)))
+		return nil, cause
+	}
+	return body, None
+}
+
+// readBody returns the buffer for which memory is reserved, and a cause if the body is not whole.
+func (c *Conn) readBody(stream io.Reader, length, limit int) ([]byte, Cause) {
 	size := min(firstBodyBuffer, limit+1)
 	if length >= 0 {
 		size = min(length, firstBodyBuffer)
@@ -31,7 +42,7 @@
 	var body []byte
 	for {
 		if !c.Reserve(Bodies, int64(size)) {
-			return nil, c.causeOr(NoRoom)
+			return body, c.causeOr(NoRoom)
 		}
 		old := cap(body)
 		body = append(make([]byte, 0, size), body...)
@@ -43,12 +54,12 @@
 			body = body[:len(body)+n]
 			if err == io.EOF {
 				if len(body) < length {
-					return nil, c.causeOr(Malformed)
+					return body, c.causeOr(Malformed)
 				}
 				return c.whole(body, limit)
 			}
 			if err != nil {
-				return nil, c.readCause(err)
+				return body, c.readCause(err)
 			}
 		}
 		if length >= 0 && len(body) == length || len(body) > limit {
@@ -63,7 +74,7 @@
 
 func (c *Conn) whole(body []byte, limit int) ([]byte, Cause) {
 	if len(body) > limit {
-		return nil, BodyTooLarge
+		return body, BodyTooLarge
 	}
 	return body, c.Cause()
 }
--- a/internal/berylintake/conn.go
+++ b/internal/berylintake/conn.go
@@ -1,6 +1,7 @@
 package berylintake
 
 import (
+	"crypto/tls"
 	"io"
 	"net"
 	"sync"
@@ -32,6 +33,9 @@
 	cutsWrites atomic.Bool
 	lingers    atomic.Bool
 	close      sync.Once
+	// retained counts the requests that outlast the connection, and isClosed is set when it was closed. Both are guarded by intake.mu.
+	retained int
+	isClosed bool
 }
 
 // Read reads from the connection and counts the progress.
@@ -81,16 +85,44 @@
 		err = c.Conn.Close()
 		c.intake.mu.Lock()
 		defer c.intake.mu.Unlock()
-		c.intake.ledger.Close(c.entry)
-		delete(c.intake.conns, c.entry)
-		c.intake.signalReleased()
+		c.isClosed = true
+		c.remove()
 	})
 	return err
 }
 
+// remove releases all that the connection holds, unless a request retains it. intake.mu must be held.
+func (c *Conn) remove() {
+	if !c.isClosed || c.retained > 0 {
+		return
+	}
+	c.intake.ledger.Close(c.entry)
+	delete(c.intake.conns, c.entry)
+	c.intake.signalReleased()
+}
+
+// Retain keeps what the connection holds reserved after Close, for a request that runs on, until Done is called.
+func (c *Conn) Retain() {
+	c.intake.mu.Lock()
+	defer c.intake.mu.Unlock()
+	c.retained++
+}
+
+// Done ends one Retain.
+func (c *Conn) Done() {
+	c.intake.mu.Lock()
+	defer c.intake.mu.Unlock()
+	c.retained--
+	c.remove()
+}
+
 // SyscallConn returns the raw connection.
 func (c *Conn) SyscallConn() (syscall.RawConn, error) {
-	socket, ok := c.Conn.(syscall.Conn)
+	inner := c.Conn
+	if tlsConn, ok := inner.(*tls.Conn); ok {
+		inner = tlsConn.NetConn()
+	}
+	socket, ok := inner.(syscall.Conn)
 	if !ok {
 		return nil, errors.New("the connection has no descriptor")
 	}
--- a/internal/berylintake/intake.go
+++ b/internal/berylintake/intake.go
@@ -61,8 +61,11 @@
 	logged   [causes]int
 }
 
-// New returns an intake without connections. It logs to log and adds its metrics to set.
+// New returns an intake without connections. It logs to log and adds its metrics to set, which may be nil.
 func New(rules Rules, log logrus.FieldLogger, set *metrics.Set) *Intake {
+	if set == nil {
+		set = metrics.NewSet()
+	}
 	i := &Intake{log: log, ledger: NewLedger(rules), conns: make(map[*Entry]*Conn), released: make(chan struct{})}
 	for kind := range kinds {
 		set.NewGauge(fmt.Sprintf("berylroad_intake_held_bytes{kind=%q}", kind), func() float64 {
