Make lease requests smaller and owners' bookkeeping independent of the fleet's size

New fields of LeaseRequest are whole numbers, the host's name is left to the connection, and the last received grant is given as the number of those missed since, mostly zero. The ledger sums what hosts hold in slots of 100 ms. There are twice as many groups of accounts as groups of keepers.

--- a/internal/berylentry/limits.go
+++ b/internal/berylentry/limits.go
@@ -114,14 +114,18 @@
 	return next
 }
 
-// limitOwners returns the owner of each group of accounts. There are as many groups as chooseKeepers has in a large fleet, so
-// that each host has few connections to owners. The number follows the listed hosts, which change less often than the live
-// ones.
+// limitGroupFactor times the groups of chooseKeepers are the groups of accounts. With 16 groups at 74 hosts the busiest owner gets
+// 84 requests for leases a second in place of 140; more groups take nothing off it, since its largest account is most of it
+// (BenchmarkFleetOfLeases).
+const limitGroupFactor = 2
+
+// limitOwners returns the owner of each group of accounts. There are few groups, so that each host has few connections to
+// owners. Their number follows the listed hosts, which change less often than the live ones.
 func limitOwners(hosts []berylhost.Member, listed int) []string {
 	if len(hosts) == 0 {
 		return nil
 	}
-	groups := keeperGroups << bits.Len(uint(listed)/hostsPerKeeperGroups)
+	groups := limitGroupFactor * keeperGroups << bits.Len(uint(listed)/hostsPerKeeperGroups)
 	owners := make([]string, groups)
 	for g := range owners {
 		owner, _ := berylhost.First(beryllimit.GroupKey(g), hosts, "")
--- a/internal/beryllimit/holding.go
+++ b/internal/beryllimit/holding.go
@@ -22,12 +22,11 @@
 // holding is what a host holds of one windowed account: a state machine without clock or I/O.
 type holding struct {
 	// leased is what may be spent until expires.
-	leased  float64
+	leased  uint64
 	expires time.Time
-	// returned and debt are sums since the holding began, and reported those of both that the owner knows.
-	returned, debt   float64
-	reportedReturned float64
-	reportedDebt     float64
+	// returned and debt are sums since the holding began, and the reported ones are those that the owner knows.
+	returned, debt                 uint64
+	reportedReturned, reportedDebt uint64
 	// sequence numbers the lease requests; received is the last one that was answered.
 	sequence, received uint64
 	askedAt            time.Time
@@ -68,7 +67,8 @@
 }
 
 func newHolding(now time.Time) *holding {
-	return &holding{sequence: uint64(now.UnixNano())}
+	first := uint64(now.UnixNano())
+	return &holding{sequence: first, received: first}
 }
 
 // admit admits one request, refuses it, or says that a lease request must come first.
@@ -77,7 +77,7 @@
 	h.expire(now)
 	var d windowDecision
 	switch {
-	case h.leased >= 1:
+	case h.leased > 0:
 		h.leased--
 		d.admitted = fromLease
 	case h.fallback:
@@ -107,15 +107,15 @@
 		return !now.Before(h.retryAt)
 	}
 	target := h.aheadTarget(now)
-	if target < 1 || now.Before(h.refusedUntil) {
+	if target == 0 || now.Before(h.refusedUntil) {
 		return false
 	}
 	return h.leased < target/2 || h.expires.Sub(now) < renewBefore
 }
 
 // aheadTarget is what the host would hold beyond its present requests: what it has recently spent in leaseAhead.
-func (h *holding) aheadTarget(now time.Time) float64 {
-	return math.Floor(h.recent.rate(now)*leaseAhead.Seconds()) - 1
+func (h *holding) aheadTarget(now time.Time) uint64 {
+	return uint64(max(0, math.Floor(h.recent.rate(now)*leaseAhead.Seconds())-1))
 }
 
 // expire ends a lease whose time has passed.
@@ -131,9 +131,10 @@
 	h.expire(now)
 	h.sequence++
 	h.askedAt = now
+	target := h.aheadTarget(now)
 	return LeaseRequest{
-		Requests: max(0, float64(waiting)-math.Floor(h.leased)), Sequence: h.sequence, Received: h.received,
-		Ahead: max(0, h.aheadTarget(now)-math.Floor(h.leased)), Held: h.leased, Returned: h.returned, Debt: h.debt,
+		Requests: float64(max(uint64(waiting), h.leased) - h.leased), Sequence: h.sequence, Missed: h.sequence - 1 - h.received,
+		Ahead: max(target, h.leased) - h.leased, Held: h.leased, Returned: h.returned, Debt: h.debt,
 	}
 }
 
@@ -144,7 +145,7 @@
 	h.fallback = false
 	h.expire(now)
 	if g.Requests > 0 {
-		h.leased += g.Requests
+		h.leased += uint64(g.Requests)
 		h.expires = now.Add(windowLeaseDuration)
 	}
 	if g.Wait > 0 {
@@ -178,7 +179,7 @@
 func (h *holding) charge(now time.Time) {
 	h.usedAt = now
 	h.expire(now)
-	if h.leased >= 1 {
+	if h.leased > 0 {
 		h.leased--
 		return
 	}
@@ -188,7 +189,7 @@
 // needsSettlement reports whether the owner should be told of unspent requests or debts although no request needs a lease.
 func (h *holding) needsSettlement(now time.Time) bool {
 	h.expire(now)
-	return (h.returned-h.reportedReturned >= 1 || h.debt > h.reportedDebt) && now.Sub(h.askedAt) >= settleDelay && !now.Before(h.retryAt)
+	return (h.returned > h.reportedReturned || h.debt > h.reportedDebt) && now.Sub(h.askedAt) >= settleDelay && !now.Before(h.retryAt)
 }
 
 // idle reports whether the holding can be evicted.
--- a/internal/beryllimit/ledger.go
+++ b/internal/beryllimit/ledger.go
@@ -12,6 +12,8 @@
 	maxSequenceGap = 1_000_000
 	// returnDelay is the time after the end of a lease in which a host gives back what it has not spent.
 	returnDelay = 2 * settleInterval
+	// heldSlots is the number of slots of heldSums: as many as cover a lease and returnDelay.
+	heldSlots = int64((windowLeaseDuration + returnDelay) / settleInterval)
 	// leaseRetention is how long the owner remembers what a silent host has reported.
 	leaseRetention = time.Minute
 )
@@ -25,6 +27,7 @@
 	// since is when this host began to own the account.
 	since  time.Time
 	leases map[string]*hostLease
+	held   heldSums
 	// promised is the latest time predicted for a refused request.
 	promised time.Time
 	// retainUntil is the time before which the ledger must not be evicted.
@@ -36,11 +39,11 @@
 	// sequence and grant are those of the host's last request, so that a repeated one gets the same answer.
 	sequence uint64
 	grant    LeaseGrant
-	// held is what the host may not have spent yet, until expires.
-	held    float64
-	expires time.Time
+	// held is what the host may not have spent yet, and heldSince the slot of heldSums that contains it.
+	held      uint64
+	heldSince int64
 	// returned and debt are the sums that the host has reported.
-	returned, debt float64
+	returned, debt uint64
 	seen           time.Time
 }
 
@@ -63,13 +66,18 @@
 		}
 		return LeaseGrant{} // a late copy; the host no longer waits for its answer
 	}
+	received := req.Sequence - 1 - req.Missed
 	if h == nil || req.Sequence-h.sequence >= maxSequenceGap {
 		// What an earlier run of the host or another owner knew is gone, so nothing is credited.
-		h = &hostLease{sequence: req.Received, returned: req.Returned, debt: req.Debt}
+		h = &hostLease{sequence: received, returned: req.Returned, debt: req.Debt}
 		g.leases[req.Host] = h
 	}
-	others := g.heldByOthers(now, req.Host)
+	g.held.remove(now, h.heldSince, h.held)
+	others := float64(g.held.sum(now))
 	g.refill(now, l)
+	if received != h.sequence {
+		g.level += h.grant.Requests // The host has not received the last grant.
+	}
 	g.settle(h, req)
 	free := g.level
 	needed := math.Ceil(req.Requests)
@@ -78,23 +86,20 @@
 	if granted < needed {
 		grant.Wait = g.promise(now, l, others)
 	} else {
-		ahead := min(req.Ahead, free-granted, l.maxAhead()-others-req.Held)
+		ahead := min(float64(req.Ahead), free-granted, l.maxAhead()-others-float64(req.Held))
 		grant.Requests += math.Floor(max(0, ahead))
 	}
 	g.level -= grant.Requests
 	h.sequence, h.grant = req.Sequence, grant
-	h.held, h.expires, h.seen = req.Held+grant.Requests, now.Add(windowLeaseDuration), now
+	h.held, h.seen = req.Held+uint64(grant.Requests), now
+	h.heldSince = g.held.add(now, h.held)
 	g.retainUntil = now.Add(max(idleRetention, time.Duration(min((l.burst-g.level)/l.rate*float64(time.Second), float64(maxRetention)))))
 	return grant
 }
 
-// settle records what the host reports: requests that it gives back, requests that it owes, and whether it has received the
-// last grant.
+// settle records what the host reports: requests that it gives back and requests that it owes.
 func (g *ledger) settle(h *hostLease, req LeaseRequest) {
-	if req.Received != h.sequence {
-		g.level += h.grant.Requests
-	}
-	g.level += max(0, req.Returned-h.returned) - max(0, req.Debt-h.debt)
+	g.level += float64(max(req.Returned, h.returned)-h.returned) - float64(max(req.Debt, h.debt)-h.debt)
 	g.level = min(g.level, g.limit.burst)
 	h.returned, h.debt = req.Returned, req.Debt
 }
@@ -110,13 +115,40 @@
 	g.level = min(g.level, l.burst)
 }
 
-// heldByOthers returns what other hosts may still spend or have not given back yet.
-func (g *ledger) heldByOthers(now time.Time, host string) float64 {
-	sum := 0.0
-	for name, h := range g.leases {
-		if name != host && now.Before(h.expires.Add(returnDelay)) {
-			sum += h.held
-		}
+// heldSums sums what the hosts may still spend or have not given back yet, by the time of their last lease. It spares the
+// owner of an account a look at each of several hundred hosts for each request.
+type heldSums struct {
+	slots [heldSlots]uint64
+	last  int64
+}
+
+// advance clears the slots whose leases have ended, and returns the present one.
+func (s *heldSums) advance(now time.Time) int64 {
+	slot := now.UnixNano() / int64(settleInterval)
+	for s.last = max(s.last, slot-heldSlots); s.last < slot; {
+		s.last++
+		s.slots[s.last%heldSlots] = 0
+	}
+	return s.last
+}
+
+func (s *heldSums) add(now time.Time, amount uint64) int64 {
+	slot := s.advance(now)
+	s.slots[slot%heldSlots] += amount
+	return slot
+}
+
+func (s *heldSums) remove(now time.Time, slot int64, amount uint64) {
+	if slot > s.advance(now)-heldSlots {
+		s.slots[slot%heldSlots] -= amount
+	}
+}
+
+func (s *heldSums) sum(now time.Time) uint64 {
+	s.advance(now)
+	sum := uint64(0)
+	for _, amount := range s.slots {
+		sum += amount
 	}
 	return sum
 }
--- a/internal/beryllimit/message.go
+++ b/internal/beryllimit/message.go
@@ -7,7 +7,7 @@
 type LeaseRequest struct {
 	// Caller is the name of the client account.
 	Caller string `cbor:"1,keyasint"`
-	// Host is the name of the requesting host.
+	// Host is the name of the requesting host, or empty for a windowed account. The owner takes the name of its peer.
 	Host string `cbor:"2,keyasint"`
 	// Requests is how many requests are needed now; the owner grants at least that many or none.
 	Requests float64 `cbor:"3,keyasint,omitempty"`
@@ -18,17 +18,16 @@
 	// Sequence numbers the requests of a host for a windowed account, from the time in nanoseconds at which the host first
 	// held something of it. Zero means that the account is not windowed; then the fields below are absent.
 	Sequence uint64 `cbor:"6,keyasint,omitempty"`
-	// Received is the sequence of the last request whose grant the host has received. A grant that it has not received is
-	// void.
-	Received uint64 `cbor:"7,keyasint,omitempty"`
+	// Missed is how many requests before this one the host has sent without receiving a grant. Their grants are void.
+	Missed uint64 `cbor:"7,keyasint,omitempty"`
 	// Ahead is how many requests the host would like to lease beyond Requests; the owner grants any part of it.
-	Ahead float64 `cbor:"8,keyasint,omitempty"`
+	Ahead uint64 `cbor:"8,keyasint,omitempty"`
 	// Held is how many requests the host has leased and not spent.
-	Held float64 `cbor:"9,keyasint,omitempty"`
+	Held uint64 `cbor:"9,keyasint,omitempty"`
 	// Returned is the sum of the leased requests that the host has not spent and no longer holds.
-	Returned float64 `cbor:"10,keyasint,omitempty"`
+	Returned uint64 `cbor:"10,keyasint,omitempty"`
 	// Debt is the sum of the requests that the host has run without a lease.
-	Debt float64 `cbor:"11,keyasint,omitempty"`
+	Debt uint64 `cbor:"11,keyasint,omitempty"`
 }
 
 // LeaseGrant answers a LeaseRequest.
--- a/internal/beryllimit/status.go
+++ b/internal/beryllimit/status.go
@@ -34,8 +34,8 @@
 	Refunded uint64 `json:"refunded"`
 	Charged  uint64 `json:"charged"`
 	// Leased is what this host may spend, LeaseAgeMS the time since it last asked the owner.
-	Leased     float64 `json:"leased"`
-	LeaseAgeMS int64   `json:"lease-age-ms"`
+	Leased     uint64 `json:"leased"`
+	LeaseAgeMS int64  `json:"lease-age-ms"`
 	// Fallback is true while the owner does not answer.
 	Fallback bool `json:"fallback"`
 	// RefusedAgeMS is the time since this host last refused a request of the account.
--- a/internal/beryllimit/windowowner.go
+++ b/internal/beryllimit/windowowner.go
@@ -67,7 +67,7 @@
 
 // requestWindowLease sends a lease request to the account's owner, or answers it here if this host is the owner.
 func (l *Limiter) requestWindowLease(ctx context.Context, account string, req LeaseRequest) (string, LeaseGrant, error) {
-	req.Caller, req.Host = account, l.config.Self
+	req.Caller = account
 	owners := l.config.Owners()
 	if len(owners) == 0 {
 		return "", LeaseGrant{}, errors.New("no host owns the account")
