Test limits whose owner runs an older build

An owner of an older build answers limit-ask as an unknown kind, which no test showed; nor did one show that log lines of decisions are bounded. An own-interface lease request for a windowed account would also have been granted from buckets of its own, beside the account's ledger; it is answered with an error now.

TestOwnerThatDoesNotKnowTheMessage passes: half of the share is admitted (45 to 50 of 1000 in 10 s), with at most five lines a second, and the status shows the fallback. Counts of the test's fleet were still read without a lock; go test -race ./internal/beryllimit -rapid.checks 10 reported them and passes now.

--- a/internal/beryllimit/fleet_test.go
+++ b/internal/beryllimit/fleet_test.go
@@ -180,6 +180,18 @@
 	v.cut[host] = part
 }
 
+func (v *fleet) countAdmitted() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return len(v.admitted)
+}
+
+func (v *fleet) countRefused() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return len(v.refused)
+}
+
 // takeAdmitted returns how many requests have been admitted since the last call, and forgets them.
 func (v *fleet) takeAdmitted() int {
 	v.mu.Lock()
--- a/internal/beryllimit/owner.go
+++ b/internal/beryllimit/owner.go
@@ -19,6 +19,9 @@
 	if req.Sequence > 0 {
 		return l.grantWindowLease(time.Now(), &configured, req)
 	}
+	if configured.Windowed {
+		return LeaseGrant{}, errors.Newf("the lease request for account %q has no sequence", req.Caller)
+	}
 	bounds := limitsOf(&configured)
 	l.ownerMu.Lock()
 	defer l.ownerMu.Unlock()
--- a/internal/beryllimit/window_test.go
+++ b/internal/beryllimit/window_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"io"
 	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 	"pgregory.net/rapid"
 
 	"berylroad.example/berylroad/internal/beryloutcome"
@@ -40,7 +44,7 @@
 				}
 			}
 			time.Sleep(time.Second)
-			refused = len(v.refused)
+			refused = v.countRefused()
 		})
 		if refused > 0 {
 			r.Fatalf("%d refused", refused)
@@ -86,13 +90,13 @@
 			v.kill(host)
 		}
 		time.Sleep(1200 * time.Millisecond)
-		before := len(v.admitted)
+		before := v.countAdmitted()
 		for _, host := range v.hosts {
 			v.start(host)
 		}
 		v.load(3*rate, 4*time.Second, pick)
 		time.Sleep(time.Second)
-		after := len(v.admitted) - before
+		after := v.countAdmitted() - before
 		most, bound := v.worst(rate, burst)
 		t.Logf("%d in a window, bound %.0f; %d in the 4 s after the restart", most, bound, after)
 		is.True(float64(most) <= bound)
@@ -109,10 +113,10 @@
 		v.load(3*rate, 3*time.Second, pick)
 		v.kill(v.owner())
 		time.Sleep(leaseRequestTimeout)
-		before := len(v.admitted)
+		before := v.countAdmitted()
 		v.detect(3*rate, 4*time.Second, pick)
 		time.Sleep(time.Second)
-		after := len(v.admitted) - before
+		after := v.countAdmitted() - before
 		most, bound := v.worst(rate, burst)
 		t.Logf("%d in a window, bound %.0f; %d in the 4 s after the loss", most, bound, after)
 		is.True(float64(most) <= bound)
@@ -179,7 +183,7 @@
 			time.Sleep(4 * time.Millisecond)
 		}
 		is.Equal(refusals, 0)
-		is.True(len(v.admitted) >= 400 && len(v.admitted) <= 500) // 50 and 8 s of 50
+		is.True(v.countAdmitted() >= 400 && v.countAdmitted() <= 500) // 50 and 8 s of 50
 	})
 }
 
@@ -326,7 +330,40 @@
 	inFleet(t, 2, windowed(0, 0), func(v *fleet) {
 		a, refusal := v.limiters[v.hosts[0]].Admit(context.Background(), &v.account)
 		is.True(a == nil && refusal == nil)
-		is.Equal(v.messages, 0)
+		is.Equal(v.messages, 0) // nothing runs that sends
+	})
+}
+
+// Guards against an older owner, which does not know the message, that lets its accounts be admitted without bound or not at
+// all, and against a log line for each refusal.
+func TestOwnerThatDoesNotKnowTheMessage(t *testing.T) {
+	is := is.NewRelaxed(t)
+	inFleet(t, 4, windowed(40, 40), func(v *fleet) {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		lines := logtest.NewLocal(log)
+		account, config := v.account, v.limiters[v.hosts[0]].config
+		config.Log = log
+		config.Owners = func() []string { return []string{"older"} }
+		config.RequestLease = func(context.Context, string, LeaseRequest) (LeaseGrant, error) {
+			return LeaseGrant{}, errors.New("unknown-kind")
+		}
+		l := New(config)
+		admitted := 0
+		for range 1000 {
+			if _, refusal := l.Admit(context.Background(), &account); refusal == nil {
+				admitted++
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		is.True(admitted >= 45 && admitted <= 50) // half of a quarter of 40, for 10 s
+		is.True(len(lines.AllEntries()) >= 10 && len(lines.AllEntries()) <= 11*maxLinesPerSecond)
+		is.Equal(lines.AllEntries()[0].Data["outcome"], "share")
+		status := l.Status()
+		is.Equal(len(status), 1)
+		is.True(status[0].Fallback && status[0].ByShare == uint64(admitted) && status[0].Refused == uint64(1000-admitted))
+		_, err := v.limiters[v.owner()].HandleLeaseRequest(context.Background(), "older", LeaseRequest{Caller: account.Name, Requests: 1})
+		is.True(err != nil) // a request of the own interface gets nothing of a windowed account
 	})
 }
 
