Reserve memory for heads of many lines before they are parsed

Cause: the memory of parsed fields was reserved after parsing, so clients that send legal heads of thousands of short lines at once took it uncounted. Change: lines are counted as the head is read; above 256 lines 512 bytes a line are reserved before the parser sees them, or the request is refused with 503.

--- a/internal/berylgate/body.go
+++ b/internal/berylgate/body.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"os"
@@ -32,6 +33,7 @@
 func connChanged(conn net.Conn, state fasthttp.ConnState) {
 	if c, ok := conn.(*berylintake.Conn); ok && state == fasthttp.StateIdle {
 		c.Enter(berylintake.Idle)
+		c.Release(berylintake.Heads, math.MaxInt64) // exchanges release their bodies themselves
 	}
 }
 
--- a/internal/berylintake/conn.go
+++ b/internal/berylintake/conn.go
@@ -1,9 +1,11 @@
 package berylintake
 
 import (
+	"bytes"
 	"crypto/tls"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -41,10 +43,15 @@
 // Read reads from the connection and counts the progress.
 func (c *Conn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
-	if n > 0 {
-		c.intake.mu.Lock()
-		c.intake.ledger.Progress(time.Now(), c.entry, n)
-		c.intake.mu.Unlock()
+	if n == 0 {
+		return n, err
+	}
+	c.intake.mu.Lock()
+	defer c.intake.mu.Unlock()
+	if !c.intake.ledger.ReadLines(time.Now(), c.entry, n, bytes.Count(data[:n], []byte{'\n'})) {
+		c.intake.refused[NoRoom]++
+		c.abort(NoRoom, false)
+		return 0, os.ErrDeadlineExceeded
 	}
 	return n, err
 }
--- a/internal/berylintake/ledger.go
+++ b/internal/berylintake/ledger.go
@@ -2,6 +2,13 @@
 
 import "time"
 
+const (
+	// ManyLines is the number of lines of a head above which the memory of its fields is reserved.
+	ManyLines = 256
+	// lineMemory is the memory of a header field in the server and in the request to the upstream, in bytes, without its text.
+	lineMemory = 512
+)
+
 // Kind is what reserved memory is used for.
 type Kind uint8
 
@@ -93,8 +100,10 @@
 	recent, previous int64
 	held             [kinds]int64
 	total            int64
-	closing          bool
-	closed           bool
+	// lines counts the lines that were read in ReadingHead.
+	lines   int
+	closing bool
+	closed  bool
 }
 
 // Ledger counts what connections hold and decides which of them are refused or closed. It is not safe for concurrent use.
@@ -154,7 +163,7 @@
 // Enter changes the state of a connection.
 func (l *Ledger) Enter(now time.Time, e *Entry, state State) {
 	wasArriving := e.isArriving()
-	e.state, e.since, e.windowStart, e.windowBytes = state, now, now, 0
+	e.state, e.since, e.windowStart, e.windowBytes, e.lines = state, now, now, 0, 0
 	switch {
 	case wasArriving && !e.isArriving():
 		l.arriving -= e.total
@@ -219,6 +228,29 @@
 	return Wait, victims
 }
 
+// ReadLines is Progress for bytes that hold a number of lines. If they may belong to a head of many lines, it reserves the memory of
+// the parsed head, and returns false if there is no room for it. It closes no other connections, since the caller can't wait.
+func (l *Ledger) ReadLines(now time.Time, e *Entry, bytes, lines int) bool {
+	l.Progress(now, e, bytes)
+	if e.state != ReadingHead {
+		return true
+	}
+	before := e.lines
+	e.lines += lines
+	if e.lines <= ManyLines || lines == 0 {
+		return true
+	}
+	if before <= ManyLines {
+		before = 0
+	}
+	memory := int64(e.lines-before) * lineMemory
+	if e.closing || e.closed || l.missing(e, memory) > 0 {
+		return false
+	}
+	l.add(e, Heads, memory)
+	return true
+}
+
 // missing returns how many bytes must be freed for a reservation.
 func (l *Ledger) missing(e *Entry, bytes int64) int64 {
 	if l.rules.Bytes <= 0 {
--- a/internal/berylintake/ledger_test.go
+++ b/internal/berylintake/ledger_test.go
@@ -178,3 +178,21 @@
 	s.Equal(s.ledger.closing, int64(0))
 	s.Equal(s.group, Group{})
 }
+
+// Guards against heads of legal size with very many short lines, which take 20 times their size once they are parsed.
+func TestHeadsOfManyLines(t *testing.T) {
+	s := newScript(t, 0)
+	s.ledger.rules.Bytes, s.ledger.rules.ArrivingBytes = 600*lineMemory, 500*lineMemory
+	e, _, _ := s.ledger.Open(s.now, &s.group)
+	s.True(s.ledger.ReadLines(s.now, e, 1000, ManyLines))
+	s.Equal(s.ledger.Held(), [kinds]int64{})
+	s.True(s.ledger.ReadLines(s.now, e, 1000, 44))
+	s.True(s.ledger.ReadLines(s.now, e, 1000, 100))
+	s.Equal(s.ledger.Held(), [kinds]int64{Heads: 400 * lineMemory})
+	other, _, _ := s.ledger.Open(s.now, &s.group)
+	s.Equal(s.ledger.ReadLines(s.now, other, 1000, 300), false)
+	s.ledger.Enter(s.now, e, Running)
+	s.True(s.ledger.ReadLines(s.now, e, 1000, 10_000)) // lines of a body
+	s.ledger.Close(e)
+	s.True(s.ledger.ReadLines(s.now, other, 1000, 100))
+}
