--- a/internal/berylcmd/entry/run/run.go
+++ b/internal/berylcmd/entry/run/run.go
@@ -25,6 +25,7 @@
 // Options holds the command's flags.
 type Options struct {
 	nodelog.Flags
+	AdaptivePace bool `help:"Give new and recovered upstreams slots as they show that they can handle them." env:"BERYLROAD_ADAPTIVE_PACE"`
 }
 
 // Help returns the detailed help text of the command.
@@ -33,6 +34,9 @@
 itself unready, keeps accepting requests until the balancer has noticed, finishes the requests in
 flight and hands back its jobs. Log lines go to standard output.
 
+With --adaptive-pace (BERYLROAD_ADAPTIVE_PACE=true) an upstream that has just started or recovered gets
+slots as it shows that it can handle them; without it, it gets all or half of them at once.
+
 Example:
   BERYLROAD_NODE_FILE=/etc/berylroad/node.conf berylroad entry run`
 }
@@ -45,6 +49,7 @@
 	}
 	defer node.LogWriter.Close()
 	settings := node.Settings
+	settings.AdaptivePace = o.AdaptivePace
 	debug.SetGCPercent(gcPercent)
 	if settings.MemoryLimit > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(settings.MemoryLimit)))
