--- a/review/rig2/refusal.go
+++ b/review/rig2/refusal.go
@@ -27,6 +27,7 @@
 		replicas = 18
 		share    = 0.4
 		requests = 4800
+		clients  = 48
 	)
 	s := startStore()
 	s.put("op/config", config(3, `{"name":"orders","host":"desk.example","prefix":"/orders/","kind":"unsafe","timeoutMs":5000,"targetLatencyMs":300,"priority":0,"maxAttempts":1,"service":"desk"}`))
@@ -56,40 +57,60 @@
 	f.startAll()
 	f.awaitReady()
 	answers := map[string]int{}
+	orders := map[string][]string{} // the attempts of an order
 	var group sync.WaitGroup
-	for c := range 48 {
+	for c := range clients {
 		group.Go(func() {
 			client := http.Client{Timeout: 6 * time.Second, Transport: &http.Transport{}}
-			for n := range requests / 48 {
-				id := fmt.Sprintf("%016x", uint64(c+1)<<32|uint64(n))
-				q, _ := http.NewRequest(http.MethodPost, "http://"+f.hosts[c%len(f.hosts)].front+fmt.Sprintf("/orders/%d", n), strings.NewReader("order "+id))
-				q.Host = "desk.example"
-				q.Header.Set("X-Request-Id", id)
-				q.Header.Set("X-Request-Deadline", "5000")
-				status, stamp := 0, ""
-				if a, err := client.Do(q); err == nil {
-					_, _ = io.Copy(io.Discard, a.Body)
-					_ = a.Body.Close()
-					status, stamp = a.StatusCode, a.Header.Get("X-Server-Stamp")
+			for n := range requests / clients {
+				order := fmt.Sprintf("%08x%04x", c+1, n)
+				// A client sends a request that may run once again, under another id, only after a promise that it has not run.
+				for attempt := range 2 {
+					id := fmt.Sprintf("%s%04x", order, attempt)
+					q, _ := http.NewRequest(http.MethodPost, "http://"+f.hosts[(c+attempt)%len(f.hosts)].front+"/orders/"+order, strings.NewReader("order "+order))
+					q.Host = "desk.example"
+					q.Header.Set("X-Request-Id", id)
+					q.Header.Set("X-Request-Deadline", "5000")
+					status, stamp := 0, ""
+					if a, err := client.Do(q); err == nil {
+						_, _ = io.Copy(io.Discard, a.Body)
+						_ = a.Body.Close()
+						status, stamp = a.StatusCode, a.Header.Get("X-Server-Stamp")
+					}
+					mu.Lock()
+					answers[id] = status
+					orders[order] = append(orders[order], id)
+					ran := runs[id]
+					mu.Unlock()
+					detail("request %s answered %d stamp %q ran at %q", id, status, stamp, ran)
+					if !isPromise(status) {
+						break
+					}
+					time.Sleep(100 * time.Millisecond)
 				}
-				mu.Lock()
-				answers[id] = status
-				ran := runs[id]
-				mu.Unlock()
-				detail("request %s answered %d stamp %q ran at %q", id, status, stamp, ran)
 			}
 		})
 	}
 	group.Wait()
-	counts, broken := map[int]int{}, 0
+	counts, broken, twice := map[int]int{}, 0, 0
 	mu.Lock()
 	for id, status := range answers {
 		counts[status]++
-		if (status == 429 || status == 503 || status == 408 || status == 421) && runs[id] != "" {
+		if isPromise(status) && runs[id] != "" {
 			broken++
 		}
 	}
+	for _, attempts := range orders {
+		if len(attempts) == 2 && runs[attempts[0]] != "" && runs[attempts[1]] != "" {
+			twice++
+		}
+	}
 	mu.Unlock()
-	note("answers by status: %v", counts)
+	note("answers by status: %v; %d orders were carried out twice", counts, twice)
 	verdict(broken > 0, "%d requests that may run once were answered 429 or 503 and have run", broken)
 }
+
+// isPromise reports whether a status promises that the request has not run and never will.
+func isPromise(status int) bool {
+	return status == 408 || status == 421 || status == 429 || status == 503
+}
