--- a/review/rig2/store.go
+++ b/review/rig2/store.go
@@ -42,8 +42,6 @@
 	next     int64
 	changed  chan struct{}
 	cut      chan struct{}
-	// onTxn, if set, sees each change before it is done and may hold it up.
-	onTxn func(keys []string)
 	// longest, if not zero, is how long a watch waits until its connection is cut.
 	longest time.Duration
 }
@@ -253,17 +251,12 @@
 		reply(w, http.StatusBadRequest, map[string]any{})
 		return
 	}
-	var keys []string
 	for _, p := range txn.Puts {
-		keys = append(keys, p.Key)
 		if strings.HasPrefix(p.Key, "op/") || strings.HasPrefix(p.Key, "servers/") || len(p.Key) > 200 || len(p.Value) > 1<<20 {
 			reply(w, http.StatusForbidden, map[string]any{})
 			return
 		}
 	}
-	if s.onTxn != nil {
-		s.onTxn(keys)
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	holds, current := true, []kvItem{}
