Reject responses whose head or trailer has an invalid field

Seen: a replica in trouble sent a head in which the name of a field held a blank. Callers got it as an answer, with that line passed on. A refusal and a late answer with such a line were believed too. Cause: net/http (the platform's path, batch items, carried connections) and fasthttp (the own interface) tolerate blanks in names and folded lines. The call fails as one that may have run: it goes to another upstream within its attempts, or ends with 502, and its connection is closed. This holds because no part of a response is used before its whole head is valid, and its end is only the end of a valid trailer.

--- a/internal/berylcall/attempt.go
+++ b/internal/berylcall/attempt.go
@@ -13,6 +13,7 @@
 
 	"berylroad.example/berylroad/internal/beryloutcome"
 	"berylroad.example/berylroad/internal/berylpermit"
+	"berylroad.example/berylroad/internal/berylresponse"
 )
 
 // headerRequestLimit is the field of an answer in which an upstream names the requests a second that it accepts.
@@ -46,7 +47,7 @@
 	addr              string
 	conn              *conn
 	stopCloseOnCancel func() bool
-	response          fasthttp.Response
+	response          *berylresponse.Response
 	stream            io.Reader
 	mode              bodyMode
 	eventReader       eventReader
@@ -125,23 +126,23 @@
 	if err := a.conn.writer.Flush(); err != nil {
 		return err
 	}
-	a.response.StreamBody = true
-	a.response.SkipBody = a.req.Method == fasthttp.MethodHead
-	return a.response.Read(a.conn.reader)
+	var err error
+	a.response, err = berylresponse.Read(a.conn.reader, a.req.Method, maxHeaderBytes)
+	return err
 }
 
 // checkResponse classifies the response by its header and, for a stream, reads the first event.
 func (a *attempt) checkResponse() bool {
-	status := a.response.StatusCode()
+	status := a.response.Status
 	a.result.status = status
-	a.permit.ReportStatement(berylpermit.Statement{Limit: a.statedLimit(), Leaving: string(a.response.Header.Peek(headerLeaving)) == "1"})
-	if id := a.response.Header.Peek("X-Request-Id"); len(id) > 0 && string(id) != a.req.ID {
+	a.permit.ReportStatement(berylpermit.Statement{Limit: a.statedLimit(), Leaving: a.response.Get(headerLeaving) == "1"})
+	if id := a.response.Get("X-Request-Id"); id != "" && id != a.req.ID {
 		return a.fail(endWrongRequest, "the answer carries another request's id")
 	}
 	if e := classifyStatus(status, a.req.Repeatable); e != endComplete {
 		return a.fail(e, statusDetail(status))
 	}
-	a.stream = a.response.BodyStream()
+	a.stream = a.response.Body
 	a.mode = a.bodyMode()
 	if a.resumed && (a.mode != bodyEvents || status != fasthttp.StatusOK) {
 		return a.fail(endServerError, "it did not continue the answer")
@@ -155,8 +156,8 @@
 
 // statedLimit returns what the answer says about the rate of requests that the upstream accepts from all hosts together.
 func (a *attempt) statedLimit() berylpermit.Limit {
-	if text := a.response.Header.Peek(headerRequestLimit); len(text) > 0 {
-		return berylpermit.ParseLimit(string(text))
+	if text := a.response.Get(headerRequestLimit); text != "" {
+		return berylpermit.ParseLimit(text)
 	}
 	return berylpermit.Limit{Known: true}
 }
@@ -183,10 +184,9 @@
 
 // classifyHeaderError returns the end reason for an error that occurred before the response body.
 func (a *attempt) classifyHeaderError(err error) endReason {
-	var headerTooLarge *fasthttp.ErrSmallBuffer
 	var netErr net.Error
 	switch {
-	case errors.As(err, &headerTooLarge):
+	case errors.Is(err, berylresponse.ErrHeadTooLarge):
 		return a.contextReasonOr(endTooLarge)
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &netErr):
 		return a.contextReasonOr(endConnectionLost)
--- a/internal/berylcall/body.go
+++ b/internal/berylcall/body.go
@@ -13,6 +13,8 @@
 	// size, an answer that breaks off can be requested again.
 	maxBufferedBytes = 256 << 10
 	readBlockBytes   = 32 << 10
+	// defaultContentType is the content type of an answer that has none.
+	defaultContentType = "text/plain; charset=utf-8"
 	// drainTimeout is how long the end of the body may take to arrive after a stream's last event. If it takes
 	// longer, the connection is not reused.
 	drainTimeout = 5 * time.Millisecond
@@ -39,7 +41,7 @@
 )
 
 func (a *attempt) bodyMode() bodyMode {
-	isEvents := strings.HasPrefix(string(a.response.Header.ContentType()), "text/event-stream")
+	isEvents := strings.HasPrefix(a.contentType(), "text/event-stream")
 	switch {
 	case !isCompletion(a.req.Path) && isEvents:
 		return bodyPassThrough
@@ -52,6 +54,13 @@
 	}
 }
 
+func (a *attempt) contentType() string {
+	if t := a.response.Get("Content-Type"); t != "" {
+		return t
+	}
+	return defaultContentType
+}
+
 // isCompletion reports whether the path belongs to the completion API of a model engine, whose answers must be JSON
 // or events.
 func isCompletion(path string) bool {
@@ -111,7 +120,7 @@
 }
 
 func (a *attempt) passEvents(sink *trackedSink) error {
-	if err := sink.start(a.response.StatusCode(), string(a.response.Header.ContentType())); err != nil {
+	if err := sink.start(a.response.Status, a.contentType()); err != nil {
 		return err
 	}
 	e := a.firstEventRead
@@ -141,35 +150,29 @@
 
 // passJSON passes a JSON answer on once it is complete and valid. With a status of 300 or more the body need not be JSON.
 func (a *attempt) passJSON(sink *trackedSink) error {
-	if a.hasNoLength() {
+	if a.response.UntilClose {
 		return errBodyWithoutLength
 	}
-	if int64(a.response.Header.ContentLength()) > a.maxAnswerBytes {
+	if a.response.Length > a.maxAnswerBytes {
 		return errAnswerTooLarge
 	}
 	body, err := io.ReadAll(bodyReader{a})
 	if err != nil {
 		return err
 	}
-	if a.response.StatusCode() < 300 && !json.Valid(body) {
+	if a.response.Status < 300 && !json.Valid(body) {
 		return errBodyMalformed
 	}
-	if err := sink.start(a.response.StatusCode(), string(a.response.Header.ContentType())); err != nil {
+	if err := sink.start(a.response.Status, a.contentType()); err != nil {
 		return err
 	}
 	return sink.write(body)
 }
 
-// hasNoLength reports whether only the end of the connection marks the end of the body, so that a truncated body
-// could not be recognized.
-func (a *attempt) hasNoLength() bool {
-	return a.stream != nil && a.response.Header.ContentLength() < -1
-}
-
 // passBytes passes an answer on block by block. In bodyBuffered mode it holds the answer back until it is complete or
 // exceeds maxBufferedBytes.
 func (a *attempt) passBytes(sink *trackedSink) error {
-	if a.hasNoLength() {
+	if a.response.UntilClose {
 		return errBodyWithoutLength
 	}
 	held := 0
@@ -201,7 +204,7 @@
 
 func (a *attempt) passBlock(sink *trackedSink, block []byte) error {
 	if !sink.started {
-		err := sink.start(a.response.StatusCode(), string(a.response.Header.ContentType()))
+		err := sink.start(a.response.Status, a.contentType())
 		if err != nil {
 			return err
 		}
--- a/internal/berylcall/connect.go
+++ b/internal/berylcall/connect.go
@@ -69,15 +69,13 @@
 	a.stopCloseOnCancel()
 	a.conn.Close()
 	a.stream = nil
-	a.response.Reset()
 }
 
 // keepConn returns the connection to the pool. The response must have been read to its end.
 func (a *attempt) keepConn() {
 	a.result.sentBytes += a.conn.sentBytes.Swap(0)
-	reusable := a.stopCloseOnCancel() && !a.response.Header.ConnectionClose()
+	reusable := a.stopCloseOnCancel() && !a.response.Close
 	a.stream = nil
-	a.response.Reset()
 	if !reusable {
 		a.conn.Close()
 		return
--- a/internal/berylcall/raw_test.go
+++ b/internal/berylcall/raw_test.go
@@ -60,6 +60,14 @@
 		{name: "length over the limit", raw: "HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\n", open: true, want: beryloutcome.Failed},
 		{name: "bad chunk size", raw: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n{}", want: beryloutcome.Failed},
 		{name: "two lengths", raw: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\n{} ", want: beryloutcome.Failed},
+		{name: "blank within a field name", raw: "HTTP/1.1 200 OK\r\nBad Name: x\r\nContent-Length: 2\r\n\r\n{}", want: beryloutcome.Failed},
+		{name: "blank before a colon", raw: "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\n{}", want: beryloutcome.Failed},
+		{name: "encoding with a blank before its colon", raw: "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\nContent-Length: 2\r\n\r\n{}", want: beryloutcome.Failed},
+		{name: "blank before a field name", raw: "HTTP/1.1 200 OK\r\nX-A: y\r\n Bad: x\r\nContent-Length: 2\r\n\r\n{}", want: beryloutcome.Failed},
+		{name: "control byte in a field name", raw: "HTTP/1.1 200 OK\r\nB\x01d: x\r\nContent-Length: 2\r\n\r\n{}", want: beryloutcome.Failed},
+		{name: "control byte in a value", raw: "HTTP/1.1 200 OK\r\nBad: x\x01y\r\nContent-Length: 2\r\n\r\n{}", want: beryloutcome.Failed},
+		{name: "blank within a field name of an interim answer", raw: "HTTP/1.1 100 Continue\r\nBad Name: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", want: beryloutcome.Failed},
+		{name: "blank within a field name of a trailer", raw: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\nBad Name: x\r\n\r\n", want: beryloutcome.Failed},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
