Reject responses whose status is out of range

Seen: a replica in trouble answered with the status 000. Callers of the own interface got it as an answer with status 200. Cause: fasthttp reads any three digits and returns status 0 as 200, its value for "not set"; net/http reads any number of three characters, and whatever was below 200 counted as interim. Change: berylresponse accepts 100 to 599, and no switch of protocols, since no request asks for one. Anything else is a broken response like that with an invalid field. Both paths have it from the one reader.

--- a/internal/berylresponse/head.go
+++ b/internal/berylresponse/head.go
@@ -12,6 +12,9 @@
 )
 
 const (
+	// minStatus and maxStatus are the first and the last status code that the protocol knows.
+	minStatus = 100
+	maxStatus = 599
 	// maxFields bounds the fields of a head or trailer, which take far more memory than their text.
 	maxFields = 256
 	// maxInterimHeads is how many interim responses may precede the final one.
@@ -144,9 +147,12 @@
 	lines := lineReader{reader: r, left: limit}
 	for range maxInterimHeads + 1 {
 		head, err := lines.head()
-		if err != nil || head.Status >= http.StatusOK || head.Status == http.StatusSwitchingProtocols {
+		if err != nil || head.Status >= http.StatusOK {
 			return head, err
 		}
+		if head.Status == http.StatusSwitchingProtocols {
+			return Head{}, errors.Wrap(ErrMalformed, "a switch of protocols that nobody asked for")
+		}
 	}
 	return Head{}, errors.Wrapf(ErrHeadTooLarge, "more than %d interim responses", maxInterimHeads)
 }
@@ -184,6 +190,9 @@
 		}
 		head.Status = 10*head.Status + int(digit-'0')
 	}
+	if head.Status < minStatus || head.Status > maxStatus {
+		return Head{}, malformed("status line", line)
+	}
 	return head, nil
 }
 
