Tell a reset from a regular end on carried connections

Seen: a replica answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. Cause: a carrier copies both directions at once. The kernel reports a reset to one call only; if that is the write, the read after it returns a regular end, which the carrier passed on with CloseWrite. Change: the carrier reads through fullDuplexConn. At an end it asks the kernel whether the peer has ended its side; if the connection is closed instead, it waits for the write under way, which can't block any more, and returns the write's error. EPIPE alone means that the peer's end came before the reset, so whole answers stay whole. The state of a connection is read by berylsocket, which the watch for callers that have gone uses too. Held already: on connections of the host's own and in the own interface a request is written whole before its answer is read, and a failed write ends the call.

--- a/internal/berylpath/carry.go
+++ b/internal/berylpath/carry.go
@@ -59,7 +59,7 @@
 		return err
 	}
 	began := time.Now()
-	t.carry(stream, conn, request.Upstream)
+	t.carry(stream, &fullDuplexConn{Conn: conn}, request.Upstream)
 	p.Log.WithField("upstream", request.Upstream).WithField("for", peer).WithField("total-ms", time.Since(began).Milliseconds()).Info("path: carried a connection")
 	return nil
 }
--- /dev/null
+++ b/internal/berylsocket/doc.go
@@ -0,0 +1,2 @@
+// Package berylsocket looks at the state of TCP connections.
+package berylsocket
--- a/internal/berylstream/disconnect.go
+++ b/internal/berylstream/disconnect.go
@@ -7,17 +7,13 @@
 	"sync"
 	"syscall"
 	"time"
-)
 
-const (
-	// checkInterval is how often the connections of waiting callers are checked.
-	checkInterval = 250 * time.Millisecond
-	// tcpCloseWait is the kernel's state of a TCP connection that the peer has closed.
-	tcpCloseWait = 8
-	// tcpStateMask selects the state, which is the first byte, from the kernel's TCP_INFO.
-	tcpStateMask = 0xff
+	"berylroad.example/berylroad/internal/berylsocket"
 )
 
+// checkInterval is how often the connections of waiting callers are checked.
+const checkInterval = 250 * time.Millisecond
+
 // DisconnectWatcher detects callers that close their connections while a call runs for them. fasthttp does not read
 // from a connection while its handler runs, so it does not notice by itself.
 type DisconnectWatcher struct {
@@ -107,6 +103,6 @@
 // hasPeerClosed reports whether the peer has closed a connection that still has unread bytes, such as the close
 // notification of TLS or a pipelined request.
 func hasPeerClosed(descriptor int) bool {
-	info, err := syscall.GetsockoptInt(descriptor, syscall.IPPROTO_TCP, syscall.TCP_INFO)
-	return err == nil && info&tcpStateMask == tcpCloseWait
+	state, err := berylsocket.StateOfDescriptor(descriptor)
+	return err == nil && state == berylsocket.EndedByPeer
 }
