Do not repeat a call on a new connection after a broken answer

Seen: in the own interface, a broken answer on a kept connection made the host send the request to the same upstream once more within the same attempt, so it ran more often than max-attempts allows. Cause: any failure on a reused connection was taken for one that the upstream had closed as the request was written. Change: a call is repeated only if the connection was lost before a byte of an answer arrived on it. A connection with a byte on it was not closed before. Evidence: TestBrokenAnswerOnAKeptConnection failed before: the second request was answered at its second run with max-attempts 1. Measured: it passes; the package's tests pass.

--- a/internal/berylcall/attempt.go
+++ b/internal/berylcall/attempt.go
@@ -88,7 +88,7 @@
 		return false
 	}
 	err := a.roundTrip()
-	if err != nil && a.mayRetryStaleConn() {
+	if err != nil && a.mayRetryStaleConn(err) {
 		a.closeConn()
 		if !a.connect(base) {
 			return false
@@ -102,9 +102,9 @@
 }
 
 // mayRetryStaleConn reports whether a failed exchange may be repeated on a new connection: the upstream may have
-// closed the reused connection just as the request was written to it.
-func (a *attempt) mayRetryStaleConn() bool {
-	return a.conn.reused && a.req.Repeatable && a.ctx.Err() == nil
+// closed the reused connection just as the request was written to it. If a part of an answer came, it has not.
+func (a *attempt) mayRetryStaleConn(err error) bool {
+	return a.conn.reused && a.req.Repeatable && !a.conn.answered && a.classifyHeaderError(err) == endConnectionLost
 }
 
 // roundTrip writes the request and reads the response header.
--- a/internal/berylcall/conn.go
+++ b/internal/berylcall/conn.go
@@ -24,12 +24,21 @@
 	writer *bufio.Writer
 	// sentBytes counts the bytes of the current call that may have been sent.
 	sentBytes atomic.Int64
+	// answered is set once bytes have arrived for the current call.
+	answered bool
 	// reused marks a connection that has carried an earlier call.
 	reused bool
 	// idleSince is when the connection became idle.
 	idleSince time.Time
 }
 
+// Read marks that an answer has begun.
+func (c *conn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	c.answered = c.answered || n > 0
+	return n, err
+}
+
 // Write counts the bytes before it writes them, so that sentBytes is never too low.
 func (c *conn) Write(data []byte) (int, error) {
 	c.sentBytes.Add(int64(len(data)))
--- a/internal/berylcall/pool.go
+++ b/internal/berylcall/pool.go
@@ -28,7 +28,7 @@
 			return nil
 		}
 		if now.Sub(c.idleSince) < maxIdleTime && c.isReusable() {
-			c.reused = true
+			c.reused, c.answered = true, false
 			c.sentBytes.Store(0)
 			return c
 		}
--- a/internal/berylcall/raw_test.go
+++ b/internal/berylcall/raw_test.go
@@ -1,12 +1,14 @@
 package berylcall_test
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"log"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -173,3 +175,43 @@
 	is.Equal(result.Kind, beryloutcome.Cancelled)
 	is.Equal(result.Attempts, 1)
 }
+
+// Guards against a broken answer on a kept connection that makes the upstream run the request once more within the same attempt.
+func TestBrokenAnswerOnAKeptConnection(t *testing.T) {
+	is := is.New(t)
+	const whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close()
+	var requests atomic.Int64
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				for {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, request.Body)
+					answer := whole
+					if requests.Add(1) == 2 {
+						answer = "HTTP/1.1 200 OK\r\nBad Name: x\r\nContent-Length: 2\r\n\r\n{}"
+					}
+					_, _ = io.WriteString(conn, answer)
+				}
+			}()
+		}
+	}()
+	runner := newTestRunner(t)
+	runner.rules = berylconf.Rules{MaxAttempts: 1}
+	runner.add("a", "http://"+listener.Addr().String(), false)
+	is.Equal(runner.Do(context.Background(), chatRequest("first", false, 1), &sink{}).Kind, beryloutcome.Answered)
+	is.Equal(runner.Do(context.Background(), chatRequest("second", false, 1), &sink{}).Kind, beryloutcome.Failed)
+	is.Equal(requests.Load(), int64(2))
+}
