Bound the bytes of a stream that wait for its caller

Seen: a replica that sends without end made the host keep all of it. A caller that reads steadily but is never quite done was enough. Cause: the pipe between a call and its caller dropped bytes that were read only when nothing else was left, so its buffer grew with the stream; and it took a part of any size once it was not full. Change: before the buffer grows, the bytes that were read are dropped, and a part is taken in pieces as there is room. What is held is then the 64 KB that the pipe may hold, whatever the stream's length.

--- a/internal/berylstream/pipe.go
+++ b/internal/berylstream/pipe.go
@@ -12,7 +12,7 @@
 const (
 	// writeTimeout bounds the time between two writes of a streamed answer.
 	writeTimeout = time.Minute
-	// pipeCapacityBytes is how many bytes of a stream may wait for a slow caller before Put blocks, which slows down
+	// pipeCapacityBytes is how many bytes of a stream may wait for a slow caller. Put blocks for the others, which slows down
 	// the upstream.
 	pipeCapacityBytes = 64 << 10
 	// deadlineRenewInterval is how often a running stream extends its connection's write deadline.
@@ -49,23 +49,34 @@
 	return p
 }
 
-// Put appends bytes. It blocks while too many are unread, and fails once the reader has closed the pipe.
+// Put appends bytes. It blocks until there is room for all of them, and fails once the reader has closed the pipe.
 func (p *Pipe) Put(data []byte) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for len(p.buffer)-p.readOffset >= pipeCapacityBytes && !p.closed && !p.ended {
-		p.changed.Wait()
-	}
-	if p.closed || p.ended {
-		return ErrCallerGone
+	for {
+		for p.unread() >= pipeCapacityBytes && !p.closed && !p.ended {
+			p.changed.Wait()
+		}
+		if p.closed || p.ended {
+			return ErrCallerGone
+		}
+		n := min(len(data), pipeCapacityBytes-p.unread())
+		p.append(data[:n])
+		if data = data[n:]; len(data) == 0 {
+			return nil
+		}
 	}
-	p.append(data)
-	return nil
 }
 
+// unread returns the number of bytes that have not been read. mu must be held.
+func (p *Pipe) unread() int {
+	return len(p.buffer) - p.readOffset
+}
+
+// append adds bytes to those that have not been read. Before the buffer grows, it drops those that have. mu must be held.
 func (p *Pipe) append(data []byte) {
-	if p.readOffset > 0 && p.readOffset == len(p.buffer) {
-		p.buffer = p.buffer[:0]
+	if p.unread() == 0 || len(p.buffer)+len(data) > cap(p.buffer) {
+		p.buffer = p.buffer[:copy(p.buffer, p.buffer[p.readOffset:])]
 		p.readOffset = 0
 	}
 	p.buffer = append(p.buffer, data...)
@@ -93,7 +104,7 @@
 	p.extendWriteDeadline()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for p.readOffset == len(p.buffer) {
+	for p.unread() == 0 {
 		if p.ended {
 			return 0, p.endError()
 		}
