Bound what answers without end make a host hold in all

Seen: replicas that send without end made the host that called them keep up to 256 KB and more for each call. Cause: each buffer was bounded, but not their sum. Only what clients send was reserved in a budget; 128 KB a request were reckoned for an answer, of which up to 256 KB are held back, copied to the sink, and 256 KB of an event twice. Change: what is held of answers and events beyond 16 KB a call is reserved before it is held, in a budget of a tenth of the process's memory. Without room an answer is passed on as it arrives, a long event fails its call without blame for the upstream. The texts of unfinished items may take another tenth; an item that finds no room starts over. Copies of answers and events are gone. The bound holds whatever replicas send, and no client is closed for it. Heads, trailers and chunk extensions were bounded already.

--- a/internal/berylbatch/manager.go
+++ b/internal/berylbatch/manager.go
@@ -14,6 +14,7 @@
 	"berylroad.example/berylroad/internal/berylpermit"
 	"berylroad.example/berylroad/internal/berylquarantine"
 	"berylroad.example/berylroad/internal/berylrelay"
+	"berylroad.example/berylroad/internal/berylresponse"
 	"berylroad.example/berylroad/internal/berylroute"
 	"berylroad.example/berylroad/internal/berylstore"
 )
@@ -73,6 +74,10 @@
 	WriteProgress func(ctx context.Context, put berylstore.Put) bool
 	// Retention is how long after its submission a job can be read.
 	Retention time.Duration
+	// Memory bounds the long events of items' answers that are held at once; nil means no bound.
+	Memory *berylresponse.Budget
+	// MaxTextBytes bounds the memory of the texts of unfinished items. An item whose text does not fit starts over. Zero means no bound.
+	MaxTextBytes int
 	// Log receives a line for each decision on a job or an item.
 	Log logrus.FieldLogger
 	// Metrics receives the metrics; nil disables them.
--- a/internal/berylbatch/run.go
+++ b/internal/berylbatch/run.go
@@ -15,6 +15,7 @@
 	"berylroad.example/berylroad/internal/berylpath"
 	"berylroad.example/berylroad/internal/berylpermit"
 	"berylroad.example/berylroad/internal/berylrelay"
+	"berylroad.example/berylroad/internal/berylresponse"
 	"berylroad.example/berylroad/internal/berylroute"
 	"berylroad.example/berylroad/internal/berylversion"
 )
@@ -42,6 +43,8 @@
 	// maxItemText bounds the text of one item, in bytes. A result has to fit into one value of the store, encoded in base64
 	// and together with its job's other fields.
 	maxItemText = 512 << 10
+	// firstItemText is the first capacity of an item's text, in bytes.
+	firstItemText = 1 << 10
 )
 
 var (
@@ -159,7 +162,9 @@
 	case reply.Status != http.StatusOK || !reply.Signed || !reply.EventStream:
 		return reply.Status, errUpstreamFailed
 	}
-	events := berylrelay.EventReader{Reader: bufio.NewReaderSize(reply.Body, itemReadBuffer)}
+	memory := m.Memory.Reserve()
+	defer memory.Release()
+	events := berylrelay.EventReader{Reader: bufio.NewReaderSize(reply.Body, itemReadBuffer), Memory: memory}
 	for {
 		event, err := events.Next()
 		if berylrelay.IsCleanEOF(err) {
@@ -172,9 +177,10 @@
 			return reply.Status, err
 		}
 		m.mu.Lock()
-		added, err := it.appendEvent(&event)
-		if errors.Is(err, errTextTooLong) {
-			it.discardText() // it is not known which call produced the excess, so none of the text can be trusted
+		added, err := m.appendEvent(it, &event)
+		if errors.Is(err, errTextTooLong) || errors.Is(err, berylresponse.ErrNoRoom) {
+			// Of a text that is too long, it is not known which call produced the excess. One without room leaves it to others.
+			it.discardText()
 		}
 		m.mu.Unlock()
 		if err != nil {
@@ -194,7 +200,7 @@
 
 // appendEvent appends an event to the item's text and reports whether it was a new one. A gap in the event IDs is an
 // error. The caller holds mu.
-func (it *item) appendEvent(event *berylrelay.Event) (bool, error) {
+func (m *Manager) appendEvent(it *item, event *berylrelay.Event) (bool, error) {
 	if !event.HasID {
 		return false, nil
 	}
@@ -204,18 +210,56 @@
 	if it.events > 0 && event.ID != it.last+1 {
 		return false, errors.Newf("events are missing: event %d follows event %d", event.ID, it.last)
 	}
-	if len(it.text)+1+len(event.Data) > maxItemText {
-		return false, errTextTooLong
+	more := 0
+	for data := range event.Data() {
+		more += len(data) + 1
+	}
+	if err := m.growText(it, more); err != nil {
+		return false, err
 	}
 	if it.events > 0 {
 		it.text = append(it.text, '\n')
 	}
-	it.text = append(it.text, event.Data...)
+	first := true
+	for data := range event.Data() {
+		if !first {
+			it.text = append(it.text, '\n')
+		}
+		it.text, first = append(it.text, data...), false
+	}
 	it.last = event.ID
 	it.events++
 	return true, nil
 }
 
+// growText makes room for more bytes of an item's text. The caller holds mu.
+func (m *Manager) growText(it *item, more int) error {
+	needed := len(it.text) + more
+	switch {
+	case needed > maxItemText:
+		return errTextTooLong
+	case needed <= cap(it.text):
+		return nil
+	}
+	capacity := min(max(2*cap(it.text), needed, firstItemText), maxItemText)
+	if m.MaxTextBytes > 0 && capacity > berylresponse.FreeBytes && m.heldText()-cap(it.text)+capacity > m.MaxTextBytes {
+		return errors.Wrap(berylresponse.ErrNoRoom, "text of the item")
+	}
+	it.text = append(make([]byte, 0, capacity), it.text...)
+	return nil
+}
+
+// heldText returns the memory of the texts of all items that have not ended, in bytes. The caller holds mu.
+func (m *Manager) heldText() int {
+	held := 0
+	for _, j := range m.jobs {
+		for _, it := range j.items {
+			held += cap(it.text)
+		}
+	}
+	return held
+}
+
 // beginAt prepares the item for a call to an upstream of the given service and version: text of another is dropped. The caller
 // holds mu.
 func (it *item) beginAt(origin berylversion.Origin) {
@@ -263,7 +307,7 @@
 		}
 	default:
 		report.Kind = beryloutcome.Unknown
-		report.Fault = true
+		report.Fault = !errors.Is(err, berylresponse.ErrNoRoom)
 	}
 	it.failedCalls++
 	it.notBefore = time.Now().Add(min(itemBackoff*time.Duration(it.failedCalls), maxItemBackoff))
--- a/internal/berylentry/host.go
+++ b/internal/berylentry/host.go
@@ -21,6 +21,7 @@
 	"berylroad.example/berylroad/internal/berylpermit"
 	"berylroad.example/berylroad/internal/berylquarantine"
 	"berylroad.example/berylroad/internal/berylrelay"
+	"berylroad.example/berylroad/internal/berylresponse"
 	"berylroad.example/berylroad/internal/berylroute"
 	"berylroad.example/berylroad/internal/berylsched"
 	"berylroad.example/berylroad/internal/berylstore"
@@ -43,6 +44,10 @@
 	// leaveTimeout bounds the announcement to the other hosts that this host has stopped. If it is lost, they detect
 	// the stop by themselves.
 	leaveTimeout = 300 * time.Millisecond
+	// answerMemoryShare is the share of the process's memory limit for the parts of answers that are held at once, and
+	// itemTextMemoryShare that for the texts of unfinished items. What callers make a process hold has a share of its own.
+	answerMemoryShare   = 0.1
+	itemTextMemoryShare = 0.1
 	// kindJobRead is the kind of message that reads a job from the host that runs it.
 	kindJobRead = "job-read"
 	// kindStoreWatch is the kind of message that watches the store for another host.
@@ -286,13 +291,15 @@
 	berylwire.Handle(h.endpoint, kindVersion, h.versions.HandleMessage)
 	h.limiter = h.newLimiter(links)
 	berylwire.Handle(h.endpoint, kindLimit, h.limiter.HandleLeaseRequest)
+	answers := h.newAnswerMemory()
 	h.Relay = &berylrelay.Relay{
-		Permits: h.scheduler, Upstreams: &h.upstreamRegistry, Client: h.Upstreams, Versions: h.versions, Quarantine: h.quarantine, Limits: accountLimits{h.limiter}, Stop: &h.stop, Log: h.Log, Metrics: h.Metrics,
+		Permits: h.scheduler, Upstreams: &h.upstreamRegistry, Client: h.Upstreams, Versions: h.versions, Quarantine: h.quarantine, Limits: accountLimits{h.limiter}, Memory: answers, Stop: &h.stop, Log: h.Log, Metrics: h.Metrics,
 	}
 	h.Jobs = berylbatch.New(berylbatch.Config{
 		Host: h.Settings.Host, Boot: h.boot, Store: h.fallbackStore, Permits: h.scheduler, Upstreams: &h.upstreamRegistry, Client: h.Upstreams,
 		Quarantine: h.quarantine, Routes: &h.routes, Members: (*memberView)(h), Peers: &jobPeers{links}, Sharing: sharing,
-		WriteProgress: h.writeBatcher.Put, Lease: h.hostRegistry.currentLease, Retention: h.Settings.Retention, Log: h.Log, Metrics: h.Metrics,
+		WriteProgress: h.writeBatcher.Put, Lease: h.hostRegistry.currentLease, Retention: h.Settings.Retention,
+		Memory: answers, MaxTextBytes: int(itemTextMemoryShare * float64(h.Settings.MemoryLimit)), Log: h.Log, Metrics: h.Metrics,
 	})
 	berylwire.Handle(h.endpoint, kindJobRead, h.Jobs.HandleRead)
 	h.followers = map[string]*berylstore.Follower{}
@@ -307,6 +314,13 @@
 	h.assembled.Store(true)
 }
 
+// newAnswerMemory returns the budget for the parts of answers that are held at once.
+func (h *Host) newAnswerMemory() *berylresponse.Budget {
+	budget := &berylresponse.Budget{Limit: int64(answerMemoryShare * float64(h.Settings.MemoryLimit))}
+	h.Metrics.NewGauge("berylroad_answers_held_bytes", func() float64 { return float64(budget.Held()) })
+	return budget
+}
+
 // registerSlotGauges registers gauges of the slots that this host grants and of those in use.
 func (h *Host) registerSlotGauges() {
 	gauge := func(name string, count func(berylpermit.Load) int) {
--- a/internal/berylrelay/endless_test.go
+++ b/internal/berylrelay/endless_test.go
@@ -13,6 +13,8 @@
 	"github.com/matryer/is"
 
 	"berylroad.example/berylroad/internal/beryloutcome"
+	"berylroad.example/berylroad/internal/berylpermit"
+	"berylroad.example/berylroad/internal/berylresponse"
 	"berylroad.example/berylroad/internal/berylroute"
 )
 
@@ -173,3 +175,31 @@
 	r.pieces = r.pieces[1:]
 	return n, nil
 }
+
+// Without memory to hold an answer, it is passed on as it arrives, and a long event fails the call without blame for its upstream.
+func TestAnswersWithoutMemoryToHoldThem(t *testing.T) {
+	is := is.New(t)
+	budget := &berylresponse.Budget{Limit: 1}
+	relay := func(route berylroute.Route, reply *Reply) (beryloutcome.Result, *lengthSink, []berylpermit.Report) {
+		broker := &fakeBroker{grants: []string{"a"}}
+		route.Name, route.Shares = "r", []berylroute.Share{{Service: "svc", Weight: 1}}
+		client := clientFunc(func(context.Context, *Call) (*Reply, error) { return reply, nil })
+		r := Relay{Permits: broker, Upstreams: newRegistry("a"), Client: client, Memory: budget, Log: discardLogger()}
+		sink := &lengthSink{}
+		result := r.Do(t.Context(), &Request{ID: "q", Route: &route, Deadline: time.Now().Add(time.Minute)}, sink)
+		return result, sink, broker.reports
+	}
+	text := strings.Repeat("y", 100<<10)
+	result, sink, _ := relay(berylroute.Route{Kind: berylroute.Safe}, &Reply{Status: http.StatusOK, Signed: true, Body: io.NopCloser(strings.NewReader(text))})
+	is.Equal(result.Kind, beryloutcome.Answered)
+	is.Equal(sink.length, -1)
+	is.Equal(sink.body.String(), text)
+
+	event := "id: 1\ndata: " + text + "\n\n"
+	result, sink, reports := relay(berylroute.Route{Kind: berylroute.Streaming}, &Reply{Status: http.StatusOK, Signed: true, EventStream: true, Body: io.NopCloser(strings.NewReader(event))})
+	is.Equal(result.Kind, beryloutcome.Unknown)
+	is.Equal(sink.body.Len(), 0)
+	is.Equal(len(reports), 1)
+	is.True(!reports[0].Fault)
+	is.Equal(budget.Held(), int64(0))
+}
--- a/internal/berylrelay/events.go
+++ b/internal/berylrelay/events.go
@@ -4,9 +4,12 @@
 	"bufio"
 	"bytes"
 	"io"
+	"iter"
 	"strconv"
 
 	"github.com/cockroachdb/errors"
+
+	"berylroad.example/berylroad/internal/berylresponse"
 )
 
 // maxEventBytes bounds one event of a stream, in bytes.
@@ -22,27 +25,33 @@
 	ID int64
 	// HasID says whether the event has an id field with a number.
 	HasID bool
-	// Data is the event's data. Several data lines are joined by line feeds.
-	Data []byte
+	// HasData says whether the event has data that is not empty.
+	HasData bool
 }
 
 // EventReader splits a stream into events. Only Reader has to be set.
 type EventReader struct {
 	// Reader is the stream to read from.
-	Reader  *bufio.Reader
+	Reader *bufio.Reader
+	// Memory is where the memory of long events is reserved; nil means that it is not bounded.
+	Memory *berylresponse.Reservation
+
 	partial []byte
 }
 
 // Next returns the next complete event, or io.EOF at the end of the stream, even if it ends within an event (see
 // Rest). The event is valid until the next call.
 func (r *EventReader) Next() (Event, error) {
-	r.partial = r.partial[:0]
+	r.dropLast()
 	for {
 		line, err := r.Reader.ReadSlice('\n')
-		r.partial = append(r.partial, line...)
-		if len(r.partial) > maxEventBytes {
+		if len(r.partial)+len(line) > maxEventBytes {
 			return Event{}, errEventTooLarge
 		}
+		var growErr error
+		if r.partial, growErr = r.Memory.Append(r.partial, line, maxEventBytes); growErr != nil {
+			return Event{}, growErr
+		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
@@ -55,6 +64,15 @@
 	}
 }
 
+// dropLast makes room for the next event.
+func (r *EventReader) dropLast() {
+	if cap(r.partial) > berylresponse.FreeBytes {
+		r.partial = nil
+		r.Memory.Release()
+	}
+	r.partial = r.partial[:0]
+}
+
 // Rest returns the bytes after the last whole event, once Next has failed.
 func (r *EventReader) Rest() []byte {
 	return r.partial
@@ -67,27 +85,45 @@
 
 func parseEvent(raw []byte) Event {
 	e := Event{Raw: raw}
-	hasData := false
-	for line := range bytes.SplitSeq(raw, []byte("\n")) {
-		line = bytes.TrimSuffix(line, []byte("\r"))
-		name, value, _ := bytes.Cut(line, []byte(":"))
-		value = bytes.TrimPrefix(value, []byte(" "))
+	hasLine := false
+	for name, value := range fields(raw) {
 		switch string(name) {
 		case "id":
 			if id, err := strconv.ParseInt(string(value), 10, 64); err == nil {
 				e.ID, e.HasID = id, true
 			}
 		case "data":
-			if hasData {
-				e.Data = append(e.Data, '\n')
-			}
-			hasData = true
-			e.Data = append(e.Data, value...)
+			e.HasData = e.HasData || hasLine || len(value) > 0
+			hasLine = true
 		}
 	}
 	return e
 }
 
+// Data returns the parts of the event's data, which are joined by line feeds. They are valid as long as the event.
+func (e *Event) Data() iter.Seq[[]byte] {
+	return func(yield func([]byte) bool) {
+		for name, value := range fields(e.Raw) {
+			if string(name) == "data" && !yield(value) {
+				return
+			}
+		}
+	}
+}
+
+// fields returns the names and values of the fields of an event.
+func fields(raw []byte) iter.Seq2[[]byte, []byte] {
+	return func(yield func(name, value []byte) bool) {
+		for line := range bytes.SplitSeq(raw, []byte("\n")) {
+			line = bytes.TrimSuffix(line, []byte("\r"))
+			name, value, _ := bytes.Cut(line, []byte(":"))
+			if !yield(name, bytes.TrimPrefix(value, []byte(" "))) {
+				return
+			}
+		}
+	}
+}
+
 // IsCleanEOF reports whether err marks the regular end of a stream rather than a broken connection.
 func IsCleanEOF(err error) bool {
 	return err == io.EOF //nolint:errorlint // A wrapped io.EOF is not the regular end of the stream.
--- a/internal/berylrelay/failure.go
+++ b/internal/berylrelay/failure.go
@@ -9,12 +9,13 @@
 	"berylroad.example/berylroad/internal/beryloutcome"
 	"berylroad.example/berylroad/internal/berylpath"
 	"berylroad.example/berylroad/internal/berylpermit"
+	"berylroad.example/berylroad/internal/berylresponse"
 )
 
 // handleFailure decides what follows a call whose answer did not arrive completely.
 func (x *exchange) handleFailure(ctx context.Context, report *berylpermit.Report, err error) step {
 	x.cause = err
-	report.Fault = x.isUpstreamFault(ctx)
+	report.Fault = x.isUpstreamFault(ctx) && !errors.Is(err, berylresponse.ErrNoRoom)
 	if errors.Is(err, berylpath.ErrNoPath) {
 		report.Fault = false
 		return stepFail // no other upstream can be reached either
--- a/internal/berylrelay/fuzz_test.go
+++ b/internal/berylrelay/fuzz_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"slices"
 	"testing"
 	"testing/iotest"
 )
@@ -26,8 +27,9 @@
 			if err != nil {
 				break
 			}
-			if !bytes.HasSuffix(bytes.ReplaceAll(event.Raw, []byte("\r"), nil), []byte("\n")) || len(event.Data) > len(event.Raw) {
-				t.Fatalf("event %q with data %q", event.Raw, event.Data)
+			data := bytes.Join(slices.Collect(event.Data()), []byte("\n"))
+			if !bytes.HasSuffix(bytes.ReplaceAll(event.Raw, []byte("\r"), nil), []byte("\n")) || len(data) > len(event.Raw) || event.HasData != (len(data) > 0) {
+				t.Fatalf("event %q with data %q", event.Raw, data)
 			}
 			got = append(got, event.Raw...)
 		}
--- a/internal/berylrelay/pass.go
+++ b/internal/berylrelay/pass.go
@@ -11,15 +11,19 @@
 
 	"berylroad.example/berylroad/internal/beryloutcome"
 	"berylroad.example/berylroad/internal/berylpermit"
+	"berylroad.example/berylroad/internal/berylresponse"
 )
 
 // errUnnumbered ends a call that is to continue a stream and sends data that belongs to no numbered event, such as the text of an
 // error.
 var errUnnumbered = errors.New("an event without a number instead of the rest of the stream")
 
-// passBody passes on an answer that is not a stream: at once when it is complete, or as it arrives if it is long.
+// passBody passes on an answer that is not a stream: at once when it is complete, or as it arrives if it is long or there is no memory
+// to hold it.
 func (x *exchange) passBody(ctx context.Context, reply *Reply, report *berylpermit.Report) step {
-	body, err := io.ReadAll(io.LimitReader(reply.Body, maxBufferedBytes+1))
+	memory := x.Memory.Reserve()
+	defer memory.Release()
+	body, whole, err := holdBody(reply.Body, memory)
 	if err != nil {
 		return x.handleFailure(ctx, report, err)
 	}
@@ -36,7 +40,7 @@
 		report.Kind = beryloutcome.Failed
 	}
 	length := len(body)
-	if length > maxBufferedBytes {
+	if !whole {
 		length = -1
 	}
 	x.started = true
@@ -48,10 +52,32 @@
 		x.cause = err
 		return stepFail
 	}
-	if length < 0 {
-		return x.passLongBody(ctx, reply, report, len(body))
+	if whole {
+		return stepDone
 	}
-	return stepDone
+	passed := len(body)
+	body = nil
+	memory.Release()
+	return x.passLongBody(ctx, reply, report, passed)
+}
+
+// holdBody reads a body until it is complete, over maxBufferedBytes or there is no memory for more of it.
+func holdBody(body io.Reader, memory *berylresponse.Reservation) (held []byte, whole bool, err error) {
+	for len(held) <= maxBufferedBytes {
+		grown, err := memory.Grow(held, maxBufferedBytes+1)
+		if err != nil {
+			return held, false, nil
+		}
+		n, err := body.Read(grown[len(grown):cap(grown)])
+		held = grown[:len(grown)+n]
+		if IsCleanEOF(err) {
+			return held, len(held) <= maxBufferedBytes, nil
+		}
+		if err != nil {
+			return held, false, err
+		}
+	}
+	return held, false, nil
 }
 
 // passLongBody passes on the rest of a long answer. An answer over maxAnswerBytes is cut off, so that it does not
@@ -80,7 +106,9 @@
 
 // passEvents passes a stream on as it arrives, one complete event at a time.
 func (x *exchange) passEvents(ctx context.Context, reply *Reply, stall *stallTimer, report *berylpermit.Report, began time.Time) step {
-	events := EventReader{Reader: bufio.NewReaderSize(reply.Body, eventBufferBytes)}
+	memory := x.Memory.Reserve()
+	defer memory.Release()
+	events := EventReader{Reader: bufio.NewReaderSize(reply.Body, eventBufferBytes), Memory: memory}
 	defer func() {
 		if report.Tokens > 1 {
 			report.InterTokenLatency = (time.Since(began) - report.TimeToFirstToken) / time.Duration(report.Tokens-1)
@@ -94,7 +122,7 @@
 		if err != nil {
 			return x.handleFailure(ctx, report, err)
 		}
-		if x.isContinued() && !event.HasID && len(event.Data) > 0 {
+		if x.isContinued() && !event.HasID && event.HasData {
 			return x.handleFailure(ctx, report, errUnnumbered)
 		}
 		if x.hasEvent && event.HasID && event.ID <= x.lastEvent {
--- a/internal/berylrelay/relay.go
+++ b/internal/berylrelay/relay.go
@@ -14,6 +14,7 @@
 	"berylroad.example/berylroad/internal/beryloutcome"
 	"berylroad.example/berylroad/internal/berylpermit"
 	"berylroad.example/berylroad/internal/berylquarantine"
+	"berylroad.example/berylroad/internal/berylresponse"
 	"berylroad.example/berylroad/internal/berylroute"
 	"berylroad.example/berylroad/internal/berylversion"
 )
@@ -28,7 +29,7 @@
 	// maxAnswerBytes bounds an answer that is not a stream.
 	maxAnswerBytes = 16 << 20
 	// passBufferBytes is the size of the buffer for passing on a long answer.
-	passBufferBytes = 32 << 10
+	passBufferBytes = 16 << 10
 	// eventBufferBytes is the size of the read buffer of one stream. Events are a few hundred bytes long.
 	eventBufferBytes = 4 << 10
 	// stallFactor times the route's EventGapTarget is how long a resumable stream may be silent before another
@@ -72,7 +73,7 @@
 	// Start receives the head of the answer. length is the length of the body, or -1 if it is not known yet, as for a
 	// stream.
 	Start(status int, header []HeaderField, length int) error
-	// Write receives the next part of the body.
+	// Write receives the next part of the body. An answer of known length comes in one part, which the sink may keep.
 	Write(part []byte) error
 }
 
@@ -133,6 +134,9 @@
 	Quarantine *berylquarantine.Quarantine
 	// Limits holds requests to the limits of their accounts; nil means no limits.
 	Limits Limits
+	// Memory bounds the parts of answers that are held at once: answers that are not streams until they are complete, and long events.
+	// Nil means no bound.
+	Memory *berylresponse.Budget
 	// Stop is the planned stop of this host; nil means that it never stops.
 	Stop *beryldrain.Stop
 	// Log receives one line for each request.
