Keep carried calls that nobody reads from blocking messages between hosts

Seen: eight carried calls whose replicas send without end and whose callers read slowly were enough to hold back all messages between two hosts, the permits of other clients' requests included, until the calls ended. Cause: the streams of a QUIC connection share its window of 512 KB, which grows only while bytes are read; a stream that is not read takes 64 KB of it, and up to 6 MB once it was read fast. Their sum had no bound but the 15 MB of each connection. A host has at most 512 connections carried for it; a call beyond is refused unsent (503 not-run), like one that finds no host to carry it. Evidence: TestUnreadStreamsLeaveRoomForCalls did not end before: the ninth of 256 streams could not be opened. TestCarriedConnectionsAreBounded is new.

--- a/internal/berylpath/paths.go
+++ b/internal/berylpath/paths.go
@@ -48,6 +48,8 @@
 	probing  atomic.Bool
 	carriers carrierChoice
 	tunnels  tunnelServer
+	// carried counts the connections that other hosts carry for this one.
+	carried atomic.Int64
 
 	mu sync.Mutex
 	// progressAt holds when bytes last arrived from each upstream.
--- a/internal/berylpath/tunnel.go
+++ b/internal/berylpath/tunnel.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,6 +16,8 @@
 const (
 	// maxCarrierTries is how many hosts are asked to carry one connection.
 	maxCarrierTries = 8
+	// maxCarried bounds the connections that other hosts carry for this one. What has arrived on each but is not read takes up to 100 KB.
+	maxCarried = 512
 	// carryTimeout bounds the time in which a host is found that carries a connection.
 	carryTimeout = 1500 * time.Millisecond
 	// carrierTimeout bounds the time that one host may take. It leaves the host time for its own attempt to connect.
@@ -98,6 +101,21 @@
 
 // carry opens a connection to an upstream through another host and returns that host's name.
 func (p *Paths) carry(ctx context.Context, upstream berylroute.Upstream) (net.Conn, string, error) {
+	if p.carried.Add(1) > maxCarried {
+		p.carried.Add(-1)
+		return nil, "", errors.Wrap(ErrNoPath, "as many connections are carried for this host as it may have")
+	}
+	stream, host, err := p.openCarried(ctx, upstream)
+	if err != nil {
+		p.carried.Add(-1)
+		return nil, host, err
+	}
+	release := sync.OnceFunc(func() { p.carried.Add(-1) })
+	return &tunnelConn{Stream: stream, release: release, host: host, upstream: upstream.Address}, host, nil
+}
+
+// openCarried opens a tunnel through the first host that carries a connection to the upstream, and returns that host's name.
+func (p *Paths) openCarried(ctx context.Context, upstream berylroute.Upstream) (Stream, string, error) {
 	ctx, cancel := context.WithTimeout(ctx, carryTimeout)
 	defer cancel()
 	err := ErrNoPath
@@ -105,7 +123,7 @@
 		stream, v, openErr := p.openTunnel(ctx, c.Host, upstream)
 		if openErr == nil && v == tunnelOpen {
 			p.carriers.succeeded(time.Now(), c.Host)
-			return &tunnelConn{Stream: stream, host: c.Host, upstream: upstream.Address}, c.Host, nil
+			return stream, c.Host, nil
 		}
 		if openErr == nil {
 			openErr = errors.Newf("%s: %s", c.Host, v)
@@ -153,6 +171,7 @@
 // tunnelConn is a connection to an upstream that another host carries.
 type tunnelConn struct {
 	Stream
+	release        func()
 	host, upstream string
 }
 
@@ -161,6 +180,7 @@
 // Close ends the connection; the host that carries it resets it if the upstream has not ended it.
 func (c *tunnelConn) Close() error {
 	c.Abort()
+	c.release()
 	return nil
 }
 
--- a/internal/berylpath/tunnel_test.go
+++ b/internal/berylpath/tunnel_test.go
@@ -235,6 +235,28 @@
 	is.Equal(len(hosts.asked), 1) // a host that has refused is not asked again at once
 }
 
+// Guards against the bytes of carried connections that nobody reads outgrowing the memory of an isolated host.
+func TestCarriedConnectionsAreBounded(t *testing.T) {
+	is := is.New(t)
+	_, u := startUpstream(t)
+	hosts := &hostList{paths: map[string]*Paths{}}
+	hosts.paths["a-1"] = newPaths(upstreamList{"u": u}, hosts, false, dialTCP)
+	p := newPaths(upstreamList{"u": u}, hosts, true, refuse)
+	p.carried.Store(maxCarried - 1)
+	conn, _, err := p.Connect(t.Context(), u)
+	is.NoErr(err)
+	_, _, err = p.Connect(t.Context(), u)
+	is.True(errors.Is(err, ErrNoPath))
+	is.Equal(len(hosts.asked), 1)
+	is.NoErr(conn.Close())
+	is.NoErr(conn.Close())
+	is.Equal(p.carried.Load(), int64(maxCarried-1))
+	hosts.paths["a-1"] = nil
+	_, _, err = p.Connect(t.Context(), u)
+	is.True(errors.Is(err, ErrNoPath))
+	is.Equal(p.carried.Load(), int64(maxCarried-1))
+}
+
 // Guards against isolated hosts that all ask the same hosts, and against asking the hosts of an isolated failure domain one after
 // the other.
 func TestCarrierOrder(t *testing.T) {
--- a/internal/berylwire/duplex_test.go
+++ b/internal/berylwire/duplex_test.go
@@ -158,3 +158,47 @@
 	}
 	is.Equal(streams.Load(), int64(1)) // asked once a connection
 }
+
+// Guards against streams that nobody reads, such as carried calls whose callers are slow, holding back the messages between hosts or
+// holding more than their windows.
+func TestUnreadStreamsLeaveRoomForCalls(t *testing.T) {
+	is := is.New(t)
+	const streams, window = 256, 64 << 10
+	hosts := newTestHosts(t)
+	b := hosts.listen(berylwire.Config{Name: "host-b"})
+	var written atomic.Int64
+	berylwire.HandleDuplex(b, "endless", func(_ context.Context, _ string, _ echoMessage, accept func() (*berylwire.Duplex, error)) error {
+		d, err := accept()
+		for err == nil {
+			var n int
+			n, err = d.Write(make([]byte, 4<<10))
+			written.Add(int64(n))
+		}
+		return err
+	})
+	a, peer := hosts.listen(berylwire.Config{Name: "host-a"}), hosts.serve(b)
+	var opened []*berylwire.Duplex
+	for range streams {
+		d, err := berylwire.OpenDuplex(t.Context(), a, peer, "endless", echoMessage{})
+		is.NoErr(err)
+		defer d.Abort()
+		opened = append(opened, d)
+	}
+	for range 4 { // reads as much at first as would widen a window that adapts
+		for _, d := range opened {
+			_, err := io.CopyN(io.Discard, d, window)
+			is.NoErr(err)
+		}
+	}
+	for before := int64(-1); written.Load() != before; time.Sleep(200 * time.Millisecond) {
+		before = written.Load()
+	}
+	unread := written.Load() - 4*streams*window
+	is.True(unread <= streams*(window+4<<10))
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second) // only tells a call that waits for the streams
+	defer cancel()
+	text := strings.Repeat("x", 1<<20)
+	answer, err := berylwire.Call[echoMessage, echoMessage](ctx, a, peer, "echo", echoMessage{Text: text})
+	is.NoErr(err)
+	is.Equal(answer.Text, "host-a:"+text)
+}
--- a/internal/berylwire/endpoint.go
+++ b/internal/berylwire/endpoint.go
@@ -15,21 +15,26 @@
 )
 
 const (
-	protocol            = "berylroad/1"
-	defaultMaxFrame     = 2 << 20
-	defaultMaxPerKind   = 4096
-	maxStreamsPerConn   = 4096
-	maxIncomingConns    = 2048
-	handshakeTimeout    = 2 * time.Second
-	connIdleTimeout     = 3 * time.Second
-	keepAliveInterval   = time.Second
-	unusedConnTimeout   = 10 * time.Second
-	sweepInterval       = time.Second
-	frameTimeout        = 10 * time.Second
-	closeCode           = quic.ApplicationErrorCode(0)
-	cancelCode          = quic.StreamErrorCode(1)
-	refusedFrameCode    = quic.StreamErrorCode(2)
-	initialStreamWindow = 64 << 10
+	protocol          = "berylroad/1"
+	defaultMaxFrame   = 2 << 20
+	defaultMaxPerKind = 4096
+	maxStreamsPerConn = 4096
+	maxIncomingConns  = 2048
+	handshakeTimeout  = 2 * time.Second
+	connIdleTimeout   = 3 * time.Second
+	keepAliveInterval = time.Second
+	unusedConnTimeout = 10 * time.Second
+	sweepInterval     = time.Second
+	frameTimeout      = 10 * time.Second
+	closeCode         = quic.ApplicationErrorCode(0)
+	cancelCode        = quic.StreamErrorCode(1)
+	refusedFrameCode  = quic.StreamErrorCode(2)
+	// streamWindow is how many bytes of a stream a peer may send before they are read. It does not grow, since streams of carried calls
+	// may stay unread.
+	streamWindow = 64 << 10
+	// connWindow is the same for all streams of a connection. It exceeds the windows of all streams that may stay unread, so that these
+	// don't hold back the others.
+	connWindow = 32 << 20
 )
 
 // Credentials prove the host's name to peers and verify the names of peers.
@@ -133,8 +138,12 @@
 		KeepAlivePeriod:            keepAliveInterval,
 		MaxIncomingStreams:         maxStreamsPerConn,
 		MaxIncomingUniStreams:      -1,
-		InitialStreamReceiveWindow: initialStreamWindow,
-		DisablePathMTUDiscovery:    true,
+		InitialStreamReceiveWindow: streamWindow,
+		MaxStreamReceiveWindow:     streamWindow,
+		// Both are set, as the window of a connection adapts to how fast its bytes are read.
+		InitialConnectionReceiveWindow: connWindow,
+		MaxConnectionReceiveWindow:     connWindow,
+		DisablePathMTUDiscovery:        true,
 	}
 }
 
