Bound what the own interface holds of answers in all

Seen: upstreams that send without end made a host of the own interface keep up to max-answer-bytes (64 MB) for each call, and once more for keyed requests. Cause: only a single answer was bounded. Change: JSON answers, long events and the blocks of plain services that calls hold, and the answers that a sink keeps whole, are reserved in a budget of 256 MB before memory is taken. Without room, the answer of a plain service is passed on as it arrives; other calls end with outcome-unknown, without blame for the upstream and without another attempt. After its first 256 KB, a plain service's answer is now passed on as it arrives, as documented; it was held back in further blocks of that size.

--- a/internal/berylcall/attempt.go
+++ b/internal/berylcall/attempt.go
@@ -51,6 +51,7 @@
 	stream            io.Reader
 	mode              bodyMode
 	eventReader       eventReader
+	memory            *berylresponse.Reservation
 	firstEventRead    event
 	bytesRead         int64
 
@@ -67,6 +68,7 @@
 func newAttempt(ctx context.Context, r *Runner, req *Request, permit *berylpermit.Permit, body []byte, limit int64) *attempt {
 	a := &attempt{runner: r, req: req, permit: permit, body: body, maxAnswerBytes: limit, startedAt: time.Now()}
 	a.result.upstream = permit.Upstream
+	a.memory = r.Memory.Reserve()
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	return a
 }
@@ -163,7 +165,7 @@
 }
 
 func (a *attempt) readFirstEvent() bool {
-	a.eventReader.body = bodyReader{a}
+	a.eventReader.body, a.eventReader.memory = bodyReader{a}, a.memory
 	e, err := a.eventReader.next()
 	if err != nil {
 		return a.fail(a.classifyBodyError(err), err.Error())
@@ -200,6 +202,8 @@
 	switch {
 	case errors.Is(err, errEventTooLarge), errors.Is(err, errAnswerTooLarge):
 		return a.contextReasonOr(endTooLarge)
+	case errors.Is(err, berylresponse.ErrNoRoom):
+		return a.contextReasonOr(endNoRoom)
 	case errors.Is(err, errEventMalformed), errors.Is(err, errBodyMalformed):
 		return a.contextReasonOr(endMalformed)
 	case errors.Is(err, errErrorEvent):
@@ -229,6 +233,7 @@
 // has an effect.
 func (a *attempt) releasePermit() {
 	a.releaseOnce.Do(func() {
+		a.memory.Release()
 		a.runner.countAttempt(a.result.reason)
 		a.permit.Release(a.report())
 	})
--- a/internal/berylcall/body.go
+++ b/internal/berylcall/body.go
@@ -12,7 +12,7 @@
 	// maxBufferedBytes bounds how much of a plain service's answer is held back until it is complete. Up to this
 	// size, an answer that breaks off can be requested again.
 	maxBufferedBytes = 256 << 10
-	readBlockBytes   = 32 << 10
+	readBlockBytes   = 16 << 10
 	// defaultContentType is the content type of an answer that has none.
 	defaultContentType = "text/plain; charset=utf-8"
 	// drainTimeout is how long the end of the body may take to arrive after a stream's last event. If it takes
@@ -156,7 +156,7 @@
 	if a.response.Length > a.maxAnswerBytes {
 		return errAnswerTooLarge
 	}
-	body, err := io.ReadAll(bodyReader{a})
+	body, err := a.holdBody()
 	if err != nil {
 		return err
 	}
@@ -169,8 +169,27 @@
 	return sink.write(body)
 }
 
-// passBytes passes an answer on block by block. In bodyBuffered mode it holds the answer back until it is complete or
-// exceeds maxBufferedBytes.
+// holdBody reads the body to its end.
+func (a *attempt) holdBody() ([]byte, error) {
+	var body []byte
+	for {
+		grown, err := a.memory.Grow(body, int(a.maxAnswerBytes)+1)
+		if err != nil {
+			return nil, err
+		}
+		n, err := bodyReader{a}.Read(grown[len(grown):cap(grown)])
+		body = grown[:len(grown)+n]
+		if err == io.EOF {
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+// passBytes passes an answer on block by block. In bodyBuffered mode it holds the answer back until it is complete,
+// exceeds maxBufferedBytes or there is no memory to hold more.
 func (a *attempt) passBytes(sink *trackedSink) error {
 	if a.response.UntilClose {
 		return errBodyWithoutLength
@@ -181,24 +200,30 @@
 	}
 	block := make([]byte, 0, readBlockBytes)
 	for {
-		if len(block) == cap(block) {
-			block = append(make([]byte, 0, 2*cap(block)), block...)
-		}
 		n, err := bodyReader{a}.Read(block[len(block):cap(block)])
 		block = block[:len(block)+n]
 		if err != nil && err != io.EOF {
 			return err
 		}
 		if err == nil && len(block) <= held {
-			continue
+			grown, growErr := a.memory.Grow(block, 2*maxBufferedBytes)
+			if growErr == nil {
+				block = grown
+				continue
+			}
 		}
 		if err := a.passBlock(sink, block); err != nil {
 			return err
 		}
-		block = block[:0]
 		if err == io.EOF {
 			return nil
 		}
+		held = 0
+		if cap(block) > readBlockBytes {
+			block = make([]byte, 0, readBlockBytes)
+			a.memory.Release()
+		}
+		block = block[:0]
 	}
 }
 
--- a/internal/berylcall/ending.go
+++ b/internal/berylcall/ending.go
@@ -23,6 +23,8 @@
 	endWrongRequest
 	// endTooLarge marks an answer over its size limit.
 	endTooLarge
+	// endNoRoom marks an answer that this host has no memory to hold.
+	endNoRoom
 	// endConnectionLost marks a connection that was lost before the first byte of the answer.
 	endConnectionLost
 	// endTruncated marks an answer that broke off before it was complete.
@@ -40,7 +42,7 @@
 // String returns the name used in the decision tables of the tests and as a metric label.
 func (e endReason) String() string {
 	names := [...]string{
-		"whole", "connect", "refused", "server", "garbage", "crossed", "too-large",
+		"whole", "connect", "refused", "server", "garbage", "crossed", "too-large", "no-room",
 		"lost", "cut", "stalled", "deadline", "cancelled", "yielded",
 	}
 	return names[e]
@@ -50,7 +52,7 @@
 // counts only if the upstream was late.
 func (e endReason) isUpstreamFault(late bool) bool {
 	switch e {
-	case endComplete, endRefused, endYielded:
+	case endComplete, endRefused, endNoRoom, endYielded:
 		return false
 	case endDeadline, endCancelled:
 		return late
--- a/internal/berylcall/events.go
+++ b/internal/berylcall/events.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"errors"
 	"io"
+
+	"berylroad.example/berylroad/internal/berylresponse"
 )
 
 // maxEventBytes bounds one server-sent event.
@@ -28,18 +30,17 @@
 
 // eventReader splits a body into complete events.
 type eventReader struct {
-	body   io.Reader
+	body io.Reader
+	// memory is where the buffer's capacity is reserved.
+	memory *berylresponse.Reservation
 	buffer []byte
 	start  int
 	end    int
 }
 
-const (
-	initialEventBufferBytes = 8 << 10
-	// terminatorOverlap is how many bytes at the end of the searched data are searched again after the next read,
-	// since the blank line that ends an event may have arrived only in part.
-	terminatorOverlap = 3
-)
+// terminatorOverlap is how many bytes at the end of the searched data are searched again after the next read, since the
+// blank line that ends an event may have arrived only in part.
+const terminatorOverlap = 3
 
 // next returns the next complete event. It returns io.EOF only between events, and io.ErrUnexpectedEOF within one.
 func (s *eventReader) next() (event, error) {
@@ -68,9 +69,11 @@
 		if len(s.buffer) >= maxEventBytes {
 			return errEventTooLarge
 		}
-		grown := make([]byte, max(2*len(s.buffer), initialEventBufferBytes))
-		copy(grown, s.buffer[:s.end])
-		s.buffer = grown
+		grown, err := s.memory.Grow(s.buffer, maxEventBytes)
+		if err != nil {
+			return err
+		}
+		s.buffer = grown[:cap(grown)]
 	}
 	n, err := s.body.Read(s.buffer[s.end:])
 	s.end += n
--- a/internal/berylcall/policy.go
+++ b/internal/berylcall/policy.go
@@ -92,7 +92,7 @@
 
 func (p *progress) mayRetry(e attemptResult, r retryLimits) bool {
 	switch e.reason {
-	case endComplete, endTooLarge, endDeadline, endCancelled, endYielded:
+	case endComplete, endTooLarge, endNoRoom, endDeadline, endCancelled, endYielded:
 		return false
 	}
 	if p.attempts >= r.maxAttempts || r.remaining <= backoffBase {
--- a/internal/berylcall/request.go
+++ b/internal/berylcall/request.go
@@ -58,3 +58,9 @@
 	// Restart is called before the answer begins again from its first byte. Start is called again after it.
 	Restart() error
 }
+
+// Keeper is a Sink that may keep the whole answer in memory.
+type Keeper interface {
+	// KeepsAnswer reports whether it does.
+	KeepsAnswer() bool
+}
--- a/internal/berylcall/runner.go
+++ b/internal/berylcall/runner.go
@@ -12,6 +12,7 @@
 	"berylroad.example/berylroad/internal/berylconf"
 	"berylroad.example/berylroad/internal/beryloutcome"
 	"berylroad.example/berylroad/internal/berylpermit"
+	"berylroad.example/berylroad/internal/berylresponse"
 )
 
 const (
@@ -39,6 +40,9 @@
 	Metrics *metrics.Set
 	// TLS is the client configuration for https URLs; nil means TLS 1.2 or later with the system's root certificates.
 	TLS *tls.Config
+	// Memory bounds the parts of answers that are held at once, by the runner and by sinks that are a Keeper; nil means no
+	// bound.
+	Memory *berylresponse.Budget
 	// StallTimeout is the longest allowed pause between two events of a stream that another upstream can continue.
 	// Zero derives it from the gaps between events of earlier streams.
 	StallTimeout time.Duration
@@ -63,6 +67,7 @@
 	}
 	result := c.run(ctx)
 	c.group.Wait()
+	c.sink.memory.Release()
 	r.countCall(&req, &result)
 	return result
 }
--- a/internal/berylgate/serve.go
+++ b/internal/berylgate/serve.go
@@ -150,6 +150,9 @@
 	return nil
 }
 
+// KeepsAnswer implements berylcall.Keeper.
+func (r *recorder) KeepsAnswer() bool { return true }
+
 // Write appends to the body.
 func (r *recorder) Write(body []byte) error {
 	if r.answer.Status == 0 {
--- a/internal/berylgate/stream.go
+++ b/internal/berylgate/stream.go
@@ -99,6 +99,9 @@
 	return s.record.Start(status, contentType)
 }
 
+// KeepsAnswer implements berylcall.Keeper.
+func (s *streamedAnswer) KeepsAnswer() bool { return s.ticket != nil }
+
 // Write sends an event to the caller.
 func (s *streamedAnswer) Write(event []byte) error {
 	s.sendHead()
--- a/internal/beryljob/item.go
+++ b/internal/beryljob/item.go
@@ -39,6 +39,9 @@
 	return nil
 }
 
+// KeepsAnswer implements berylcall.Keeper.
+func (a *bufferedAnswer) KeepsAnswer() bool { return true }
+
 // Write appends to the body; it fails if the body would exceed maxAnswerBytes.
 func (a *bufferedAnswer) Write(body []byte) error {
 	if a.body.Len()+len(body) > maxAnswerBytes {
--- a/internal/berylresponse/budget.go
+++ b/internal/berylresponse/budget.go
@@ -51,7 +51,7 @@
 		return buffer, nil
 	}
 	capacity := min(max(2*cap(buffer), firstBufferBytes), limit)
-	if !r.cover(capacity) {
+	if !r.Cover(capacity) {
 		return buffer, ErrNoRoom
 	}
 	return append(make([]byte, 0, capacity), buffer...), nil
@@ -70,8 +70,8 @@
 	return buffer, nil
 }
 
-// cover reserves what a buffer of the given capacity takes, and reports whether there is room for it.
-func (r *Reservation) cover(capacity int) bool {
+// Cover reserves what a buffer of the given capacity takes, and reports whether there is room for it.
+func (r *Reservation) Cover(capacity int) bool {
 	if r == nil || r.budget == nil || r.budget.Limit <= 0 {
 		return true
 	}
--- a/internal/berylserve/host.go
+++ b/internal/berylserve/host.go
@@ -19,6 +19,7 @@
 	"berylroad.example/berylroad/internal/beryljob"
 	"berylroad.example/berylroad/internal/beryllimit"
 	"berylroad.example/berylroad/internal/berylonce"
+	"berylroad.example/berylroad/internal/berylresponse"
 	"berylroad.example/berylroad/internal/berylsched"
 	"berylroad.example/berylroad/internal/berylsettings"
 	"berylroad.example/berylroad/internal/berylspread"
@@ -29,6 +30,10 @@
 // that every request in flight can finish.
 const shutdownTimeout = 10 * time.Minute
 
+// answerMemory bounds the parts of answers that this host holds at once, in bytes. It is twice what one answer of the default maximum
+// size takes, which a keyed request holds twice.
+const answerMemory = 256 << 20
+
 // finalWriteTimeout bounds the store writes at the end of a graceful shutdown. If the store is unavailable, idempotency records
 // that are not written by then are lost, as after a kill, and a caller that repeats such a call gets outcome-unknown.
 const finalWriteTimeout = 15 * time.Second
@@ -154,7 +159,7 @@
 			}
 		},
 	})
-	h.callRunner = &berylcall.Runner{Permits: h.scheduler, URL: h.upstreams.url, Version: h.upstreams.version, Rules: h.configStore.Rules, Metrics: h.metrics}
+	h.callRunner = &berylcall.Runner{Permits: h.scheduler, URL: h.upstreams.url, Version: h.upstreams.version, Rules: h.configStore.Rules, Memory: &berylresponse.Budget{Limit: answerMemory}, Metrics: h.metrics}
 	view := &memberView{host: h}
 	h.idempotency = berylonce.New(berylonce.Config{
 		Host:    h.Settings.Host,
