Bound the bytes of upstreams that wait in the kernel

Seen: a replica that sends without end to a call that reads no more, as its caller is slow, fills the kernel's receive buffer, which is memory of the host as well and counts against the limit of a process on the users' platform. Cause: the kernel lets the buffer of a connection that was read fast grow, to 33 MB on this machine.

--- a/internal/berylcall/conn.go
+++ b/internal/berylcall/conn.go
@@ -15,6 +15,9 @@
 	// maxHeaderBytes bounds the header of a response.
 	maxHeaderBytes   = 16 << 10
 	writeBufferBytes = 4 << 10
+	// receiveBufferBytes is how many bytes that have arrived may wait in the kernel, which itself allows megabytes for a
+	// connection that was read fast before. The kernel doubles it for its own needs.
+	receiveBufferBytes = 64 << 10
 )
 
 // conn is one connection to an upstream. It carries one call at a time and is reused only after a complete answer.
@@ -52,6 +55,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := raw.(*net.TCPConn).SetReadBuffer(receiveBufferBytes); err != nil {
+		raw.Close()
+		return nil, err
+	}
 	if config != nil {
 		tlsConn := tls.Client(raw, config)
 		if err := tlsConn.HandshakeContext(ctx); err != nil {
