Check the heads of the store's answers

Seen: an answer of the platform's store with the status 000, or with a blank in the name of a field, was taken for a success: a write that was not done counted as done (LOST). Cause: the clients of the store and of etcd read with fasthttp, which returns status 000 as 200 and tolerates such fields, like the calls to upstreams did. Change: their connections are berylresponse.Conn, which passes the head of a response on to fasthttp only once it is whole and valid, checked by the reader that the calls to upstreams use. The outcome of a call with another answer is unknown, as after a lost connection. Not covered: the host list of the own interface, which fasthttp reads over connections of its own; what it lists is checked name by name.

--- a/internal/beryletcd/client_test.go
+++ b/internal/beryletcd/client_test.go
@@ -1,6 +1,7 @@
 package beryletcd_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"crypto/tls"
@@ -224,3 +225,39 @@
 		revision = outcome.Revision
 	}
 }
+
+// A broken answer says nothing about the outcome of a write.
+func TestBrokenHeads(t *testing.T) {
+	body := `{"header":{"revision":"5"},"succeeded":true,"responses":[{}]}`
+	whole := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	for name, tt := range map[string]struct {
+		answer string
+		want   beryletcd.Status
+	}{
+		"whole":                        {whole, beryletcd.Done},
+		"status 000":                   {strings.Replace(whole, "200", "000", 1), beryletcd.Unknown},
+		"blank in the name of a field": {strings.Replace(whole, "\r\n", "\r\nBad Name: x\r\n", 1), beryletcd.Unknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer listener.Close()
+			go func() {
+				for {
+					conn, err := listener.Accept()
+					if err != nil {
+						return
+					}
+					if request, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+						_, _ = io.Copy(io.Discard, request.Body)
+					}
+					_, _ = io.WriteString(conn, tt.answer)
+					_ = conn.Close()
+				}
+			}()
+			client := newClient(t, longTimeout, "http://"+listener.Addr().String())
+			is.Equal(client.Swap(context.Background(), "/a", []byte("x"), 0, 0).Status, tt.want)
+		})
+	}
+}
--- a/internal/beryletcd/conn.go
+++ b/internal/beryletcd/conn.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"berylroad.example/berylroad/internal/berylresponse"
 )
 
 // checkedConn checks, before a request is sent on a reused connection, whether the peer has closed it meanwhile; such a
@@ -31,19 +33,28 @@
 		}
 		conn = wrap(conn)
 		if !e.useTLS {
-			return conn, nil
+			return berylresponse.NewConn(conn), nil
 		}
 		secured, err := handshake(conn, config.TLS, e.host, timeout)
 		if err != nil {
 			_ = conn.Close()
 			return nil, &dialError{cause: err}
 		}
-		return secured, nil
+		return &securedConn{Conn: berylresponse.NewConn(secured), handshake: secured.Handshake}, nil
 	}
 }
 
+// securedConn is a connection by TLS whose responses are checked. fasthttp knows by the method Handshake that it has TLS already.
+type securedConn struct {
+	*berylresponse.Conn
+	handshake func() error
+}
+
+// Handshake returns the result of the handshake.
+func (c *securedConn) Handshake() error { return c.handshake() }
+
 // handshake performs the TLS handshake with the named host.
-func handshake(conn net.Conn, config *tls.Config, host string, timeout time.Duration) (net.Conn, error) {
+func handshake(conn net.Conn, config *tls.Config, host string, timeout time.Duration) (*tls.Conn, error) {
 	if config == nil {
 		config = &tls.Config{}
 	}
--- a/internal/berylresponse/head.go
+++ b/internal/berylresponse/head.go
@@ -46,6 +46,8 @@
 	Fields []Field
 
 	minorVersion byte
+	// text is the head as it was received, if the reader was asked to keep it.
+	text []byte
 }
 
 // Get returns the value of the first field with the name, or an empty string. Case does not matter.
@@ -78,6 +80,9 @@
 	requiresCR bool
 	// long holds a line that is longer than the reader's buffer.
 	long []byte
+	// keepsText makes text hold the lines that have been read.
+	keepsText bool
+	text      []byte
 }
 
 // next returns the next line without its end. It is valid until the next call.
@@ -86,6 +91,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if l.keepsText {
+		l.text = append(l.text, line...)
+	}
 	line = line[:len(line)-1]
 	if bytes.HasSuffix(line, []byte{'\r'}) {
 		return line[:len(line)-1], nil
@@ -142,11 +150,10 @@
 	}
 }
 
-// readHead reads the head of the next final response. limit bounds it together with the interim responses before it, in bytes.
-func readHead(r *bufio.Reader, limit int) (Head, error) {
-	lines := lineReader{reader: r, left: limit}
+// finalHead reads the head of the next final response and the interim responses before it.
+func (l *lineReader) finalHead() (Head, error) {
 	for range maxInterimHeads + 1 {
-		head, err := lines.head()
+		head, err := l.head()
 		if err != nil || head.Status >= http.StatusOK {
 			return head, err
 		}
@@ -159,6 +166,7 @@
 
 // head reads one head.
 func (l *lineReader) head() (Head, error) {
+	l.text = nil
 	line, err := l.next()
 	if err != nil {
 		return Head{}, err
@@ -168,6 +176,7 @@
 		return Head{}, err
 	}
 	head.Fields, err = l.fields()
+	head.text = l.text
 	return head, err
 }
 
--- a/internal/berylresponse/response.go
+++ b/internal/berylresponse/response.go
@@ -31,7 +31,13 @@
 // Read reads the head of the response to a request with the given method. It skips interim responses. limit bounds all heads together, in
 // bytes.
 func Read(r *bufio.Reader, method string, limit int) (*Response, error) {
-	head, err := readHead(r, limit)
+	return read(&lineReader{reader: r, left: limit}, method)
+}
+
+// read is Read for lines of a head.
+func read(lines *lineReader, method string) (*Response, error) {
+	r := lines.reader
+	head, err := lines.finalHead()
 	if err != nil {
 		return nil, err
 	}
