Test a new version beside one that was there before

Seen: TestNewVersionBeginsStreamsOnceItIsSettled failed once under the race detector: a stream began that the test wants refused. Cause: the version under test was the only one that had ever been there. Such a version may begin streams as soon as it is listed in the store, which a goroutine of the host does at the same moment as the request: "no host can take another version for the only one if there never was another". Change: an upstream of an earlier version is there first and is replaced, so that the version under test is new, as the test's name says. The checks are as they were and hold in every order of the two.

--- a/internal/berylrelay/version_test.go
+++ b/internal/berylrelay/version_test.go
@@ -194,9 +194,9 @@
 // A version that not all hosts can know of yet begins no streams that may be taken up, but it serves all other requests.
 func TestNewVersionBeginsStreamsOnceItIsSettled(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newVersionTest(t, map[string]script{"v2-a": {body: events(1, 4)}})
+		s := newVersionTest(t, map[string]script{"v2-a": {body: events(1, 4)}}, "v1-a") // the only version ever would begin at once
 		s.broker.grants = []string{"v2-a"}
-		s.relay.Upstreams.Put(berylroute.Upstream{ID: "v2-a", Service: "svc", Version: "v2", Address: "10.0.0.1:1", Slots: 2})
+		s.relay.Upstreams.ReplaceAll(time.Now(), time.Time{}, []berylroute.Upstream{{ID: "v2-a", Service: "svc", Version: "v2", Address: "10.0.0.1:1", Slots: 2}})
 		s.Equal(s.do(t, Request{ID: "q"}).Kind, beryloutcome.NotRun)
 		s.route.Resumable = false
 		s.Equal(s.do(t, Request{ID: "q"}).Kind, beryloutcome.Answered)
