--- a/internal/berylstream/pipe.go
+++ b/internal/berylstream/pipe.go
@@ -12,8 +12,8 @@
 const (
 	// writeTimeout bounds the time between two writes of a streamed answer.
 	writeTimeout = time.Minute
-	// pipeCapacityBytes is how many bytes of a stream may wait for a slow caller. Put blocks for the others, which slows down
-	// the upstream.
+	// pipeCapacityBytes is how many bytes of a stream may wait for a slow caller. Put blocks until there is room for more, which
+	// slows down the upstream.
 	pipeCapacityBytes = 64 << 10
 	// deadlineRenewInterval is how often a running stream extends its connection's write deadline.
 	deadlineRenewInterval = time.Second
