--- a/internal/berylbatch/run.go
+++ b/internal/berylbatch/run.go
@@ -162,7 +162,7 @@
 	case reply.Status != http.StatusOK || !reply.Signed || !reply.EventStream:
 		return reply.Status, errUpstreamFailed
 	}
-	memory := m.Memory.Reserve()
+	memory := m.Memory.NewReservation()
 	defer memory.Release()
 	events := berylrelay.EventReader{Reader: bufio.NewReaderSize(reply.Body, itemReadBuffer), Memory: memory}
 	for {
--- a/internal/berylcall/attempt.go
+++ b/internal/berylcall/attempt.go
@@ -48,7 +48,6 @@
 	conn              *conn
 	stopCloseOnCancel func() bool
 	response          *berylresponse.Response
-	stream            io.Reader
 	mode              bodyMode
 	eventReader       eventReader
 	memory            *berylresponse.Reservation
@@ -68,7 +67,7 @@
 func newAttempt(ctx context.Context, r *Runner, req *Request, permit *berylpermit.Permit, body []byte, limit int64) *attempt {
 	a := &attempt{runner: r, req: req, permit: permit, body: body, maxAnswerBytes: limit, startedAt: time.Now()}
 	a.result.upstream = permit.Upstream
-	a.memory = r.Memory.Reserve()
+	a.memory = r.Memory.NewReservation()
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	return a
 }
@@ -144,7 +143,6 @@
 	if e := classifyStatus(status, a.req.Repeatable); e != endComplete {
 		return a.fail(e, statusDetail(status))
 	}
-	a.stream = a.response.Body
 	a.mode = a.bodyMode()
 	if a.resumed && (a.mode != bodyEvents || status != fasthttp.StatusOK) {
 		return a.fail(endServerError, "it did not continue the answer")
--- a/internal/berylcall/body.go
+++ b/internal/berylcall/body.go
@@ -76,10 +76,7 @@
 // Read implements io.Reader.
 func (b bodyReader) Read(data []byte) (int, error) {
 	a := b.attempt
-	if a.stream == nil {
-		return 0, io.EOF
-	}
-	n, err := a.stream.Read(data)
+	n, err := a.response.Body.Read(data)
 	a.bytesRead += int64(n)
 	if a.bytesRead > a.maxAnswerBytes {
 		return 0, errAnswerTooLarge
@@ -260,6 +257,6 @@
 	}
 	a.conn.SetReadDeadline(time.Now().Add(drainTimeout))
 	var next [1]byte
-	n, err := a.stream.Read(next[:])
+	n, err := a.response.Body.Read(next[:])
 	return n == 0 && err == io.EOF
 }
--- a/internal/berylcall/call.go
+++ b/internal/berylcall/call.go
@@ -34,7 +34,7 @@
 }
 
 func newCall(r *Runner, req *Request, sink Sink) *call {
-	c := &call{runner: r, req: req, rules: r.rules(), sink: trackedSink{sink: sink, memory: r.Memory.Reserve()}}
+	c := &call{runner: r, req: req, rules: r.rules(), sink: trackedSink{sink: sink, memory: r.Memory.NewReservation()}}
 	c.initialTokens, c.version = req.ContinueFrom, req.ContinueVersion
 	c.sink.tokens = req.ContinueFrom
 	c.sink.started = req.ContinueFrom > 0
--- a/internal/berylcall/conn.go
+++ b/internal/berylcall/conn.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"berylroad.example/berylroad/internal/berylsocket"
 )
 
 const (
@@ -15,9 +17,6 @@
 	// maxHeaderBytes bounds the header of a response.
 	maxHeaderBytes   = 16 << 10
 	writeBufferBytes = 4 << 10
-	// receiveBufferBytes is how many bytes that have arrived may wait in the kernel, which itself allows megabytes for a
-	// connection that was read fast before. The kernel doubles it for its own needs.
-	receiveBufferBytes = 64 << 10
 )
 
 // conn is one connection to an upstream. It carries one call at a time and is reused only after a complete answer.
@@ -55,7 +54,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := raw.(*net.TCPConn).SetReadBuffer(receiveBufferBytes); err != nil {
+	if err := raw.(*net.TCPConn).SetReadBuffer(berylsocket.ReceiveBuffer); err != nil {
 		raw.Close()
 		return nil, err
 	}
--- a/internal/berylcall/conn_test.go
+++ b/internal/berylcall/conn_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"berylroad.example/berylroad/internal/berylsocket"
 )
 
 // Guards against bytes of upstreams that wait in the kernel for calls that read no more.
@@ -22,5 +24,5 @@
 	size := 0
 	is.NoErr(raw.Control(func(fd uintptr) { size, err = syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF) }))
 	is.NoErr(err)
-	is.True(size <= 2*receiveBufferBytes)
+	is.True(size <= 2*berylsocket.ReceiveBuffer)
 }
--- a/internal/berylcall/connect.go
+++ b/internal/berylcall/connect.go
@@ -68,14 +68,12 @@
 	a.result.sentBytes += a.conn.sentBytes.Swap(0)
 	a.stopCloseOnCancel()
 	a.conn.Close()
-	a.stream = nil
 }
 
 // keepConn returns the connection to the pool. The response must have been read to its end.
 func (a *attempt) keepConn() {
 	a.result.sentBytes += a.conn.sentBytes.Swap(0)
 	reusable := a.stopCloseOnCancel() && !a.response.Close
-	a.stream = nil
 	if !reusable {
 		a.conn.Close()
 		return
--- a/internal/berylcall/raw_test.go
+++ b/internal/berylcall/raw_test.go
@@ -23,27 +23,35 @@
 // rawUpstream answers the first bytes of each connection with raw, then closes the connection or leaves it open.
 func rawUpstream(t *testing.T, raw string, open bool) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	return serveConns(t, func(c net.Conn) {
+		c.Read(make([]byte, 4096))
+		c.Write([]byte(raw))
+		if open {
+			t.Cleanup(func() { c.Close() })
+			return
+		}
+		c.Close()
+	})
+}
+
+// serveConns starts an upstream that handles each of its connections with serve, and returns its URL.
+func serveConns(t *testing.T, serve func(net.Conn)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { l.Close() })
+	t.Cleanup(func() { listener.Close() })
 	go func() {
 		for {
-			c, err := l.Accept()
+			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			c.Read(make([]byte, 4096))
-			c.Write([]byte(raw))
-			if open {
-				t.Cleanup(func() { c.Close() })
-				continue
-			}
-			c.Close()
+			go serve(conn)
 		}
 	}()
-	return "http://" + l.Addr().String()
+	return "http://" + listener.Addr().String()
 }
 
 func TestRawAnswers(t *testing.T) {
@@ -180,37 +188,26 @@
 func TestBrokenAnswerOnAKeptConnection(t *testing.T) {
 	is := is.New(t)
 	const whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	defer listener.Close()
 	var requests atomic.Int64
-	go func() {
+	url := serveConns(t, func(conn net.Conn) {
+		defer conn.Close()
+		reader := bufio.NewReader(conn)
 		for {
-			conn, err := listener.Accept()
+			request, err := http.ReadRequest(reader)
 			if err != nil {
 				return
 			}
-			go func() {
-				defer conn.Close()
-				reader := bufio.NewReader(conn)
-				for {
-					request, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, request.Body)
-					answer := whole
-					if requests.Add(1) == 2 {
-						answer = "HTTP/1.1 200 OK\r\nBad Name: x\r\nContent-Length: 2\r\n\r\n{}"
-					}
-					_, _ = io.WriteString(conn, answer)
-				}
-			}()
+			_, _ = io.Copy(io.Discard, request.Body)
+			answer := whole
+			if requests.Add(1) == 2 {
+				answer = "HTTP/1.1 200 OK\r\nBad Name: x\r\nContent-Length: 2\r\n\r\n{}"
+			}
+			_, _ = io.WriteString(conn, answer)
 		}
-	}()
+	})
 	runner := newTestRunner(t)
 	runner.rules = berylconf.Rules{MaxAttempts: 1}
-	runner.add("a", "http://"+listener.Addr().String(), false)
+	runner.add("a", url, false)
 	is.Equal(runner.Do(context.Background(), chatRequest("first", false, 1), &sink{}).Kind, beryloutcome.Answered)
 	is.Equal(runner.Do(context.Background(), chatRequest("second", false, 1), &sink{}).Kind, beryloutcome.Failed)
 	is.Equal(requests.Load(), int64(2))
--- a/internal/berylcall/room_test.go
+++ b/internal/berylcall/room_test.go
@@ -70,22 +70,10 @@
 			var waiting sync.WaitGroup // upstreams that have sent a part
 			waiting.Add(calls)
 			goOn := make(chan struct{})
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			is.NoErr(err)
-			defer listener.Close()
-			go func() {
-				for {
-					conn, err := listener.Accept()
-					if err != nil {
-						return
-					}
-					go sendPartAndWait(conn, &waiting, goOn)
-				}
-			}()
 			runner := newTestRunner(t)
 			runner.rules = berylconf.Rules{MaxAttempts: 1}
 			runner.Memory = &berylresponse.Budget{Limit: limit}
-			runner.add("a", "http://"+listener.Addr().String(), false)
+			runner.add("a", serveConns(t, func(conn net.Conn) { sendPartAndWait(conn, &waiting, goOn) }), false)
 			before := liveHeap()
 			var done sync.WaitGroup
 			for range calls {
--- a/internal/berylcall/upload_test.go
+++ b/internal/berylcall/upload_test.go
@@ -24,21 +24,14 @@
 			is := is.New(t)
 			runner := newTestRunner(t)
 			runner.rules = berylconf.Rules{MaxAttempts: 1}
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			is.NoErr(err)
-			defer listener.Close()
-			go func() {
-				conn, err := listener.Accept()
-				if err != nil {
-					return
-				}
+			url := serveConns(t, func(conn net.Conn) {
 				_, _ = io.CopyN(io.Discard, conn, 64<<10)
 				_, _ = io.WriteString(conn, raw+"{}")
 				time.Sleep(20 * time.Millisecond) // the peer must receive the data before the reset, which would discard it
 				_ = conn.(*net.TCPConn).SetLinger(0)
 				_ = conn.Close()
-			}()
-			runner.add("a", "http://"+listener.Addr().String(), false)
+			})
+			runner.add("a", url, false)
 			request := orderRequest("upload")
 			request.Body = make([]byte, 32<<20)
 			s := &sink{}
--- a/internal/berylrelay/pass.go
+++ b/internal/berylrelay/pass.go
@@ -21,7 +21,7 @@
 // passBody passes on an answer that is not a stream: at once when it is complete, or as it arrives if it is long or there is no memory
 // to hold it.
 func (x *exchange) passBody(ctx context.Context, reply *Reply, report *berylpermit.Report) step {
-	memory := x.Memory.Reserve()
+	memory := x.Memory.NewReservation()
 	defer memory.Release()
 	body, whole, err := holdBody(reply.Body, memory)
 	if err != nil {
@@ -106,7 +106,7 @@
 
 // passEvents passes a stream on as it arrives, one complete event at a time.
 func (x *exchange) passEvents(ctx context.Context, reply *Reply, stall *stallTimer, report *berylpermit.Report, began time.Time) step {
-	memory := x.Memory.Reserve()
+	memory := x.Memory.NewReservation()
 	defer memory.Release()
 	events := EventReader{Reader: bufio.NewReaderSize(reply.Body, eventBufferBytes), Memory: memory}
 	defer func() {
--- a/internal/berylresponse/budget.go
+++ b/internal/berylresponse/budget.go
@@ -25,8 +25,8 @@
 	held atomic.Int64
 }
 
-// Reserve returns a reservation for one buffer, of nothing yet.
-func (b *Budget) Reserve() *Reservation {
+// NewReservation returns a reservation for one buffer, of nothing yet.
+func (b *Budget) NewReservation() *Reservation {
 	return &Reservation{budget: b}
 }
 
--- a/internal/berylsocket/doc.go
+++ b/internal/berylsocket/doc.go
@@ -1,2 +1,2 @@
-// Package berylsocket looks at the state of TCP connections.
+// Package berylsocket looks at the state of TCP connections and bounds what they hold.
 package berylsocket
--- a/internal/berylsocket/state.go
+++ b/internal/berylsocket/state.go
@@ -1,11 +1,16 @@
 package berylsocket
 
 import (
+	"net"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
 )
 
+// ReceiveBuffer is how many bytes that have arrived on a connection may wait in the kernel, which itself allows megabytes for a connection
+// that was read fast before. The kernel doubles it for its own needs.
+const ReceiveBuffer = 64 << 10
+
 // State is the kernel's state of a TCP connection.
 type State int
 
@@ -20,7 +25,7 @@
 )
 
 // StateOf returns the state of a connection, or an error if the system does not tell it.
-func StateOf(conn any) (State, error) {
+func StateOf(conn net.Conn) (State, error) {
 	socket, ok := conn.(syscall.Conn)
 	if !ok {
 		return 0, errors.New("the connection has no descriptor")
