Take a refusal of a duplex stream that comes before its header is written

Cause: a peer that refuses a stream answers and stops reading at once. If that arrives before the caller's write has returned, the write reports an error, which was returned without reading the answer that was there. Change: the read after the write decides, as in calls of one frame; a write that failed for another reason leaves nothing to read. The same holds for the question whether the peer knows duplex streams.

--- a/internal/berylwire/duplex.go
+++ b/internal/berylwire/duplex.go
@@ -193,12 +193,9 @@
 	stop := context.AfterFunc(ctx, func() { stream.CancelRead(abortCode) })
 	defer stop()
 	defer stream.CancelRead(abortCode)
-	if _, err := stream.Write(append([]byte{duplexMark}, withLength(frame)...)); err != nil {
-		return false, faultWithoutAnswer(err), err
-	}
-	if err := stream.Close(); err != nil {
-		return false, faultWithoutAnswer(err), err
-	}
+	// The read below detects a failed write: the peer may have answered without reading the whole frame.
+	_, _ = stream.Write(append([]byte{duplexMark}, withLength(frame)...))
+	_ = stream.Close()
 	received, err := readFrame(stream, maxHeaderBytes)
 	if err != nil {
 		return false, faultWithoutAnswer(err), err
@@ -211,9 +208,8 @@
 // beginDuplex writes the header of a duplex stream and reads the acknowledgement.
 func (e *Endpoint) beginDuplex(stream *quic.Stream, frame []byte) (reply, Fault, error) {
 	var answer reply
-	if _, err := stream.Write(append([]byte{duplexMark}, withLength(frame)...)); err != nil {
-		return answer, faultWithoutAnswer(err), err
-	}
+	// The read below detects a failed write: the peer may have refused the stream before the write has returned.
+	_, _ = stream.Write(append([]byte{duplexMark}, withLength(frame)...))
 	received, err := readWithLength(stream)
 	if err != nil {
 		return answer, faultWithoutAnswer(err), err
