Adopt the jobs of lost hosts while the store cuts watches

Cause: a follower took each cut watch for a lost store and the next answer for its return. For 3 s after a return all hosts count as alive; with a cut each 1.9 s these 3 s never ended. For the same reason an upstream that was removed after a cut watch was used for up to 2.6 s more. Change: a cut watch is renewed at once by a call that does not wait. Only if that fails the store is lost, as it is if a watch gets no answer. Outages less than 3 s apart are one series, and hosts count as alive for at most 6 s after its first one. The decision is a type of its own, berylstore.contact; lines and metrics tell cut watches and outages apart. Why it works: whether the store is in reach is told by calls that it answers, not by the end of one that it may cut at any time.

--- a/internal/berylentry/follow.go
+++ b/internal/berylentry/follow.go
@@ -31,6 +31,9 @@
 	// startupAliveTime is how long after it became ready a host still treats every other host as alive, so that it does
 	// not adopt the jobs of a host that it does not know yet.
 	startupAliveTime = 3 * time.Second
+	// unsteadyAliveTime bounds how long hosts are treated as alive because of a series of outages of the store. Jobs of lost hosts
+	// are adopted between later outages of the series.
+	unsteadyAliveTime = 2 * startupAliveTime
 	// retireReporters is how many hosts answer an order to empty a disk host, so that it is answered even if one of
 	// them fails.
 	retireReporters = 2
@@ -208,20 +211,29 @@
 type memberView Host
 
 // Alive reports whether the given run of a host may be up. It is not if a later run has been seen. Otherwise every host
-// may be up until startupAliveTime after this host became ready or reached the store again: a host that was cut off takes
-// all others for lost.
+// may be up while the membership can't be trusted.
 func (v *memberView) Alive(host string, boot uint64) bool {
 	live := v.members.Live()
 	if slices.ContainsFunc(live, func(m berylhost.Member) bool { return m.Name == host && m.Boot > boot }) {
 		return false
 	}
-	joined := v.joinedAt.Load()
-	if joined == nil || time.Since(*joined) < startupAliveTime || time.Since(v.hostRegistry.follower.ReconnectedAt()) < startupAliveTime {
+	joined, store := v.joinedAt.Load(), &v.hostRegistry.follower
+	if joined == nil || !isMembershipTrusted(time.Now(), *joined, store.ReconnectedAt(), store.UnsteadySince()) {
 		return true
 	}
 	return slices.ContainsFunc(live, func(m berylhost.Member) bool { return m.Name == host && m.Boot == boot })
 }
 
+// isMembershipTrusted reports whether a host that is not live is taken for lost. It is not until startupAliveTime after this
+// host became ready or reached the store again after an outage: a host that was cut off takes all others for lost. While outages
+// follow each other closely, that holds for unsteadyAliveTime after the first one.
+func isMembershipTrusted(now, joined, reconnected, unsteadySince time.Time) bool {
+	if now.Sub(joined) < startupAliveTime {
+		return false
+	}
+	return now.Sub(reconnected) >= startupAliveTime || now.Sub(unsteadySince) >= unsteadyAliveTime
+}
+
 // Rank returns how many live hosts rank before this one for a key. Hosts that are about to stop rank last.
 func (v *memberView) Rank(key string) int {
 	return rankAmong(key, v.Settings.Host, v.Settings.Region, v.members.Live(), v.hostRegistry.isLeaving)
--- a/internal/berylstore/follower.go
+++ b/internal/berylstore/follower.go
@@ -21,6 +21,9 @@
 	// retryInterval is the mean time between two attempts while the store is unavailable. It is short compared to the
 	// seconds within which a change must be known again.
 	retryInterval = 250 * time.Millisecond
+	// cutWatchJitter is the longest pause before a cut watch is renewed, so that hosts whose watches were cut together do not
+	// call the store at the same moment. A watch that had waited for less than retryInterval is renewed after the usual pause.
+	cutWatchJitter = 50 * time.Millisecond
 	// unavailablePause is the pause of a follower that leaves the probe of the store to another follower of its host.
 	unavailablePause = 400 * time.Millisecond
 	// maxBusyRefusals is the number of consecutive refusals of a store that receives too many calls up to which the
@@ -63,17 +66,14 @@
 	// a current one. Both are used only by Run's goroutine.
 	busyRefusals       int
 	requireCurrentList bool
-	// unavailableSince is when the store became unavailable; used only by Run's goroutine.
-	unavailableSince time.Time
 	// sourceUnanswered is set while the host that watches for this one does not reply usably; used only by Run's
 	// goroutine.
 	sourceUnanswered bool
 
 	// The times are stored as time.Time with their monotonic readings, so that clock steps do not change the differences.
-	lastCurrent   atomic.Pointer[time.Time] // when the copy was last known to be current
-	reconnectedAt atomic.Pointer[time.Time] // when the store last became available again
-	unavailable   atomic.Bool
-	hops          atomic.Int64 // number of hosts that the copy passed through; zero if it came from the store itself
+	lastCurrent atomic.Pointer[time.Time] // when the copy was last known to be current
+	contact     atomic.Pointer[contact]   // written only by Run's goroutine; nil means the zero value
+	hops        atomic.Int64              // number of hosts that the copy passed through; zero if it came from the store itself
 }
 
 // LastCurrent returns when the copy was last known to hold all changes; the zero time means never.
@@ -84,17 +84,47 @@
 	return time.Time{}
 }
 
-// ReconnectedAt returns when the store last became available again; the zero time means that it never was unavailable.
+// ReconnectedAt returns when the last outage of the store ended; the zero time means that there was none.
 func (f *Follower) ReconnectedAt() time.Time {
-	if at := f.reconnectedAt.Load(); at != nil {
-		return *at
-	}
-	return time.Time{}
+	return f.loadContact().reconnectedAt
 }
 
-// Unavailable reports whether the last attempt to reach the store failed.
+// UnsteadySince returns when the first outage ended of the last series, in which the store was never in reach for steadyTime; the
+// zero time means that there was none.
+func (f *Follower) UnsteadySince() time.Time {
+	return f.loadContact().unsteadySince
+}
+
+// Unavailable reports whether the store is lost: the last call was refused or not answered in time. A watch that was cut does not
+// count if the next call is answered.
 func (f *Follower) Unavailable() bool {
-	return f.unavailable.Load()
+	return !f.loadContact().lostAt.IsZero()
+}
+
+// Cuts returns how many watches were cut while they waited.
+func (f *Follower) Cuts() int {
+	return f.loadContact().cuts
+}
+
+// Outages returns how often the store was lost.
+func (f *Follower) Outages() int {
+	return f.loadContact().outages
+}
+
+func (f *Follower) loadContact() contact {
+	if c := f.contact.Load(); c != nil {
+		return *c
+	}
+	return contact{}
+}
+
+// recordOutcome updates the contact and returns the one before.
+func (f *Follower) recordOutcome(outcome callOutcome) (before contact) {
+	before = f.loadContact()
+	if next := before.after(time.Now(), outcome); next != before {
+		f.contact.Store(&next)
+	}
+	return before
 }
 
 // Run follows the prefix until ctx ends.
@@ -119,8 +149,7 @@
 func (f *Follower) recordFailure(ctx context.Context, err error) {
 	if errors.Is(err, ErrBusy) {
 		f.busyRefusals = min(f.busyRefusals+1, maxBusyRefusals)
-	} else if f.unavailable.CompareAndSwap(false, true) {
-		f.unavailableSince = time.Now()
+	} else if before := f.recordOutcome(callFailed); before.lostAt.IsZero() {
 		f.Log.WithError(err).WithField("prefix", f.Prefix).Warn("store: lost")
 	}
 	pause := retryInterval << max(f.busyRefusals-1, 0)
@@ -143,9 +172,10 @@
 	now := time.Now()
 	f.busyRefusals = 0
 	f.hops.Store(int64(hops))
-	if f.unavailable.CompareAndSwap(true, false) {
-		f.reconnectedAt.Store(&now)
-		f.Log.WithFields(logrus.Fields{"prefix": f.Prefix, "age-ms": now.Sub(f.LastCurrent()).Milliseconds()}).Info("store: regained")
+	if before := f.recordOutcome(callAnswered); !before.lostAt.IsZero() {
+		f.Log.WithFields(logrus.Fields{
+			"prefix": f.Prefix, "age-ms": now.Sub(f.LastCurrent()).Milliseconds(), "lost-ms": now.Sub(before.lostAt).Milliseconds(),
+		}).Info("store: regained")
 	}
 	asOf := now.Add(-age)
 	f.lastCurrent.Store(&asOf)
@@ -316,13 +346,41 @@
 	return f.watchStore(ctx, above, wait, wait+watchSlack)
 }
 
-// watchStore watches the store itself.
+// watchStore watches the store itself. A watch that is cut while it waits is renewed.
 func (f *Follower) watchStore(ctx context.Context, above int64, wait, timeout time.Duration) ([]Event, int64, error) {
 	bounded, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	began := time.Now()
 	events, asOf, err := f.Store.Watch(bounded, f.Prefix, above, wait)
-	if err == nil {
+	switch {
+	case err == nil:
 		f.recordSuccess(0, 0)
+	case wait > 0 && bounded.Err() == nil && isCut(err):
+		return f.renewWatch(ctx, above, time.Since(began), err)
+	}
+	return events, asOf, err
+}
+
+// isCut reports whether a watch failed because its connection ended, which is neither an answer nor silence.
+func isCut(err error) bool {
+	var timeout interface{ Timeout() bool }
+	isTimeout := errors.As(err, &timeout) && timeout.Timeout()
+	return !isTimeout && !errors.Is(err, ErrCompacted) && !errors.Is(err, ErrBusy)
+}
+
+// renewWatch reads the changes since a watch that was cut after it had waited for a time. The call does not wait for changes, so
+// that its end shows whether the store is in reach.
+func (f *Follower) renewWatch(ctx context.Context, above int64, waited time.Duration, cause error) ([]Event, int64, error) {
+	f.recordOutcome(watchCut)
+	f.Log.WithError(cause).WithFields(logrus.Fields{"prefix": f.Prefix, "waited-ms": waited.Milliseconds()}).Info("store: watch cut")
+	if waited < retryInterval {
+		sleep(ctx, retryInterval/2+rand.N(retryInterval))
+	} else {
+		sleep(ctx, rand.N(cutWatchJitter))
+	}
+	events, asOf, err := f.watchStore(ctx, above, 0, probeTimeout)
+	if errors.Is(err, ErrCompacted) {
+		f.requireCurrentList = true // a stale listing may be older than the history that the store has dropped
 	}
 	return events, asOf, err
 }
@@ -347,7 +405,7 @@
 			interval = relyingProbeInterval
 		}
 	}
-	if !f.Sharing.mayProbe(time.Now(), f.unavailableSince, interval) {
+	if !f.Sharing.mayProbe(time.Now(), f.loadContact().lostAt, interval) {
 		return nil, 0, errProbeNotDue
 	}
 	events, asOf, err := f.watchStore(ctx, above, 0, probeTimeout)
