Withhold statuses that promise not run for requests that may have run

Cause: what may have run and what the caller is told were decided apart. Change: beryloutcome.MayPassStatus decides for both paths. Without the upstream's statement the answer is the host's own 502, without the replica's signature and body. The own interface has the field Berylroad-Not-Run for it. Refusals pass Truthful before they are written. Tests changed: the fault table and TestClassifyStatus took a bare 429 for not run. That was the fault; these cases now state it, and the bare 429 has cases of its own that expect outcome-unknown. TestNotRunMatchesUpstreamRuns has cases that state it beside the bare ones. Why it works: a status reaches such a caller only if the upstream's statement makes its promise true; answers that promise nothing and repeatable requests pass as before.

--- a/internal/berylcall/attempt.go
+++ b/internal/berylcall/attempt.go
@@ -22,6 +22,9 @@
 // headerLeaving is the field of an answer in which an upstream says, with the value 1, that it leaves.
 const headerLeaving = "Berylroad-Leaving"
 
+// headerNotRun is the field of an answer in which an upstream says, with the value 1, that it has not run the request and never will.
+const headerNotRun = "Berylroad-Not-Run"
+
 var (
 	errPermitYielded   = errors.New("the owner wants the permit back")
 	errOtherAttemptWon = errors.New("another call for the request was faster")
@@ -140,7 +143,7 @@
 	if id := a.response.Get("X-Request-Id"); id != "" && id != a.req.ID {
 		return a.fail(endWrongRequest, "the answer carries another request's id")
 	}
-	if e := classifyStatus(status, a.req.Repeatable); e != endComplete {
+	if e := classifyStatus(status, a.req.Repeatable, a.response.Get(headerNotRun) == "1"); e != endComplete {
 		return a.fail(e, statusDetail(status))
 	}
 	a.mode = a.bodyMode()
--- a/internal/berylcall/ending.go
+++ b/internal/berylcall/ending.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+
+	"berylroad.example/berylroad/internal/beryloutcome"
 )
 
 // endReason says why one attempt ended.
@@ -79,13 +81,13 @@
 	return e.sentBytes == 0 || e.reason == endRefused
 }
 
-// classifyStatus returns the end reason for a response status. Status 429 means that the request was not run. So does
-// 503, but not for a request that must not be repeated, because a service may also answer 503 after a failed run.
-func classifyStatus(status int, repeatable bool) endReason {
+// classifyStatus returns the end reason for a response status. Status 429 and 503 mean that the request was not run. For a request
+// that must not be repeated, they do only if the upstream states so: a service may also answer with them after a failed run.
+func classifyStatus(status int, repeatable, statedNotRun bool) endReason {
 	switch {
-	case status == http.StatusTooManyRequests:
-		return endRefused
-	case status == http.StatusServiceUnavailable && repeatable:
+	case !beryloutcome.MayPassStatus(status, repeatable, statedNotRun):
+		return endServerError
+	case statedNotRun && beryloutcome.PromisesNotRun(status), status == http.StatusTooManyRequests, status == http.StatusServiceUnavailable:
 		return endRefused
 	case status >= http.StatusInternalServerError:
 		return endServerError
--- a/internal/berylcall/fault_test.go
+++ b/internal/berylcall/fault_test.go
@@ -28,7 +28,7 @@
 // TestFaults makes one call for each point at which a call can fail, against fake upstreams that speak HTTP. Upstream
 // a has the fault, upstream b has none. Both resume streams if argument b is "resume".
 //
-// Arguments: kind (chat, stream, order or get), fault, status, after, for, requests, b (plain, resume or none),
+// Arguments: kind (chat, stream, order or get), fault, status, not-run, after-run, after, for, requests, b (plain, resume or none),
 // deadline, cancel-at, yield-at and sink-error (in events), class, restartable, unknown.
 func TestFaults(t *testing.T) {
 	datadriven.Walk(t, "testdata/faults", func(t *testing.T, path string) {
@@ -109,6 +109,8 @@
 	fault := berylfake.UpstreamFault{
 		Mode:        berylfake.UpstreamFaultMode(argOr(d, "fault", "")),
 		Status:      intArg(t, d, "status"),
+		NotRun:      d.HasArg("not-run"),
+		AfterRun:    d.HasArg("after-run"),
 		AfterTokens: intArg(t, d, "after"),
 		Duration:    berylconf.Duration(durationArg(t, d, "for", "0s")),
 		Requests:    intArg(t, d, "requests"),
--- a/internal/berylcall/policy.go
+++ b/internal/berylcall/policy.go
@@ -143,14 +143,14 @@
 }
 
 // upstreamFailed reports whether the answer itself shows that the upstream ran the request and failed. For a request
-// that must not be repeated, a partial answer, a malformed one or status 503 does not show whether the request took
-// effect.
+// that must not be repeated, a partial answer, a malformed one or a status that may also mean that it was not run does not show
+// whether the request took effect.
 func (p *progress) upstreamFailed(e attemptResult) bool {
 	switch e.reason {
 	case endTooLarge:
 		return true
 	case endServerError:
-		return p.repeatable || e.status != http.StatusServiceUnavailable
+		return p.repeatable || !beryloutcome.PromisesNotRun(e.status)
 	case endMalformed, endTruncated, endStalled:
 		return p.repeatable
 	default:
--- a/internal/berylcall/policy_test.go
+++ b/internal/berylcall/policy_test.go
@@ -60,19 +60,29 @@
 	for _, tt := range []struct {
 		status     int
 		repeatable bool
+		notRun     bool
 		want       endReason
 	}{
 		{status: 200, want: endComplete},
 		{status: 304, want: endComplete},
 		{status: 400, want: endComplete},
-		{status: 429, want: endRefused},
+		{status: 400, notRun: true, want: endComplete},
+		{status: 408, want: endServerError},
+		{status: 408, notRun: true, want: endRefused},
+		{status: 408, repeatable: true, want: endComplete},
+		{status: 421, want: endComplete},
+		{status: 421, notRun: true, want: endRefused},
+		{status: 429, want: endServerError},
+		{status: 429, notRun: true, want: endRefused},
 		{status: 429, repeatable: true, want: endRefused},
+		{status: 500, notRun: true, want: endServerError},
 		{status: 500, repeatable: true, want: endServerError},
 		{status: 503, want: endServerError},
+		{status: 503, notRun: true, want: endRefused},
 		{status: 503, repeatable: true, want: endRefused},
 	} {
-		t.Run(fmt.Sprintf("%d repeatable %t", tt.status, tt.repeatable), func(t *testing.T) {
-			is.New(t).Equal(classifyStatus(tt.status, tt.repeatable), tt.want)
+		t.Run(fmt.Sprintf("%d repeatable %t not run %t", tt.status, tt.repeatable, tt.notRun), func(t *testing.T) {
+			is.New(t).Equal(classifyStatus(tt.status, tt.repeatable, tt.notRun), tt.want)
 		})
 	}
 }
@@ -90,7 +100,7 @@
 		for {
 			p.attempts++
 			last := attemptResult{reason: endReason(rapid.IntRange(0, int(endYielded)).Draw(t, "ending"))}
-			last.status = rapid.SampledFrom([]int{0, 200, 500, 503}).Draw(t, "status")
+			last.status = rapid.SampledFrom([]int{0, 200, 408, 429, 500, 503}).Draw(t, "status")
 			if last.reason != endConnectFailed {
 				last.sentBytes = int64(rapid.IntRange(0, 1).Draw(t, "sent"))
 			}
--- a/internal/berylfake/engine_exchange.go
+++ b/internal/berylfake/engine_exchange.go
@@ -28,8 +28,11 @@
 	if fault.Mode == FaultLeaving {
 		w.Header().Set("Berylroad-Leaving", "1")
 	}
-	if fault.Mode == FaultStatus && rejectsWithoutRun(fault.Status) {
+	if fault.Mode == FaultStatus && rejectsWithoutRun(fault.Status) && !fault.AfterRun {
 		s.counter.refuse()
+		if fault.NotRun {
+			w.Header().Set("Berylroad-Not-Run", "1")
+		}
 		w.Header().Set("Retry-After", "1")
 		writeError(w, fault.Status, "refused by script")
 		return nil
--- a/internal/berylfake/engine_fault.go
+++ b/internal/berylfake/engine_fault.go
@@ -15,7 +15,7 @@
 	FaultNone UpstreamFaultMode = ""
 	// FaultRefuse closes the listening socket, so that new connections are refused. Runs in progress continue.
 	FaultRefuse UpstreamFaultMode = "refuse"
-	// FaultStatus answers with UpstreamFault.Status. With 429 and 503 the request does not run; with any other status it counts
+	// FaultStatus answers with UpstreamFault.Status. With 429 and 503 the request does not run unless AfterRun is set; with any other status it counts
 	// as run.
 	FaultStatus UpstreamFaultMode = "status"
 	// FaultDrop counts the request as run and closes the connection without an answer.
@@ -56,6 +56,10 @@
 	Mode UpstreamFaultMode `json:"mode"`
 	// Status is the HTTP status that FaultStatus answers with.
 	Status int `json:"status,omitempty"`
+	// NotRun makes an answer of FaultStatus with 429 or 503 state that the request was not run.
+	NotRun bool `json:"not-run,omitempty"`
+	// AfterRun makes FaultStatus run the request whatever the status.
+	AfterRun bool `json:"after-run,omitempty"`
 	// AfterTokens is the number of tokens sent before the fault takes effect.
 	AfterTokens int `json:"after,omitempty"`
 	// Duration is the length of a stall, the delay of a late answer, or the time per byte under FaultDrip. With FaultRefuse and
--- a/internal/berylgate/answer.go
+++ b/internal/berylgate/answer.go
@@ -56,6 +56,7 @@
 
 // writeRefusal replaces the response by a refusal.
 func writeRefusal(ctx *fasthttp.RequestCtx, r *beryloutcome.Refusal) {
+	r = r.Truthful()
 	ctx.Response.ResetBody()
 	ctx.Response.SetStatusCode(r.Status)
 	ctx.Response.Header.SetContentType(contentTypeJSON)
--- a/internal/beryljob/store.go
+++ b/internal/beryljob/store.go
@@ -67,10 +67,9 @@
 		return outcome, platformUnavailable()
 	case beryletcd.Unknown:
 		return outcome, &beryloutcome.Refusal{
-			Status:     http.StatusServiceUnavailable,
-			Code:       beryloutcome.CodeUnknown,
-			Message:    "it is not known whether " + key + " was recorded; ask for it, or send it again with the same Idempotency-Key",
-			RetryAfter: platformRetryInterval,
+			Status:  http.StatusGatewayTimeout,
+			Code:    beryloutcome.CodeUnknown,
+			Message: "it is not known whether " + key + " was recorded; ask for it, or send it again with the same Idempotency-Key",
 		}
 	}
 	return outcome, nil
--- a/internal/beryljob/submit.go
+++ b/internal/beryljob/submit.go
@@ -138,7 +138,7 @@
 		case beryletcd.Unavailable:
 			return nil, platformUnavailable()
 		case beryletcd.Unknown:
-			return nil, &beryloutcome.Refusal{Status: http.StatusServiceUnavailable, Code: beryloutcome.CodeUnknown, Message: "it is not known whether the cancellation was recorded; cancel again", RetryAfter: platformRetryInterval}
+			return nil, &beryloutcome.Refusal{Status: http.StatusGatewayTimeout, Code: beryloutcome.CodeUnknown, Message: "it is not known whether the cancellation was recorded; cancel again", RetryAfter: platformRetryInterval}
 		}
 	}
 }
--- a/internal/berylprocess/notrun_test.go
+++ b/internal/berylprocess/notrun_test.go
@@ -205,7 +205,9 @@
 		mayBeUnknown bool
 	}{
 		{name: "refuse", fault: berylfake.UpstreamFault{Mode: berylfake.FaultRefuse, Duration: faultDuration}, neverRuns: true},
-		{name: "429", fault: berylfake.UpstreamFault{Mode: berylfake.FaultStatus, Status: 429}, neverRuns: true},
+		{name: "429", fault: berylfake.UpstreamFault{Mode: berylfake.FaultStatus, Status: 429}, neverRuns: true, mayBeUnknown: true},
+		{name: "429 that states it", fault: berylfake.UpstreamFault{Mode: berylfake.FaultStatus, Status: 429, NotRun: true}, neverRuns: true},
+		{name: "503 that states it", fault: berylfake.UpstreamFault{Mode: berylfake.FaultStatus, Status: 503, NotRun: true}, neverRuns: true},
 		{name: "503", fault: berylfake.UpstreamFault{Mode: berylfake.FaultStatus, Status: 503}, neverRuns: true, mayBeUnknown: true},
 		{name: "500", fault: berylfake.UpstreamFault{Mode: berylfake.FaultStatus, Status: 500}},
 		{name: "drop", fault: berylfake.UpstreamFault{Mode: berylfake.FaultDrop}},
--- a/internal/berylrelay/relay.go
+++ b/internal/berylrelay/relay.go
@@ -303,6 +303,9 @@
 	if !reply.Signed {
 		return x.handleFailure(callCtx, &report, errors.Newf("the answer with status %d has no signature", reply.Status))
 	}
+	if !beryloutcome.MayPassStatus(reply.Status, x.request.Route.Repeatable(), reply.NotRun) {
+		return x.withholdStatus(reply.Status, &report)
+	}
 	if reply.EventStream && reply.Status == http.StatusOK {
 		return x.passEvents(callCtx, reply, stall, &report, began)
 	}
--- a/internal/berylrelay/relay_test.go
+++ b/internal/berylrelay/relay_test.go
@@ -68,6 +68,8 @@
 	notRun bool
 	// unsigned omits the signature.
 	unsigned bool
+	// carriedBy is the host that carries the connection.
+	carriedBy string
 	// leaving makes the answer say that the upstream leaves.
 	leaving bool
 	// body is sent first. Then the stream ends with end, or stays silent if hang is set.
@@ -93,6 +95,7 @@
 	return &Reply{
 		Status: s.status, NotRun: s.notRun, Signed: !s.unsigned, EventStream: s.status == http.StatusOK,
 		Header:    []HeaderField{{Name: "X-Stamp", Value: call.Upstream.ID}},
+		CarriedBy: s.carriedBy,
 		Statement: berylpermit.Statement{Leaving: s.leaving, Run: call.Upstream.StartedAtMillis},
 		Body:      &fakeBody{ctx: ctx, script: s, reader: strings.NewReader(s.body)},
 	}, nil
@@ -164,6 +167,7 @@
 	resumable := berylroute.Route{Kind: berylroute.Streaming, Resumable: true, MaxAttempts: 2, EventGapTarget: 500 * time.Millisecond}
 	once := berylroute.Route{Kind: berylroute.Streaming, MaxAttempts: 2}
 	safe := berylroute.Route{Kind: berylroute.Safe, MaxAttempts: 2}
+	unsafe := berylroute.Route{Kind: berylroute.Unsafe, MaxAttempts: 1}
 	tests := []struct {
 		name    string
 		route   berylroute.Route
@@ -194,6 +198,15 @@
 		{"attempts are used up", resumable, map[string]script{"a": {body: events(1, 1), end: broken}, "b": {body: events(2, 2), end: broken}, "c": {body: events(3, 3)}}, beryloutcome.Unknown, events(1, 2), 502, 2},
 		{"success without a signature is no answer", once, map[string]script{"a": {body: events(1, 2), unsigned: true}}, beryloutcome.Unknown, "", 502, 1},
 		{"failure is passed on", once, map[string]script{"a": {status: 500, body: "no"}}, beryloutcome.Answered, "no", 500, 1},
+		{"request timeout of the upstream that may have run it", once, map[string]script{"a": {status: 408, body: "no"}, "b": {body: events(1, 2)}}, beryloutcome.Unknown, "", 502, 1},
+		{"refusal of the upstream that may have run it", once, map[string]script{"a": {status: 429, body: "no"}, "b": {body: events(1, 2)}}, beryloutcome.Unknown, "", 502, 1},
+		{"failure of the upstream that may have run it", once, map[string]script{"a": {status: 503, body: "no"}, "b": {body: events(1, 2)}}, beryloutcome.Unknown, "", 502, 1},
+		{"the same of an unsafe request", unsafe, map[string]script{"a": {status: 503, body: "no"}, "b": {body: events(1, 2)}}, beryloutcome.Unknown, "", 502, 1},
+		{"the same by way of another host", unsafe, map[string]script{"a": {status: 503, body: "no", carriedBy: "h2"}, "b": {body: events(1, 2)}}, beryloutcome.Unknown, "", 502, 1},
+		{"the same after a refusal without running", unsafe, map[string]script{"a": {status: 503, notRun: true}, "b": {status: 503, body: "no"}}, beryloutcome.Unknown, "", 502, 2},
+		{"refusals without running after a run that may have gone through", safe, map[string]script{"a": {err: broken}, "b": {status: 503, notRun: true}, "c": {status: 429, notRun: true}}, beryloutcome.Unknown, "", 502, 3},
+		{"timeouts and refusals of safe requests are passed on", safe, map[string]script{"a": {status: 503, body: "no"}}, beryloutcome.Answered, "no", 503, 1},
+		{"refusals of resumable streams are passed on", resumable, map[string]script{"a": {status: 429, body: "no"}}, beryloutcome.Answered, "no", 429, 1},
 		{"safe request runs again", safe, map[string]script{"a": {err: broken}, "b": {status: 201, body: "made"}}, beryloutcome.Answered, "made", 201, 2},
 	}
 	for _, tt := range tests {
