End no run for silence that no other upstream may follow

Cause: the timer of silence was started before the run that it watches was counted, so that the last permitted run had one too. Other timers and readers ended runs in the same way: plain bodies, whose bytes were no progress; heads without an event; slow callers; a service without another upstream; the last attempt of the own interface; unanswered calls of an isolated host. Change: exchange.mayRunAgain decides for the timer and after a failure alike. The timer looks for an upstream that could follow when it fires, stands while a part is written, and begins anew with each byte of a body. Calls say whether they are the last of their request. A carrying host has no timer of its own. Test changed: relayPaced knows a second upstream, so that the calls of TestOnlyProgressKeepsAStreamAlive may still be ended; its bounds are the same. Why it works: a run is ended only for one that may and could take its place; the last one lives until the deadline.

--- a/internal/berylcall/attempt.go
+++ b/internal/berylcall/attempt.go
@@ -42,6 +42,8 @@
 	resumed bool
 	// stallTimeout is the longest allowed pause between two events; zero means no limit.
 	stallTimeout time.Duration
+	// mayEndForSilence reports, after such a pause, whether another attempt may continue the answer.
+	mayEndForSilence func() bool
 
 	ctx         context.Context
 	cancel      context.CancelCauseFunc
--- a/internal/berylcall/body.go
+++ b/internal/berylcall/body.go
@@ -95,6 +95,16 @@
 	a.conn.SetReadDeadline(now.Add(a.stallTimeout))
 }
 
+// outwaitSilence reports whether to wait on for an upstream that has been silent for stallTimeout: no other attempt may continue the
+// answer. From then on only the request's deadline ends the wait for the next event.
+func (a *attempt) outwaitSilence() bool {
+	if a.mayEndForSilence() {
+		return false
+	}
+	a.stallDeadlineSetAt = time.Time{}
+	return a.conn.SetReadDeadline(time.Time{}) == nil
+}
+
 // pass writes the answer to the sink and records how the attempt ended.
 func (a *attempt) pass(sink *trackedSink) {
 	var err error
@@ -120,6 +130,8 @@
 	if err := sink.start(a.response.Status, a.contentType()); err != nil {
 		return err
 	}
+	a.conn.waitOn = a.outwaitSilence
+	defer func() { a.conn.waitOn = nil }()
 	e := a.firstEventRead
 	for {
 		if err := sink.write(e.raw); err != nil {
--- a/internal/berylcall/call.go
+++ b/internal/berylcall/call.go
@@ -24,6 +24,8 @@
 	progress       progress
 	triedUpstreams []string
 	group          conc.WaitGroup
+	// retryPaid marks that the retry budget has been charged for the next attempt.
+	retryPaid bool
 	// mustResume marks that the next upstream has to continue the partial answer.
 	mustResume bool
 	// version is the software version of the upstream that began the answer. No other version continues it.
@@ -97,16 +99,14 @@
 // prepareRetry prepares the attempt after one with the result e, and reports whether there is one. The first retry
 // does not back off, since it goes to another upstream.
 func (c *call) prepareRetry(ctx context.Context, e attemptResult) bool {
-	c.progress.started = c.sink.started
-	c.progress.resumable = c.canResume()
-	r := retryLimits{maxAttempts: c.rules.MaxAttempts, remaining: c.remaining(), hasBudget: true}
-	step := c.progress.next(e, r)
+	step := c.nextStep(e)
 	if step == stepFinish {
 		return false
 	}
-	if e.reason != endConnectFailed && !c.runner.retryBudget.tryWithdraw() {
+	if e.reason != endConnectFailed && !c.payForRetry() {
 		return false
 	}
+	c.retryPaid = false
 	if step == stepRestart {
 		c.initialTokens = 0
 		if !c.sink.restart() {
@@ -122,6 +122,25 @@
 	return c.backOff(ctx)
 }
 
+// nextStep returns what follows an attempt with the result e, as far as the retry budget allows it.
+func (c *call) nextStep(e attemptResult) nextStep {
+	c.progress.started = c.sink.started
+	c.progress.resumable = c.canResume()
+	return c.progress.next(e, retryLimits{maxAttempts: c.rules.MaxAttempts, remaining: c.remaining(), hasBudget: true})
+}
+
+// payForRetry charges the retry budget for the next attempt, once, and reports whether that was possible.
+func (c *call) payForRetry() bool {
+	c.retryPaid = c.retryPaid || c.runner.retryBudget.tryWithdraw()
+	return c.retryPaid
+}
+
+// mayEndForSilence reports whether the attempt that passes its answer on may end because its upstream is silent: another one may
+// follow. The retry budget is then charged for it.
+func (c *call) mayEndForSilence() bool {
+	return c.nextStep(attemptResult{reason: endStalled}) != stepFinish && c.payForRetry()
+}
+
 func stepMetric(a nextStep) string {
 	if a == stepResume {
 		return "resumes"
--- a/internal/berylcall/conn.go
+++ b/internal/berylcall/conn.go
@@ -4,7 +4,9 @@
 	"bufio"
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
+	"os"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -30,15 +32,21 @@
 	answered bool
 	// reused marks a connection that has carried an earlier call.
 	reused bool
+	// waitOn, if not nil, is called when a read deadline has passed. It reports whether to read on, and sets the next deadline then.
+	waitOn func() bool
 	// idleSince is when the connection became idle.
 	idleSince time.Time
 }
 
 // Read marks that an answer has begun.
 func (c *conn) Read(data []byte) (int, error) {
-	n, err := c.Conn.Read(data)
-	c.answered = c.answered || n > 0
-	return n, err
+	for {
+		n, err := c.Conn.Read(data)
+		c.answered = c.answered || n > 0
+		if n > 0 || c.waitOn == nil || !errors.Is(err, os.ErrDeadlineExceeded) || !c.waitOn() {
+			return n, err
+		}
+	}
 }
 
 // Write counts the bytes before it writes them, so that sentBytes is never too low.
--- a/internal/berylcall/race.go
+++ b/internal/berylcall/race.go
@@ -37,6 +37,7 @@
 	a := newAttempt(ctx, c.runner, c.req, permit, body, c.rules.MaxAnswerBytes)
 	a.resumed = c.mustResume
 	a.stallTimeout = c.stallTimeout(permit)
+	a.mayEndForSilence = c.mayEndForSilence
 	if permit.Yield != nil {
 		c.group.Go(a.watchYield)
 	}
--- a/internal/berylcall/runner_test.go
+++ b/internal/berylcall/runner_test.go
@@ -237,6 +237,32 @@
 	is.Equal(e.Counts().Tokens, int64(20))
 }
 
+// Guards against streams that are cut because their upstream pauses, though no other attempt may continue them.
+func TestLastAttemptOutlastsAPause(t *testing.T) {
+	for _, attempts := range []int{1, 2} {
+		t.Run(fmt.Sprint(attempts), func(t *testing.T) {
+			is := is.New(t)
+			runner := newTestRunner(t)
+			runner.StallTimeout = 100 * time.Millisecond
+			runner.rules = berylconf.Rules{MaxAttempts: attempts}
+			for i := range attempts + 1 {
+				e := runner.engine(t, fmt.Sprint(i), berylfake.EngineOptions{Resume: true})
+				fault := berylfake.UpstreamFault{Mode: berylfake.FaultStall, AfterTokens: 3, Duration: berylconf.Duration(30 * time.Second)}
+				if i == attempts-1 {
+					fault.Duration = berylconf.Duration(400 * time.Millisecond)
+				}
+				is.NoErr(e.SetFault(fault))
+			}
+			req := chatRequest("paused", true, 20)
+			s := &sink{}
+			result := runner.Do(context.Background(), req, s)
+			is.Equal(result.Kind, beryloutcome.Answered)
+			is.Equal(result.Attempts, attempts)
+			checkWholeAnswer(is, req, s)
+		})
+	}
+}
+
 func TestNothingLeaks(t *testing.T) {
 	is := is.New(t)
 	runner := newTestRunner(t)
--- a/internal/berylpath/calls.go
+++ b/internal/berylpath/calls.go
@@ -16,12 +16,15 @@
 	upstream string
 	abort    func()
 	sentAt   time.Time
+	// last says that the request may not be sent to another upstream after this call.
+	last     bool
 	answered bool // whether bytes have arrived; guarded by the mutex of paths
 }
 
-// BeginCall records a call. abort ends the call; it must not block or call p.
-func (p *Paths) BeginCall(upstream string, abort func()) *Call {
-	c := &Call{paths: p, upstream: upstream, abort: abort, sentAt: time.Now()}
+// BeginCall records a call. last says that the request may not be sent to another upstream after it. abort ends the call; it must
+// not block or call p.
+func (p *Paths) BeginCall(upstream string, last bool, abort func()) *Call {
+	c := &Call{paths: p, upstream: upstream, last: last, abort: abort, sentAt: time.Now()}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.calls[c] = struct{}{}
@@ -58,12 +61,13 @@
 	return len(called)
 }
 
-// abortUnanswered aborts the calls that were sent before the given time and have got no answer.
+// abortUnanswered aborts the calls that were sent before the given time and have got no answer, if their requests may be sent to
+// another upstream. The others wait for their answers until their deadlines.
 func (p *Paths) abortUnanswered(before time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.calls {
-		if !c.answered && c.sentAt.Before(before) {
+		if !c.answered && !c.last && c.sentAt.Before(before) {
 			c.abort()
 		}
 	}
--- a/internal/berylpath/paths_test.go
+++ b/internal/berylpath/paths_test.go
@@ -72,7 +72,7 @@
 				defer cancel()
 				go p.Run(ctx)
 				for _, upstream := range tt.calls {
-					defer p.BeginCall(upstream, func() {}).End()
+					defer p.BeginCall(upstream, false, func() {}).End()
 				}
 				for range 15 {
 					time.Sleep(100 * time.Millisecond)
@@ -85,7 +85,7 @@
 }
 
 // Guards against unanswered calls of an isolated host that hold slots of upstreams until their deadline, and against ending answers
-// that have begun, which go on if the isolation is short.
+// that have begun, which go on if the isolation is short, and calls whose requests may not be sent anywhere else.
 func TestIsolatedHostEndsUnansweredCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -93,8 +93,9 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		var ended atomic.Int64
-		unanswered := p.BeginCall("a", func() { ended.Add(1) })
-		p.BeginCall("b", func() { t.Error("an answer that had begun was ended") }).Progress()
+		unanswered := p.BeginCall("a", false, func() { ended.Add(1) })
+		p.BeginCall("b", false, func() { t.Error("an answer that had begun was ended") }).Progress()
+		p.BeginCall("c", true, func() { t.Error("a call was ended that no other upstream may follow") })
 		go p.Run(ctx)
 		time.Sleep(1200 * time.Millisecond)
 		synctest.Wait()
--- a/internal/berylpath/tunnel_test.go
+++ b/internal/berylpath/tunnel_test.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"io"
 	"net"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -154,6 +156,42 @@
 	}
 }
 
+// Guards against a carrying host that ends a call because its upstream is silent: whether another run may follow is known to the
+// caller's host alone.
+func TestSilentUpstreamOfACarriedCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		u := berylroute.Upstream{ID: "u", Address: "u", FailureDomain: "a"}
+		near, upstream := net.Pipe()
+		hosts := &hostList{paths: map[string]*Paths{}}
+		var dialed atomic.Bool
+		carrier := newPaths(upstreamList{"u": u}, hosts, false, func(ctx context.Context, address string) (net.Conn, error) {
+			if !dialed.CompareAndSwap(false, true) {
+				return refuse(ctx, address)
+			}
+			return near, nil
+		})
+		hosts.paths["a-1"] = carrier
+		caller := newPaths(upstreamList{"u": u}, hosts, true, refuse)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go carrier.Run(ctx)
+		go caller.Run(ctx)
+		conn, _, err := caller.Connect(t.Context(), u)
+		is.NoErr(err)
+		carrier.monitor.mu.Lock()
+		carrier.monitor.state = Isolated // as far as the carrier knows; the connection lives on
+		carrier.monitor.mu.Unlock()
+		time.Sleep(30 * time.Second)
+		go func() { _, _ = upstream.Write([]byte("pong")) }()
+		got := make([]byte, 4)
+		_, err = io.ReadFull(conn, got)
+		is.NoErr(err)
+		is.Equal(string(got), "pong")
+		is.NoErr(conn.Close())
+	})
+}
+
 // Guards against an upstream that works on after the caller's host has ended a carried call.
 func TestEndOfACarriedCallReachesTheUpstream(t *testing.T) {
 	is := is.New(t)
--- a/internal/berylrelay/call.go
+++ b/internal/berylrelay/call.go
@@ -40,6 +40,8 @@
 	Resume bool
 	// ResumeAfter is the number of the last event that was received.
 	ResumeAfter int64
+	// Last says that no other upstream may run the request after this call, so that silence does not end it.
+	Last bool
 }
 
 // Reply is an upstream's answer. Its body must be closed.
--- a/internal/berylrelay/endless_test.go
+++ b/internal/berylrelay/endless_test.go
@@ -70,10 +70,11 @@
 	return s.fakeSink.Start(status, header, length)
 }
 
+// relayPaced relays a request to the only upstream that grants a permit; another one is known.
 func relayPaced(t *testing.T, route berylroute.Route, client *pacedClient, span time.Duration) (beryloutcome.Result, *lengthSink, time.Duration) {
 	t.Helper()
 	route.Name, route.Shares = "r", []berylroute.Share{{Service: "svc", Weight: 1}}
-	r := Relay{Permits: &fakeBroker{grants: []string{"a"}}, Upstreams: newRegistry("a"), Client: client, Log: discardLogger()}
+	r := Relay{Permits: &fakeBroker{grants: []string{"a"}}, Upstreams: newRegistry("a", "b"), Client: client, Log: discardLogger()}
 	sink, began := &lengthSink{}, time.Now()
 	result := r.Do(t.Context(), &Request{ID: "q", Route: &route, Deadline: began.Add(span)}, sink)
 	return result, sink, time.Since(began)
--- a/internal/berylrelay/failure.go
+++ b/internal/berylrelay/failure.go
@@ -31,7 +31,7 @@
 		report.Kind = beryloutcome.Cancelled
 		return stepFail
 	}
-	if x.mayRetry() {
+	if x.mayRunAgain(x.possibleRuns) {
 		return stepRetry
 	}
 	return stepFail
@@ -63,11 +63,3 @@
 		return true
 	}
 }
-
-// mayRetry reports whether another upstream may run the request, from its start or after the last event.
-func (x *exchange) mayRetry() bool {
-	if x.started && !x.hasEvent {
-		return false
-	}
-	return x.request.Route.Repeatable() && x.possibleRuns < x.request.Route.Attempts()
-}
--- a/internal/berylrelay/pass.go
+++ b/internal/berylrelay/pass.go
@@ -20,13 +20,17 @@
 
 // passBody passes on an answer that is not a stream: at once when it is complete, or as it arrives if it is long or there is no memory
 // to hold it.
-func (x *exchange) passBody(ctx context.Context, reply *Reply, report *berylpermit.Report) step {
+func (x *exchange) passBody(ctx context.Context, reply *Reply, stall *stallTimer, report *berylpermit.Report) step {
 	memory := x.Memory.NewReservation()
 	defer memory.Release()
-	body, whole, err := holdBody(reply.Body, memory)
+	body, whole, err := x.holdBody(reply.Body, stall, memory)
 	if err != nil {
 		return x.handleFailure(ctx, report, err)
 	}
+	stall.stop() // once a part has been passed on, no other upstream may run the request
+	if !whole && errors.Is(context.Cause(ctx), errStalled) {
+		return x.handleFailure(ctx, report, errStalled)
+	}
 	if x.started {
 		x.cause = errors.Newf("status %d instead of the rest of the stream", reply.Status)
 		return stepFail
@@ -61,8 +65,8 @@
 	return x.passLongBody(ctx, reply, report, passed)
 }
 
-// holdBody reads a body until it is complete, over maxBufferedBytes or there is no memory for more of it.
-func holdBody(body io.Reader, memory *berylresponse.Reservation) (held []byte, whole bool, err error) {
+// holdBody reads a body until it is complete, over maxBufferedBytes or there is no memory for more of it. Any byte is progress.
+func (x *exchange) holdBody(body io.Reader, stall *stallTimer, memory *berylresponse.Reservation) (held []byte, whole bool, err error) {
 	for len(held) <= maxBufferedBytes {
 		grown, err := memory.Grow(held, maxBufferedBytes+1)
 		if err != nil {
@@ -70,6 +74,9 @@
 		}
 		n, err := body.Read(grown[len(grown):cap(grown)])
 		held = grown[:len(grown)+n]
+		if n > 0 {
+			x.recordProgress(stall)
+		}
 		if IsCleanEOF(err) {
 			return held, len(held) <= maxBufferedBytes, nil
 		}
@@ -87,6 +94,9 @@
 	for {
 		n, err := reply.Body.Read(buffer)
 		passed += n
+		if n > 0 {
+			x.lastProgress = time.Now()
+		}
 		if passed > maxAnswerBytes {
 			return x.handleFailure(ctx, report, errors.Newf("the answer is over %d bytes", maxAnswerBytes))
 		}
@@ -129,8 +139,10 @@
 			continue
 		}
 		if event.HasID {
-			// Comments and repeated events do not count as progress: an upstream that sends nothing else has stalled.
-			stall.Reset()
+			// Comments and repeated events do not count as progress: an upstream that sends nothing else has stalled. The time that
+			// the caller takes to read the event is no silence of the upstream.
+			stall.progressed.Store(true)
+			stall.stop()
 			x.lastProgress = time.Now()
 			if report.Tokens == 0 {
 				report.TimeToFirstToken = time.Since(began)
@@ -151,10 +163,21 @@
 		}
 		if event.HasID {
 			x.hasEvent, x.lastEvent = true, event.ID
+			x.recordProgress(stall)
+		} else if !x.hasEvent {
+			stall.stop() // the head has been passed on without an event after which the stream could go on
 		}
 	}
 }
 
+// recordProgress begins a new period of silence after a part of the answer, if another upstream may still run the request.
+func (x *exchange) recordProgress(stall *stallTimer) {
+	x.lastProgress = time.Now()
+	if x.mayRunAgain(x.possibleRuns) {
+		stall.start()
+	}
+}
+
 // isContinued reports whether the caller has events of an earlier call.
 func (x *exchange) isContinued() bool {
 	return x.request.TakesUp || x.hasEvent && x.possibleRuns > 1
--- a/internal/berylrelay/relay.go
+++ b/internal/berylrelay/relay.go
@@ -199,7 +199,7 @@
 	// permitWait is the time spent waiting for permits, timeToFirstEvent the time until the first event was passed
 	// on.
 	permitWait, timeToFirstEvent time.Duration
-	// lastProgress is when the current call began or, if later, last received a new event.
+	// lastProgress is when the current call began or, if later, last received a new event or a part of a body.
 	lastProgress time.Time
 	upstream     string
 	// grantedBy is the owner that granted the current call, carriedBy the host that carried it, if another one did, and statement
@@ -283,7 +283,7 @@
 	x.sends++
 	x.calledUpstream, x.sentAt = upstream, time.Now()
 	stall := x.watchStall(cancel)
-	defer stall.Stop()
+	defer stall.stop()
 	reply, err := x.Client.Call(callCtx, x.newCall(upstream))
 	if err != nil {
 		if !errors.Is(err, ErrUnsent) {
@@ -309,7 +309,7 @@
 	if reply.EventStream && reply.Status == http.StatusOK {
 		return x.passEvents(callCtx, reply, stall, &report, began)
 	}
-	return x.passBody(callCtx, reply, &report)
+	return x.passBody(callCtx, reply, stall, &report)
 }
 
 func (x *exchange) newCall(upstream berylroute.Upstream) *Call {
@@ -326,5 +326,6 @@
 		Timeout:     time.Until(x.request.Deadline),
 		Resume:      x.hasEvent,
 		ResumeAfter: x.lastEvent,
+		Last:        !x.mayRunAgain(x.possibleRuns + 1),
 	}
 }
--- a/internal/berylrelay/stall.go
+++ b/internal/berylrelay/stall.go
@@ -2,19 +2,12 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 )
 
-// watchStall starts a timer that ends the call if its upstream is silent for too long. A call that may not be
-// repeated gets no timer and waits until the deadline.
-func (x *exchange) watchStall(cancel context.CancelCauseFunc) *stallTimer {
-	s := &stallTimer{timeout: x.stallTimeout()}
-	if x.request.Route.Repeatable() && x.possibleRuns < x.request.Route.Attempts() {
-		s.timer = time.AfterFunc(s.timeout, func() { cancel(errStalled) })
-	}
-	return s
-}
-
 // stallTimeout returns how long the upstream may be silent.
 func (x *exchange) stallTimeout() time.Duration {
 	if x.request.Route.EventGapTarget == 0 {
@@ -23,22 +16,100 @@
 	return max(stallFactor*x.request.Route.EventGapTarget, minStallTimeout)
 }
 
-// stallTimer ends a call after a period of silence. It never does so if its timer is nil.
+// mayRunAgain reports whether another upstream may run the request, from its start or after the last event, if as many as runs may
+// have run it.
+func (x *exchange) mayRunAgain(runs int) bool {
+	if x.started && !x.hasEvent {
+		return false
+	}
+	return x.request.Route.Repeatable() && runs < x.request.Route.Attempts() && x.sends < maxSends
+}
+
+// watchStall starts a timer that ends the call if its upstream is silent for too long. Silence ends no call after which no other
+// upstream may run the request, or while none is left that could: the upstream may go on until the deadline.
+func (x *exchange) watchStall(cancel context.CancelCauseFunc) *stallTimer {
+	s := &stallTimer{timeout: x.stallTimeout(), cancel: cancel}
+	s.hasOther = x.otherUpstreams(&s.progressed)
+	// The call under way counts as a run once it has been sent.
+	if x.mayRunAgain(x.possibleRuns + 1) {
+		s.start()
+	}
+	return s
+}
+
+// otherUpstreams returns a function that reports whether there is an upstream that could run the request after the call that
+// begins now. begun says whether the caller has got new events of this call, which other versions do not continue. The function may
+// be called from any goroutine.
+func (x *exchange) otherUpstreams(begun *atomic.Bool) func() bool {
+	registry, versions, service := x.Upstreams, x.Versions, x.service
+	keepsVersion, hasOrigin, version := x.keepsVersion(), x.hasOrigin, x.calledUpstream.Version
+	if hasOrigin {
+		version = x.origin.Version
+	}
+	tried := slices.Clone(x.triedUpstreams)
+	return func() bool {
+		for id, u := range registry.All() {
+			switch {
+			case u.Service != service || u.Leaving || slices.Contains(tried, id):
+			case !keepsVersion || u.Version == version:
+				return true
+			case !hasOrigin && !begun.Load() && versions.MayBegin(u.Service, u.Version):
+				return true
+			}
+		}
+		return false
+	}
+}
+
+// stallTimer measures the silence of the upstream during one call and ends the call if it lasts too long.
 type stallTimer struct {
-	timer   *time.Timer
 	timeout time.Duration
+	cancel  context.CancelCauseFunc
+	// hasOther reports whether another upstream could run the request.
+	hasOther func() bool
+	// progressed is set once the call has brought new events.
+	progressed atomic.Bool
+
+	mu      sync.Mutex
+	timer   *time.Timer
+	running bool
 }
 
-// Reset begins a new period of silence.
-func (s *stallTimer) Reset() {
-	if s.timer != nil {
-		s.timer.Reset(s.timeout)
+// start begins a new period of silence.
+func (s *stallTimer) start() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running = true
+	if s.timer == nil {
+		s.timer = time.AfterFunc(s.timeout, s.expire)
+		return
 	}
+	s.timer.Reset(s.timeout)
 }
 
-// Stop stops the timer, so that it no longer ends the call.
-func (s *stallTimer) Stop() {
+// stop ends the period of silence.
+func (s *stallTimer) stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running = false
 	if s.timer != nil {
 		s.timer.Stop()
 	}
 }
+
+// expire ends the call, or waits for another period if no other upstream could run the request now.
+func (s *stallTimer) expire() {
+	if s.hasOther() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.running {
+			s.cancel(errStalled)
+		}
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.running {
+		s.timer.Reset(s.timeout)
+	}
+}
