--- a/internal/berylentry/host.go
+++ b/internal/berylentry/host.go
@@ -306,8 +306,8 @@
 	for _, f := range h.allFollowers() {
 		h.followers[f.Prefix] = f
 		h.Metrics.NewGauge(fmt.Sprintf("berylroad_belief_age_seconds{prefix=%q}", f.Prefix), func() float64 { return time.Since(f.LastCurrent()).Seconds() })
-		h.Metrics.NewGauge(fmt.Sprintf("berylroad_store_watch_cuts{prefix=%q}", f.Prefix), func() float64 { return float64(f.Cuts()) })
-		h.Metrics.NewGauge(fmt.Sprintf("berylroad_store_outages{prefix=%q}", f.Prefix), func() float64 { return float64(f.Outages()) })
+		h.Metrics.NewGauge(fmt.Sprintf("berylroad_store_watch_cuts_total{prefix=%q}", f.Prefix), func() float64 { return float64(f.Cuts()) })
+		h.Metrics.NewGauge(fmt.Sprintf("berylroad_store_outages_total{prefix=%q}", f.Prefix), func() float64 { return float64(f.Outages()) })
 	}
 	h.registerSlotGauges()
 	berylwire.Handle(h.endpoint, kindStoreWatch, h.handleStoreWatch)
--- a/internal/berylrelay/failure.go
+++ b/internal/berylrelay/failure.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -37,6 +38,18 @@
 	return stepFail
 }
 
+// withholdStatus ends a request that an upstream may have run and has answered with a status by which the caller would take it for
+// one that has not run.
+func (x *exchange) withholdStatus(status int, report *berylpermit.Report) step {
+	report.Kind = beryloutcome.Failed
+	x.Quarantine.RecordSound(x.prompt)
+	x.cause = errors.Newf("the upstream answered with status %d without stating that it has not run the request", status)
+	if x.Metrics != nil {
+		x.Metrics.GetOrCreateCounter(fmt.Sprintf("berylroad_relay_withheld_total{status=\"%d\"}", status)).Inc()
+	}
+	return stepFail
+}
+
 // recordBreak notes a call that broke off after the given number of events, as its request may have crashed the upstream. An event
 // clears the parts of its prompt.
 func (x *exchange) recordBreak(events int) {
--- a/internal/berylrelay/pass.go
+++ b/internal/berylrelay/pass.go
@@ -141,8 +141,7 @@
 		if event.HasID {
 			// Comments and repeated events do not count as progress: an upstream that sends nothing else has stalled. The time that
 			// the caller takes to read the event is no silence of the upstream.
-			stall.progressed.Store(true)
-			stall.stop()
+			stall.pauseForEvent()
 			x.lastProgress = time.Now()
 			if report.Tokens == 0 {
 				report.TimeToFirstToken = time.Since(began)
@@ -170,12 +169,10 @@
 	}
 }
 
-// recordProgress begins a new period of silence after a part of the answer, if another upstream may still run the request.
+// recordProgress begins a new period of silence after a part of the answer.
 func (x *exchange) recordProgress(stall *stallTimer) {
 	x.lastProgress = time.Now()
-	if x.mayRunAgain(x.possibleRuns) {
-		stall.start()
-	}
+	stall.start()
 }
 
 // isContinued reports whether the caller has events of an earlier call.
--- a/internal/berylrelay/relay.go
+++ b/internal/berylrelay/relay.go
@@ -282,9 +282,10 @@
 	defer cancel(nil)
 	x.sends++
 	x.calledUpstream, x.sentAt = upstream, time.Now()
-	stall := x.watchStall(cancel)
+	last := !x.mayRunAgain(x.possibleRuns + 1) // the call under way counts as a run once it has been sent
+	stall := x.watchStall(last, cancel)
 	defer stall.stop()
-	reply, err := x.Client.Call(callCtx, x.newCall(upstream))
+	reply, err := x.Client.Call(callCtx, x.newCall(upstream, last))
 	if err != nil {
 		if !errors.Is(err, ErrUnsent) {
 			x.countRun()
@@ -312,7 +313,7 @@
 	return x.passBody(callCtx, reply, stall, &report)
 }
 
-func (x *exchange) newCall(upstream berylroute.Upstream) *Call {
+func (x *exchange) newCall(upstream berylroute.Upstream, last bool) *Call {
 	return &Call{
 		Upstream:    upstream,
 		ID:          x.request.ID,
@@ -326,6 +327,6 @@
 		Timeout:     time.Until(x.request.Deadline),
 		Resume:      x.hasEvent,
 		ResumeAfter: x.lastEvent,
-		Last:        !x.mayRunAgain(x.possibleRuns + 1),
+		Last:        last,
 	}
 }
--- a/internal/berylrelay/result.go
+++ b/internal/berylrelay/result.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"time"
 
@@ -11,7 +10,6 @@
 	"berylroad.example/berylroad/internal/beryldrain"
 	"berylroad.example/berylroad/internal/beryloutcome"
 	"berylroad.example/berylroad/internal/berylpath"
-	"berylroad.example/berylroad/internal/berylpermit"
 )
 
 // resultWithoutPermit ends a request for which no permit was granted.
@@ -60,18 +58,6 @@
 	})
 }
 
-// withholdStatus ends a request that an upstream may have run and has answered with a status by which the caller would take it for
-// one that has not run.
-func (x *exchange) withholdStatus(status int, report *berylpermit.Report) step {
-	report.Kind = beryloutcome.Failed
-	x.Quarantine.RecordSound(x.prompt)
-	x.cause = errors.Newf("the upstream answered with status %d without stating that it has not run the request", status)
-	if x.Metrics != nil {
-		x.Metrics.GetOrCreateCounter(fmt.Sprintf("berylroad_relay_withheld_total{status=\"%d\"}", status)).Inc()
-	}
-	return stepFail
-}
-
 func (x *exchange) notRunRefusal(wait time.Duration) *beryloutcome.Refusal {
 	return &beryloutcome.Refusal{
 		Status:     http.StatusServiceUnavailable,
--- a/internal/berylrelay/stall.go
+++ b/internal/berylrelay/stall.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"berylroad.example/berylroad/internal/berylroute"
 )
 
 // stallTimeout returns how long the upstream may be silent.
@@ -25,15 +27,15 @@
 	return x.request.Route.Repeatable() && runs < x.request.Route.Attempts() && x.sends < maxSends
 }
 
-// watchStall starts a timer that ends the call if its upstream is silent for too long. Silence ends no call after which no other
-// upstream may run the request, or while none is left that could: the upstream may go on until the deadline.
-func (x *exchange) watchStall(cancel context.CancelCauseFunc) *stallTimer {
+// watchStall starts a timer that ends the call if its upstream is silent for too long. The last call that may run the request gets
+// none, and no call is ended while no other upstream is left that could run it: the upstream may go on until the deadline.
+func (x *exchange) watchStall(last bool, cancel context.CancelCauseFunc) *stallTimer {
+	if last {
+		return nil
+	}
 	s := &stallTimer{timeout: x.stallTimeout(), cancel: cancel}
 	s.hasOther = x.otherUpstreams(&s.progressed)
-	// The call under way counts as a run once it has been sent.
-	if x.mayRunAgain(x.possibleRuns + 1) {
-		s.start()
-	}
+	s.start()
 	return s
 }
 
@@ -48,20 +50,24 @@
 	}
 	tried := slices.Clone(x.triedUpstreams)
 	return func() bool {
-		for id, u := range registry.All() {
-			switch {
-			case u.Service != service || u.Leaving || slices.Contains(tried, id):
-			case !keepsVersion || u.Version == version:
-				return true
-			case !hasOrigin && !begun.Load() && versions.MayBegin(u.Service, u.Version):
-				return true
-			}
+		return hasUntried(registry, service, tried, func(u *berylroute.Upstream) bool {
+			return !keepsVersion || u.Version == version || !hasOrigin && !begun.Load() && versions.MayBegin(u.Service, u.Version)
+		})
+	}
+}
+
+// hasUntried reports whether the registry has an upstream of the service that may get new work, is not among the tried ones and is
+// accepted.
+func hasUntried(registry *berylroute.Registry, service string, tried []string, accepts func(*berylroute.Upstream) bool) bool {
+	for id, u := range registry.All() {
+		if u.Service == service && !u.Leaving && !slices.Contains(tried, id) && accepts(&u) {
+			return true
 		}
-		return false
 	}
+	return false
 }
 
-// stallTimer measures the silence of the upstream during one call and ends the call if it lasts too long.
+// stallTimer measures the silence of the upstream during one call and ends the call if it lasts too long. A nil timer never does.
 type stallTimer struct {
 	timeout time.Duration
 	cancel  context.CancelCauseFunc
@@ -78,6 +84,9 @@
 
 // start begins a new period of silence.
 func (s *stallTimer) start() {
+	if s == nil {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.endsAt = time.Now().Add(s.timeout)
@@ -88,8 +97,19 @@
 	s.timer.Reset(s.timeout)
 }
 
+// pauseForEvent ends the period of silence while a new event is passed on.
+func (s *stallTimer) pauseForEvent() {
+	if s != nil {
+		s.progressed.Store(true)
+		s.stop()
+	}
+}
+
 // stop ends the period of silence.
 func (s *stallTimer) stop() {
+	if s == nil {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.endsAt = time.Time{}
--- a/internal/berylrelay/version.go
+++ b/internal/berylrelay/version.go
@@ -104,12 +104,7 @@
 }
 
 func (x *exchange) hasUntriedUpstream() bool {
-	for id, u := range x.Upstreams.All() {
-		if u.Service == x.service && u.Version == x.origin.Version && !u.Leaving && !slices.Contains(x.triedUpstreams, id) {
-			return true
-		}
-	}
-	return false
+	return hasUntried(x.Upstreams, x.service, x.triedUpstreams, func(u *berylroute.Upstream) bool { return u.Version == x.origin.Version })
 }
 
 // recordOrigin notes where the stream began when its first part is passed on.
