--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -50,6 +50,7 @@
 	name, ip, front, ready string
 	file, log              string
 	storeAddress           string
+	link                   *storeHandler // this host's calls to the store
 	process                *exec.Cmd
 	ended                  chan struct{}
 }
@@ -120,13 +121,14 @@
 }
 
 // startStore serves the platform's store at an address of its own, for one host.
-func (r *rig) startStore() (string, error) {
+func (r *rig) startStore() (string, *storeHandler, error) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
-		return "", err
+		return "", nil, err
 	}
-	go func() { _ = http.Serve(l, &storeHandler{&r.store}) }()
-	return l.Addr().String(), nil
+	handler := &storeHandler{backing: &r.store}
+	go func() { _ = http.Serve(l, handler) }()
+	return l.Addr().String(), handler, nil
 }
 
 // addHost writes the settings of a host and starts it.
@@ -141,7 +143,7 @@
 	}
 	h.front, h.ready = h.ip+":"+ports[0], h.ip+":"+ports[1]
 	var err error
-	if h.storeAddress, err = r.startStore(); err != nil {
+	if h.storeAddress, h.link, err = r.startStore(); err != nil {
 		return nil, err
 	}
 	h.file, h.log = filepath.Join(r.dir, h.name+".conf"), filepath.Join(r.dir, h.name+".log")
@@ -350,7 +352,7 @@
 		fmt.Println("usage: rig3 CASE FOLDER, in the root of the repository")
 		os.Exit(exitNotRun)
 	}
-	cases := map[string]func(*rig) (bool, error){"11": extraAnswer}
+	cases := map[string]func(*rig) (bool, error){"11": extraAnswer, "12": silentWatch}
 	run := cases[strings.TrimSpace(os.Args[1])]
 	if run == nil {
 		fmt.Println("no such case")
--- a/review/rig3/store.go
+++ b/review/rig3/store.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -18,6 +19,26 @@
 // storeHandler serves the platform's store, as PROTOCOL says, from a store in memory.
 type storeHandler struct {
 	backing *berylfake.MemoryStore
+
+	mu sync.Mutex
+	// silence, if set, is asked for each watch. If it returns a time, the connection goes silent, and is ended after that time.
+	silence func(prefix string) time.Duration
+}
+
+// setSilence replaces silence.
+func (s *storeHandler) setSilence(silence func(prefix string) time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silence = silence
+}
+
+func (s *storeHandler) silenceOf(prefix string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.silence == nil {
+		return 0
+	}
+	return s.silence(prefix)
 }
 
 type wireItem struct {
@@ -56,6 +77,10 @@
 		}
 		answer(w, http.StatusOK, map[string]any{"items": items, "truncated": page.More, "asOf": page.AsOf})
 	case r.URL.Path == "/-/kv-watch":
+		if span := s.silenceOf(query.Get("prefix")); span > 0 {
+			time.Sleep(span)
+			panic(http.ErrAbortHandler)
+		}
 		after, _ := strconv.ParseInt(query.Get("after"), 10, 64)
 		wait, _ := strconv.Atoi(query.Get("waitMs"))
 		events, asOf, err := s.backing.Watch(r.Context(), query.Get("prefix"), after, time.Duration(wait)*time.Millisecond)
