--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"berylroad.example/berylroad/internal/berylfake"
+	"berylroad.example/berylroad/internal/berylstore"
 )
 
 // Exit codes of a case.
@@ -347,12 +348,17 @@
 	r.store.Write(key, string(data))
 }
 
+// remove removes a key from the store.
+func (r *rig) remove(key string) {
+	r.store.Commit(context.Background(), berylstore.Txn{Deletes: []string{key}})
+}
+
 func main() {
 	if len(os.Args) != 3 {
 		fmt.Println("usage: rig3 CASE FOLDER, in the root of the repository")
 		os.Exit(exitNotRun)
 	}
-	cases := map[string]func(*rig) (bool, error){"11": extraAnswer, "12": silentWatch}
+	cases := map[string]func(*rig) (bool, error){"11": extraAnswer, "12": silentWatch, "13": crashes}
 	run := cases[strings.TrimSpace(os.Args[1])]
 	if run == nil {
 		fmt.Println("no such case")
