--- a/review/rig3/store.go
+++ b/review/rig3/store.go
@@ -7,7 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -20,25 +20,8 @@
 type storeHandler struct {
 	backing *berylfake.MemoryStore
 
-	mu sync.Mutex
-	// silence, if set, is asked for each watch. If it returns a time, the connection goes silent, and is ended after that time.
-	silence func(prefix string) time.Duration
-}
-
-// setSilence replaces silence.
-func (s *storeHandler) setSilence(silence func(prefix string) time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.silence = silence
-}
-
-func (s *storeHandler) silenceOf(prefix string) time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.silence == nil {
-		return 0
-	}
-	return s.silence(prefix)
+	// turnsAway makes the store answer this host's calls with 503.
+	turnsAway atomic.Bool
 }
 
 type wireItem struct {
@@ -61,6 +44,10 @@
 
 func (s *storeHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
+	if s.turnsAway.Load() {
+		answer(w, http.StatusServiceUnavailable, map[string]any{})
+		return
+	}
 	switch {
 	case r.URL.Path == "/-/kv-key":
 		i, found, _ := s.backing.Get(r.Context(), query.Get("key"))
@@ -77,10 +64,6 @@
 		}
 		answer(w, http.StatusOK, map[string]any{"items": items, "truncated": page.More, "asOf": page.AsOf})
 	case r.URL.Path == "/-/kv-watch":
-		if span := s.silenceOf(query.Get("prefix")); span > 0 {
-			time.Sleep(span)
-			panic(http.ErrAbortHandler)
-		}
 		after, _ := strconv.ParseInt(query.Get("after"), 10, 64)
 		wait, _ := strconv.Atoi(query.Get("waitMs"))
 		events, asOf, err := s.backing.Watch(r.Context(), query.Get("prefix"), after, time.Duration(wait)*time.Millisecond)
