--- a/review/rig3/case12.go
+++ b/review/rig3/case12.go
@@ -13,7 +13,7 @@
 // jobs of these routes are accepted by a host that is stopped as planned.
 func turnedAway(r *rig) (bool, error) {
 	const (
-		events, rounds, versions, jobsPerVersion, itemsPerJob, attempts = 20, 5, 4, 4, 3, 3
+		events, rounds, versions, jobsPerVersion, itemsPerJob, attempts = 20, 7, 4, 4, 3, 3
 		name                                                            = "nony24.example"
 		awayFor                                                         = 9 * time.Second
 	)
