--- a/review/rig3/store.go
+++ b/review/rig3/store.go
@@ -24,6 +24,12 @@
 	turnsAway atomic.Bool
 }
 
+// maxKey and maxValue are the store's limits of a key and of a value, in bytes.
+const (
+	maxKey   = 200
+	maxValue = 1048576
+)
+
 type wireItem struct {
 	Key      string `json:"key"`
 	Value    []byte `json:"value"`
@@ -121,6 +127,10 @@
 		txn.Checks = append(txn.Checks, berylstore.Check{Key: c.Key, Revision: c.Revision})
 	}
 	for _, p := range request.Puts {
+		if len(p.Key) > maxKey || len(p.Value) > maxValue {
+			answer(w, http.StatusBadRequest, map[string]any{"error": "key or value too long"})
+			return
+		}
 		txn.Puts = append(txn.Puts, berylstore.Put{Key: p.Key, Value: p.Value, Lease: p.Lease})
 	}
 	result := s.backing.Commit(r.Context(), txn)
