--- a/review/rig3/case11.go
+++ b/review/rig3/case11.go
@@ -22,14 +22,12 @@
 	r.writeBatchConfig(name, attempts)
 	zones := []string{"za", "zb", "zc"}
 	for i, zone := range zones {
-		var e *replica
-		serve := func(c *replicaConn, request *http.Request) bool {
+		serve := func(e *replica, c *replicaConn, request *http.Request) bool {
 			whole := e.stream(c, request, events, 20*time.Millisecond, 10*time.Millisecond)
 			r.note("replica %s: ran %s, whole: %v", e.id, request.Header.Get("X-Request-Id"), whole)
 			return whole
 		}
-		var err error
-		if e, err = r.startReplica(fmt.Sprintf("i-%d", i), zone, "llm", 8, serve); err != nil {
+		if _, err := r.startReplica(fmt.Sprintf("i-%d", i), zone, "llm", 8, serve); err != nil {
 			return false, err
 		}
 	}
--- a/review/rig3/case12.go
+++ b/review/rig3/case12.go
@@ -27,8 +27,7 @@
 	zones := []string{"za", "zb", "zb", "zb", "zc", "zc", "zc"}
 	for i, zone := range zones {
 		atFault := i == 0
-		var e *replica
-		serve := func(c *replicaConn, request *http.Request) bool {
+		serve := func(e *replica, c *replicaConn, request *http.Request) bool {
 			id := request.Header.Get("X-Request-Id")
 			mu.Lock()
 			runs[id]++
@@ -64,8 +63,7 @@
 			r.note("replica %s: run %d of %s: a stream, written to its end: %v", e.id, run, id, whole)
 			return whole
 		}
-		var err error
-		if e, err = r.startReplica(fmt.Sprintf("i-%d", i), zone, "llm", 8, serve); err != nil {
+		if _, err := r.startReplica(fmt.Sprintf("i-%d", i), zone, "llm", 8, serve); err != nil {
 			return false, err
 		}
 	}
--- a/review/rig3/case13.go
+++ b/review/rig3/case13.go
@@ -29,8 +29,7 @@
 	}
 	zones := []string{"za", "zb", "zc"}
 	for i := range 6 {
-		var e *replica
-		serve := func(c *replicaConn, request *http.Request) bool {
+		serve := func(e *replica, c *replicaConn, request *http.Request) bool {
 			mu.Lock()
 			runs[request.Header.Get("X-Request-Id")]++
 			lastRun = time.Now()
@@ -38,8 +37,7 @@
 			r.note("replica %s: runs %s", e.id, request.Header.Get("X-Request-Id"))
 			return e.stream(c, request, events, 20*time.Millisecond, 10*time.Millisecond)
 		}
-		var err error
-		if e, err = r.startReplica(fmt.Sprintf("i-%d", i), zones[i%3], "llm", 8, serve); err != nil {
+		if _, err := r.startReplica(fmt.Sprintf("i-%d", i), zones[i%3], "llm", 8, serve); err != nil {
 			return false, err
 		}
 	}
--- a/review/rig3/case14.go
+++ b/review/rig3/case14.go
@@ -39,8 +39,7 @@
 	block := strings.Repeat("0123456789abcdef", 1024)
 	zones := []string{"za", "zb", "zc"}
 	for i := range replicas {
-		var e *replica
-		serve := func(c *replicaConn, request *http.Request) bool {
+		serve := func(e *replica, c *replicaConn, request *http.Request) bool {
 			running.Add(1)
 			defer running.Add(-1)
 			id := request.Header.Get("X-Request-Id")
@@ -56,8 +55,7 @@
 			}
 			return err == nil
 		}
-		var err error
-		if e, err = r.startReplica(fmt.Sprintf("i-%d", i), zones[i%3], "llm", slots, serve); err != nil {
+		if _, err := r.startReplica(fmt.Sprintf("i-%d", i), zones[i%3], "llm", slots, serve); err != nil {
 			return false, err
 		}
 	}
--- a/review/rig3/case15.go
+++ b/review/rig3/case15.go
@@ -40,14 +40,14 @@
 	const first = "e5b2907c16da0000"
 	var start func(number int) error
 	start = func(number int) error {
-		var e *replica
-		serve := func(c *replicaConn, request *http.Request) bool {
+		serve := func(e *replica, c *replicaConn, request *http.Request) bool {
 			id := request.Header.Get("X-Request-Id")
 			var prompt, output int
 			_, _ = fmt.Sscanf(request.Header.Get("X-Token-Count"), "%d,%d", &prompt, &output)
 			reading := time.Duration(prompt/tokensPerMs) * time.Millisecond
 			mu.Lock()
 			runs[id]++
+			run := runs[id]
 			lastRun[id] = time.Now()
 			crashes := r.trouble && id == first && crashed < crashCount
 			if crashes {
@@ -55,7 +55,7 @@
 			}
 			mu.Unlock()
 			if strings.HasPrefix(id, "e5b2907c16da") {
-				r.note("replica %s: run %d of item %s begins", e.id, runs[id], id)
+				r.note("replica %s: run %d of item %s begins", e.id, run, id)
 			}
 			if crashes {
 				time.Sleep(reading / 2)
@@ -69,8 +69,7 @@
 			}
 			return e.stream(c, request, events, reading, 5*time.Millisecond)
 		}
-		var err error
-		e, err = r.startReplica(fmt.Sprintf("i-%d", number), zones[number%3], "llm", 8, serve)
+		_, err := r.startReplica(fmt.Sprintf("i-%d", number), zones[number%3], "llm", 8, serve)
 		return err
 	}
 	for i := range replicas {
@@ -119,14 +118,27 @@
 	if err := r.submit(r.hosts[0], name, "/lots/7c41e0", "7c41e09b52d6a500", newItems(0, 1, 33000)); err != nil {
 		return false, err
 	}
-	time.Sleep(4 * time.Second)
+	for until := time.Now().Add(20 * time.Second); r.trouble; time.Sleep(20 * time.Millisecond) {
+		mu.Lock()
+		n := crashed
+		mu.Unlock()
+		if n == crashCount {
+			break
+		}
+		if time.Now().After(until) {
+			return false, fmt.Errorf("only %d replicas have crashed", n)
+		}
+	}
+	time.Sleep(2500 * time.Millisecond)
 	if err := r.submit(r.hosts[1], name, "/lots/7c41e1", "7c41e09b52d6a501", newItems(1, 10, 350)); err != nil {
 		return false, err
 	}
 	time.Sleep(500 * time.Millisecond)
 	stop()
 	end := time.Now()
+	mu.Lock()
 	r.note("clients: traffic ends; %d streams of the other route were whole, of %d", served, asked)
+	mu.Unlock()
 	time.Sleep(time.Until(end.Add(finish)))
 	finished := time.Now()
 	broken := 0
--- a/review/rig3/replica.go
+++ b/review/rig3/replica.go
@@ -21,7 +21,7 @@
 	id, address string
 	listener    net.Listener
 	// serve answers one request. It returns false if the connection is to be closed.
-	serve func(c *replicaConn, request *http.Request) bool
+	serve func(e *replica, c *replicaConn, request *http.Request) bool
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
@@ -34,7 +34,7 @@
 	extra []byte
 }
 
-func (r *rig) startReplica(id, zone, service string, slots int, serve func(c *replicaConn, request *http.Request) bool) (*replica, error) {
+func (r *rig) startReplica(id, zone, service string, slots int, serve func(e *replica, c *replicaConn, request *http.Request) bool) (*replica, error) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -88,7 +88,7 @@
 					e.r.note("replica %s: drops %s, whose connection has been closed", e.id, request.Header.Get("X-Request-Id"))
 					return
 				}
-				if !e.serve(c, request) {
+				if !e.serve(e, c, request) {
 					return
 				}
 			}
