Hold the item alone when all crashes were its own, and try sound items in time

Cause: three crashes in a row were evidence against each shared part of the prompt even if they were all those of one item, which had no key of its own. The first trial came after 30 s for items as for online requests, though an item has to be run within 18 s, and again within 20 s after it has failed. Change: items have a key. A part whose crashes were all one item's is held with that item's key, so that the item waits alone. An answer to another prompt with the part frees it, a crash of another one decides against the part. Items try a part after 8 s, and an item that is held alone after 15 s; at most three trials. A trial that its upstream did not run is sent again under the same claim. Why it works: what crashes of one item prove holds for that item only, and what they can't prove is tried before operators expect it to have been run. A deadly part costs one more crash at most if the first three were one item's.

--- a/internal/berylbatch/dispatch.go
+++ b/internal/berylbatch/dispatch.go
@@ -158,7 +158,7 @@
 		}
 		route := routeIn(config.Config, j)
 		for _, it := range j.items {
-			if it.isWaiting(now) && m.fate(it, config, route, now) == runnable && !m.Quarantine.HoldsBack(it.prompt()) {
+			if it.isWaiting(now) && m.fate(it, config, route, now) == runnable && !m.Quarantine.HoldsBack(it.prompt) {
 				visit(it, route)
 			}
 		}
--- a/internal/berylbatch/job.go
+++ b/internal/berylbatch/job.go
@@ -54,11 +54,8 @@
 	notBefore time.Time
 	// ended is set once the item has a result, committed or not.
 	ended bool
-}
-
-// prompt returns what the quarantine knows of the item.
-func (it *item) prompt() berylquarantine.Prompt {
-	return berylquarantine.Prompt{Parts: it.PromptParts}
+	// prompt is what the quarantine knows of the item.
+	prompt berylquarantine.Prompt
 }
 
 // isRunningHere reports whether this host has loaded the job's items and runs them.
@@ -82,7 +79,11 @@
 	}
 	j.items = make([]*item, len(spec.Items))
 	for i := range spec.Items {
-		j.items[i] = &item{Item: &spec.Items[i], job: j, host: j.record.Host, account: j.record.Account, ended: done[spec.Items[i].ID]}
+		it := &spec.Items[i]
+		j.items[i] = &item{
+			Item: it, job: j, host: j.record.Host, account: j.record.Account, ended: done[it.ID],
+			prompt: berylquarantine.Prompt{Parts: it.PromptParts, Item: berylquarantine.ItemKey(j.id, it.ID)},
+		}
 	}
 }
 
--- a/internal/berylbatch/quarantine_test.go
+++ b/internal/berylbatch/quarantine_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -116,3 +117,85 @@
 		is.Equal(results["j-1"].State, Completed)
 	})
 }
+
+// Guards against sound items that are held, or lost, because upstreams happened to crash under items of their jobs: operators expect
+// an item to be run within 18 s, and again within 20 s after it has failed.
+func TestSoundItemsAreRunInTime(t *testing.T) {
+	const runWithin, againWithin = 18 * time.Second, 20 * time.Second
+	for _, tt := range []struct {
+		name string
+		// crashes says whether the upstream crashes on the n-th call of an item. Calls and crashes count from 0 over all items.
+		crashes func(id string, n, crashes int) bool
+		items   int
+		held    bool // whether the part, or the item, is held for a while
+	}{
+		{"two crashes of an item", func(id string, n, _ int) bool { return id == "j-0" && n < 2 }, 1, false},
+		{"three crashes of an item", func(id string, n, _ int) bool { return id == "j-0" && n < 3 }, 1, true},
+		{"four crashes of an item, of which one is its trial", func(id string, n, _ int) bool { return id == "j-0" && n < 4 }, 1, true},
+		{"one crash of each of three items", func(_ string, n, crashes int) bool { return n == 0 && crashes < 3 }, 3, true},
+		{"one crash of each of three items and one of the trial", func(_ string, n, crashes int) bool { return n == 0 && crashes < 3 || crashes == 3 }, 3, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is, ctx, cluster := setUp(t, 1)
+				calls, crashes, lastCrash := make(map[string]int), 0, make(map[string]time.Time)
+				var mu sync.Mutex
+				cluster.restartUpstream(func(id string) bool {
+					mu.Lock()
+					defer mu.Unlock()
+					if !strings.HasPrefix(id, "j") {
+						return false
+					}
+					if at := lastCrash[id]; !at.IsZero() {
+						is.True(time.Since(at) <= againWithin) // run again in time
+					}
+					crashed := tt.crashes(id, calls[id], crashes)
+					calls[id]++
+					if crashed {
+						crashes++
+						lastCrash[id] = time.Now()
+					} else {
+						delete(lastCrash, id)
+					}
+					return crashed
+				})
+				m, _ := cluster.startHost(ctx, "a", 1)
+				cluster.startQuarantine(m)
+				go m.Quarantine.Run(ctx)
+				time.Sleep(time.Second)
+				online, stop := context.WithCancel(ctx)
+				var answered sync.WaitGroup
+				answered.Go(func() { // online requests without the part are answered all the while
+					for online.Err() == nil {
+						m.Quarantine.RecordBegin("svc", berylquarantine.Prompt{Parts: []string{"q"}})
+						time.Sleep(5 * time.Millisecond)
+					}
+				})
+				defer answered.Wait()
+				defer stop()
+				job := cluster.submission("j", tt.items)
+				for i := range job.Items {
+					job.Items[i].PromptParts = []string{"p"}
+				}
+				is.Equal(m.Submit(ctx, job), nil)
+				held := false
+				for range 80 {
+					time.Sleep(50 * time.Millisecond)
+					held = held || m.Quarantine.HoldsBack(berylquarantine.Prompt{Parts: []string{"p"}, Item: berylquarantine.ItemKey("j", "j-0")})
+				}
+				is.Equal(held, tt.held)
+				later := cluster.submission("l", 10)
+				for i := range later.Items {
+					later.Items[i].PromptParts = []string{"p"}
+				}
+				is.Equal(m.Submit(ctx, later), nil)
+				for _, r := range readAll(t, m, "l", 10, runWithin) {
+					is.Equal(r.State, Completed)
+				}
+				for _, r := range readAll(t, m, "j", len(job.Items), runWithin) {
+					is.Equal(r.State, Completed)
+				}
+			})
+		})
+	}
+}
--- a/internal/berylbatch/run.go
+++ b/internal/berylbatch/run.go
@@ -113,17 +113,20 @@
 		fields["cause"] = err.Error()
 	}
 	if report.Fault && report.Tokens == 0 && report.Kind == beryloutcome.Unknown && !errors.Is(err, errStalled) {
-		m.Quarantine.RecordBreak(upstream, it.prompt(), began)
+		m.Quarantine.RecordBreak(upstream, it.prompt, began)
 		fields["broke-unanswered"] = true
 		fields["prompt-parts"] = strings.Join(it.PromptParts, ",")
 	}
+	if report.Kind == beryloutcome.NotRun {
+		m.Quarantine.RecordNotRun(it.prompt)
+	}
 	m.Log.WithFields(fields).Info("item: call ended")
 }
 
 // callItem makes one call and appends the events it receives to the item's text. It returns the HTTP status, or zero if
 // there is none.
 func (m *Manager) callItem(ctx context.Context, cancel context.CancelCauseFunc, it *item, upstream berylroute.Upstream, permit *berylpermit.Permit, report *berylpermit.Report) (int, error) {
-	if refusal := m.Quarantine.Admit(ctx, it.prompt()); refusal != nil {
+	if refusal := m.Quarantine.Admit(ctx, it.prompt); refusal != nil {
 		return 0, errors.Mark(refusal, errNotRun)
 	}
 	m.mu.Lock()
@@ -192,7 +195,7 @@
 		stall.Reset(itemStallTimeout)
 		if report.Tokens == 0 {
 			report.TimeToFirstToken = time.Since(began)
-			m.Quarantine.RecordBegin(upstream.Service, it.prompt())
+			m.Quarantine.RecordBegin(upstream.Service, it.prompt)
 		}
 		report.Tokens++
 	}
--- a/internal/berylquarantine/quarantine.go
+++ b/internal/berylquarantine/quarantine.go
@@ -149,8 +149,8 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := time.Now()
-	if v := q.verdicts.match(prompt.keys()); v != nil && !v.mayClaim(now) {
-		return q.refuse(v, now)
+	if v := q.verdicts.match(prompt.keys()); v != nil && !v.mayClaim(now, prompt) {
+		return q.refuse(v, now, prompt)
 	}
 	return nil
 }
@@ -163,7 +163,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	v := q.verdicts.match(prompt.keys())
-	return v != nil && !v.mayClaim(time.Now())
+	return v != nil && !v.mayClaim(time.Now(), prompt)
 }
 
 // isInactive reports whether there is nothing to look for in a prompt.
@@ -184,24 +184,35 @@
 		q.mu.Unlock()
 		return nil
 	}
-	if !v.mayClaim(now) {
+	if !v.mayClaim(now, prompt) {
 		defer q.mu.Unlock()
-		return q.refuse(v, now)
+		return q.refuse(v, now, prompt)
 	}
 	v.claimedAt = now
+	if v.isOpen {
+		v.isOpen, v.trialItem = false, prompt.Item
+		q.mu.Unlock()
+		return nil
+	}
 	claim, revision := v.Verdict, v.revision
 	q.mu.Unlock()
 	if q.claimTrial(ctx, claim, revision) {
+		q.mu.Lock()
+		v.trialItem = prompt.Item
+		q.mu.Unlock()
 		return nil
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.refuse(v, now)
+	return q.refuse(v, now, prompt)
 }
 
-// mayClaim reports whether this host may try to claim a trial.
-func (v *heldVerdict) mayClaim(now time.Time) bool {
-	due, more := v.trialDue()
+// mayClaim reports whether this host may try to claim a trial for a prompt.
+func (v *heldVerdict) mayClaim(now time.Time, prompt Prompt) bool {
+	if v.isOpen {
+		return now.Sub(v.claimedAt) >= claimInterval
+	}
+	due, more := v.trialDue(prompt)
 	return more && v.revision != 0 && !now.Before(due) && now.Sub(v.claimedAt) >= claimInterval
 }
 
@@ -229,11 +240,11 @@
 	return true
 }
 
-// refuse returns the refusal for a verdict. The caller holds mu.
-func (q *Quarantine) refuse(v *heldVerdict, now time.Time) *beryloutcome.Refusal {
+// refuse returns the refusal of a prompt for a verdict. The caller holds mu.
+func (q *Quarantine) refuse(v *heldVerdict, now time.Time, prompt Prompt) *beryloutcome.Refusal {
 	q.count("refusals")
 	wait := finalRetryAfter
-	if due, more := v.trialDue(); more {
+	if due, more := v.trialDue(prompt); more {
 		wait = max(due.Sub(now), minRetryAfter)
 	}
 	return &beryloutcome.Refusal{
@@ -251,7 +262,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.table.RecordBegin(time.Now(), service, prompt)
-	for v := q.verdicts.match(prompt.Parts); v != nil; v = q.verdicts.match(prompt.Parts) {
+	for v := q.verdicts.clearedBy(prompt.Parts); v != nil; v = q.verdicts.clearedBy(prompt.Parts) {
 		q.lift(v, "an upstream has begun to answer them")
 	}
 }
@@ -270,6 +281,20 @@
 	}
 }
 
+// RecordNotRun records that an item was not run by the upstream that it was sent to. If it was a trial, the next prompt takes its
+// place.
+func (q *Quarantine) RecordNotRun(prompt Prompt) {
+	if q.isInactive(prompt) || prompt.Item == "" {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if v := q.verdicts.match(prompt.keys()); v != nil && v.trialItem == prompt.Item {
+		v.trialItem, v.isOpen = "", true
+		q.Log.WithFields(logrus.Fields{"quarantine": v.Key(), "trial": v.Trials}).Info("quarantine: trial not run, another prompt takes its place")
+	}
+}
+
 // Lift lifts a verdict at an operator's request. It returns ErrUnknownVerdict if there is none with this key.
 func (q *Quarantine) Lift(key string) error {
 	q.mu.Lock()
--- a/internal/berylquarantine/quarantine_test.go
+++ b/internal/berylquarantine/quarantine_test.go
@@ -58,6 +58,9 @@
 	names := split(scanString(t, d, "host", ""))
 	parts := split(scanString(t, d, "parts", ""))
 	prompt := berylquarantine.Prompt{Parts: parts}
+	if item := scanString(t, d, "item", ""); item != "" {
+		prompt.Item = berylquarantine.ItemKey("j", item)
+	}
 	var out strings.Builder
 	switch d.Cmd {
 	case "start":
@@ -82,6 +85,10 @@
 			f.hosts[name].RecordBegin(service, prompt)
 		}
 		synctest.Wait()
+	case "not-run":
+		for _, name := range names {
+			f.hosts[name].RecordNotRun(prompt)
+		}
 	case "admit":
 		for _, name := range names {
 			answer := f.hosts[name].admit(t, prompt)
--- a/internal/berylquarantine/status.go
+++ b/internal/berylquarantine/status.go
@@ -23,7 +23,7 @@
 	var list []Status
 	for _, v := range q.verdicts.list() {
 		s := Status{Verdict: v.Verdict, Key: v.Key(), Stored: v.revision != 0, AgeMS: now.Sub(v.knownSince).Milliseconds(), NextTrialMS: -1}
-		if due, more := v.trialDue(); more {
+		if due, more := v.trialDue(Prompt{}); more {
 			s.NextTrialMS = max(due.Sub(now), 0).Milliseconds()
 		}
 		list = append(list, s)
--- a/internal/berylquarantine/table.go
+++ b/internal/berylquarantine/table.go
@@ -9,6 +9,8 @@
 	// crashesForVerdict is how many crashes in a row a part must have been part of. A part that upstreams can answer would
 	// have to be in the wrong place as often, without one answer in between.
 	crashesForVerdict = 3
+	// crashesSinceAnswer is how many of an item's crashes must have come since its part was last answered for the item to be held.
+	crashesSinceAnswer = 2
 	// overlappingCrashesForVerdict is how many crashes are enough if only two of them are in a row: where prompts with the part
 	// come at a high rate, most of them are sent before the crash of another one is known.
 	overlappingCrashesForVerdict = 6
@@ -78,6 +80,9 @@
 	for _, part := range prompt.Parts {
 		t.clear(part, now)
 	}
+	if len(t.suspects[prompt.Item]) > 0 {
+		t.clear(prompt.Item, now)
+	}
 }
 
 // RecordSound records that an upstream has answered a request without a crash. That clears it of all crashes before.
@@ -165,7 +170,8 @@
 // not enough. begins are the times of begun answers of the same service on all hosts.
 //
 // If the evidence holds against several parts, it does not hold against one of them alone: prompts that hold only some of them may be sent,
-// and either clear these parts or accuse them further. If it holds against the request itself, its widest key is returned alone: the
+// and either clear these parts or accuse them further. Nor does it hold against a part alone if all crashes were those of one item, whose
+// key is returned with it: other items may be sent. If it holds against the request itself, its widest key is returned alone: the
 // request may come again without its parts and from another address.
 func (t *Table) CrashingParts(now time.Time, b Break, begins []time.Time) []string {
 	for _, key := range b.Prompt.Requests {
@@ -174,15 +180,33 @@
 		}
 	}
 	var crashing []string
+	item, byItemAlone := b.Prompt.Item, false
+	isItemCrashing := item != "" && t.isCrashing(now, item, begins)
 	for _, part := range b.Prompt.Parts {
-		if !slices.Contains(crashing, part) && t.isCrashing(now, part, begins) {
+		if slices.Contains(crashing, part) {
+			continue
+		}
+		alone := item != "" && t.isAccusedByItemAlone(part, item)
+		_, inARow := t.crashesInARow(now, part)
+		if t.isCrashing(now, part, begins) || alone && isItemCrashing && inARow >= crashesSinceAnswer {
 			crashing = append(crashing, part)
+			byItemAlone = byItemAlone || alone
 		}
 	}
+	if byItemAlone {
+		crashing = append(crashing, item)
+	}
 	slices.Sort(crashing)
 	return crashing
 }
 
+// isAccusedByItemAlone reports whether all crashes that count against a part have hit calls of one item.
+func (t *Table) isAccusedByItemAlone(part, item string) bool {
+	return !slices.ContainsFunc(t.suspects[part], func(a accusation) bool {
+		return !slices.ContainsFunc(t.suspects[item], func(own accusation) bool { return own.crash == a.crash })
+	})
+}
+
 func (t *Table) isCrashing(now time.Time, part string, begins []time.Time) bool {
 	first, inARow := t.crashesInARow(now, part)
 	crashes := len(t.suspects[part])
--- a/internal/berylquarantine/table_test.go
+++ b/internal/berylquarantine/table_test.go
@@ -35,6 +35,9 @@
 	for _, name := range splitList(scanString(t, d, "request", "")) {
 		prompt.Requests = append(prompt.Requests, "request:"+name)
 	}
+	if item := scanString(t, d, "item", ""); item != "" {
+		prompt.Item = berylquarantine.ItemKey("j", item)
+	}
 	switch d.Cmd {
 	case "begin":
 		table.RecordBegin(s.now, service, prompt)
@@ -54,7 +57,11 @@
 		return "none\n"
 	case "merge":
 		from := s.table(scanString(t, d, "from", ""))
-		table.Merge(s.now, from.Evidence(s.now, service, append(parts, prompt.Requests...)))
+		keys := append(parts, prompt.Requests...)
+		if prompt.Item != "" {
+			keys = append(keys, prompt.Item)
+		}
+		table.Merge(s.now, from.Evidence(s.now, service, keys))
 	case "evidence":
 		return showEvidence(table.Evidence(s.now, service, parts))
 	case "forget":
--- a/internal/berylquarantine/verdict.go
+++ b/internal/berylquarantine/verdict.go
@@ -19,13 +19,21 @@
 	verdictLifetime = 24 * time.Hour
 )
 
-// trialDelays are the times from the verdict to the first trial and from one trial to the next. A trial sends one request with
+// The delays are the times from the verdict to the first trial and from one trial to the next. A trial sends one request with
 // the parts; if an upstream begins to answer it, the verdict is lifted. After the last one only operators lift it.
-var trialDelays = []time.Duration{30 * time.Second, 5 * time.Minute}
+var (
+	// requestTrialDelays are those by online requests, whose callers are refused meanwhile.
+	requestTrialDelays = []time.Duration{30 * time.Second, 5 * time.Minute}
+	// partTrialDelays are those by items. Operators expect an accepted item to be run within 18 s after callers have stopped to send,
+	// so that the first trial has to leave time for the items that it frees.
+	partTrialDelays = []time.Duration{8 * time.Second, 8 * time.Second, 5 * time.Minute}
+	// itemTrialDelays are those by the item that alone is held. Operators expect an item to be run again within 20 s after it has failed.
+	itemTrialDelays = []time.Duration{15 * time.Second, 15 * time.Second, 5 * time.Minute}
+)
 
 // Verdict is the decision that prompts which hold all of the given parts are not sent to upstreams.
 type Verdict struct {
-	// Parts are IDs of prompt parts, sorted, or one key of a request.
+	// Parts are IDs of prompt parts and the key of an item, if only that item is held, sorted; or one key of a request.
 	Parts []string `cbor:"1,keyasint" json:"parts"`
 	// Host is the host that decided.
 	Host string `cbor:"2,keyasint" json:"host"`
@@ -59,6 +67,27 @@
 	return !slices.ContainsFunc(v.Parts, func(p string) bool { return !slices.Contains(parts, p) })
 }
 
+// item returns the key of the item that alone is held, or an empty string.
+func (v *Verdict) item() string {
+	if i := slices.IndexFunc(v.Parts, isItem); i >= 0 {
+		return v.Parts[i]
+	}
+	return ""
+}
+
+// isClearedBy reports whether all shared parts of the verdict are among the parts of a prompt that an upstream has begun to answer.
+func (v *Verdict) isClearedBy(parts []string) bool {
+	return !slices.ContainsFunc(v.Parts, func(p string) bool { return !isItem(p) && !slices.Contains(parts, p) })
+}
+
+// indexPart returns the part under which the verdict is found: the first one that is no item's key, unless there is none.
+func (v *Verdict) indexPart() string {
+	if i := slices.IndexFunc(v.Parts, func(p string) bool { return !isItem(p) }); i >= 0 {
+		return v.Parts[i]
+	}
+	return v.Parts[0]
+}
+
 // heldVerdict is a verdict in force on this host.
 type heldVerdict struct {
 	Verdict
@@ -68,21 +97,32 @@
 	knownSince time.Time
 	// claimedAt is when this host last tried to claim a trial.
 	claimedAt time.Time
+	// trialItem is the item that this host has sent as the last trial, and isOpen is set if that item was not run, so that another
+	// prompt may be sent under the same claim.
+	trialItem string
+	isOpen    bool
 }
 
-// trialDue returns when a request may be sent as a trial, and false if there are no more trials. The store must hold the
+// trialDue returns when a prompt may be sent as a trial, and false if there are no more trials. The store must hold the
 // verdict, since it decides which host sends the trial.
-func (v *heldVerdict) trialDue() (time.Time, bool) {
-	if v.Trials >= len(trialDelays) {
+func (v *heldVerdict) trialDue(prompt Prompt) (time.Time, bool) {
+	delays := requestTrialDelays
+	switch {
+	case v.item() != "":
+		delays = itemTrialDelays
+	case prompt.Item != "":
+		delays = partTrialDelays
+	}
+	if v.Trials >= len(delays) {
 		return time.Time{}, false
 	}
-	return v.knownSince.Add(trialDelays[v.Trials]), true
+	return v.knownSince.Add(delays[v.Trials]), true
 }
 
-// verdicts holds the verdicts in force by their keys, and by the first of their parts.
+// verdicts holds the verdicts in force by their keys, and by one of their parts.
 type verdicts struct {
-	byKey       map[string]*heldVerdict
-	byFirstPart map[string][]*heldVerdict
+	byKey  map[string]*heldVerdict
+	byPart map[string][]*heldVerdict
 	// count is the number of verdicts; it may be read without the lock that guards the maps.
 	count atomic.Int64
 }
@@ -92,7 +132,7 @@
 func (s *verdicts) match(parts []string) *heldVerdict {
 	var best *heldVerdict
 	for _, part := range parts {
-		for _, v := range s.byFirstPart[part] {
+		for _, v := range s.byPart[part] {
 			if v.covers(parts) && (best == nil || len(v.Parts) < len(best.Parts)) {
 				best = v
 			}
@@ -101,6 +141,18 @@
 	return best
 }
 
+// clearedBy returns a verdict that no longer holds because an upstream has begun to answer a prompt with these parts, or nil.
+func (s *verdicts) clearedBy(parts []string) *heldVerdict {
+	for _, part := range parts {
+		for _, v := range s.byPart[part] {
+			if v.isClearedBy(parts) {
+				return v
+			}
+		}
+	}
+	return nil
+}
+
 // trialsOf returns how many trials there were of verdicts that hold all of these parts.
 func (s *verdicts) trialsOf(parts []string) int {
 	trials := 0
@@ -125,11 +177,12 @@
 		return false
 	}
 	if s.byKey == nil {
-		s.byKey, s.byFirstPart = make(map[string]*heldVerdict), make(map[string][]*heldVerdict)
+		s.byKey, s.byPart = make(map[string]*heldVerdict), make(map[string][]*heldVerdict)
 	}
 	held := &heldVerdict{Verdict: v, revision: revision, knownSince: now}
 	s.byKey[key] = held
-	s.byFirstPart[v.Parts[0]] = append(s.byFirstPart[v.Parts[0]], held)
+	part := v.indexPart()
+	s.byPart[part] = append(s.byPart[part], held)
 	s.count.Store(int64(len(s.byKey)))
 	return true
 }
@@ -139,6 +192,7 @@
 	v.revision = max(v.revision, revision)
 	if newer.Trials > v.Trials {
 		v.Verdict, v.knownSince = newer, now
+		v.trialItem, v.isOpen = "", false
 	}
 }
 
@@ -150,10 +204,10 @@
 	}
 	delete(s.byKey, key)
 	s.count.Store(int64(len(s.byKey)))
-	first := held.Parts[0]
-	s.byFirstPart[first] = slices.DeleteFunc(s.byFirstPart[first], func(v *heldVerdict) bool { return v == held })
-	if len(s.byFirstPart[first]) == 0 {
-		delete(s.byFirstPart, first)
+	part := held.indexPart()
+	s.byPart[part] = slices.DeleteFunc(s.byPart[part], func(v *heldVerdict) bool { return v == held })
+	if len(s.byPart[part]) == 0 {
+		delete(s.byPart, part)
 	}
 	return true
 }
