Count a copy as confirmed once it is applied, and as outdated beside a version that can't be decoded

A host whose follower had just been answered counted its copy as current for the moment until the changes were applied. A host that can't decode the newest configuration, because it is of an older build, held back what was accepted under it, but still answered 404 and gave up items of earlier jobs by the last version that it could read. Now the follower confirms its copy after Reset or Apply, and an undecodable version makes the copy outdated until a later one is installed.

--- a/internal/berylentry/follow.go
+++ b/internal/berylentry/follow.go
@@ -81,11 +81,11 @@
 	log.Info("config: installed")
 }
 
-// configState says how far this host's copy of the configuration can be relied on. A version that can't be decoded is missing from it.
+// configState says how far this host's copy of the configuration can be relied on. The copy lacks a version that can't be decoded.
 func (h *Host) configState() berylroute.CopyState {
 	state := berylroute.CopyState{Through: h.operatorItems.Through(), Stale: h.operatorItems.Quiet(time.Now())}
 	if unreadable := h.unreadableConfig.Load(); unreadable > 0 {
-		state.Through = min(state.Through, unreadable-1)
+		state.Through, state.Stale = min(state.Through, unreadable-1), true
 	}
 	return state
 }
--- a/internal/berylroute/copy.go
+++ b/internal/berylroute/copy.go
@@ -4,7 +4,8 @@
 type CopyState struct {
 	// Through is the store's revision up to which the copy holds all changes.
 	Through int64
-	// Stale is set if the host has not heard from the store for longer than it would if the store were in reach.
+	// Stale is set if the copy may lack changes: nothing was heard of the store for longer than if it were in reach, or the newest
+	// version can't be decoded.
 	Stale bool
 }
 
--- a/internal/berylstore/follower.go
+++ b/internal/berylstore/follower.go
@@ -66,13 +66,15 @@
 	// a current one. Both are used only by Run's goroutine.
 	busyRefusals       int
 	requireCurrentList bool
+	// answeredAt is when the last answer was current; used only by Run's goroutine.
+	answeredAt time.Time
 	// sourceUnanswered is set while the host that watches for this one does not reply usably; used only by Run's
 	// goroutine.
 	sourceUnanswered bool
 
 	// The times are stored as time.Time with their monotonic readings, so that clock steps do not change the differences.
 	lastCurrent atomic.Pointer[time.Time] // when the copy was last known to be current
-	confirmed   atomic.Pointer[time.Time] // the same, by what hosts said while this one could not reach the store too
+	confirmed   atomic.Pointer[time.Time] // when the store, or a host in reach of it, last confirmed the copy
 	through     atomic.Int64              // revision up to which the copy holds all changes
 	contact     atomic.Pointer[contact]   // written only by Run's goroutine; nil means the zero value
 	hops        atomic.Int64              // number of hosts that the copy passed through; zero if it came from the store itself
@@ -192,7 +194,14 @@
 	}
 	asOf := now.Add(-age)
 	f.lastCurrent.Store(&asOf)
-	f.confirmed.Store(&asOf)
+	f.answeredAt = asOf
+}
+
+// confirm records that the last answer was applied, so that the copy holds all changes up to a revision.
+func (f *Follower) confirm(through int64) {
+	f.through.Store(through)
+	at := f.answeredAt
+	f.confirmed.Store(&at)
 }
 
 // list lists all items and returns their revision. The pages may be stale, so the changes since then are applied before
@@ -219,7 +228,7 @@
 	f.recordSuccess(0, 0)
 	f.history.reset(asOf)
 	f.Reset(items, asOf)
-	f.through.Store(asOf)
+	f.confirm(asOf)
 	return asOf, nil
 }
 
@@ -316,15 +325,14 @@
 				continue
 			}
 			events, asOf = reply.Events, reply.AsOf
-			confirmed := time.Now().Add(-reply.Age)
-			f.confirmed.Store(&confirmed)
+			f.answeredAt = time.Now().Add(-reply.Age)
 		}
 		f.history.add(events, asOf)
 		if len(events) > 0 {
 			f.Apply(events, asOf)
 		}
 		above = max(above, asOf)
-		f.through.Store(above)
+		f.confirm(above)
 		if len(events) > 0 && f.Debounce > 0 {
 			sleep(ctx, f.Debounce)
 		}
