--- a/internal/berylbatch/fate.go
+++ b/internal/berylbatch/decision.go
@@ -8,46 +8,46 @@
 	"berylroad.example/berylroad/internal/berylroute"
 )
 
-// fate says what the configuration makes of an item that has no result and is not in flight.
-type fate uint8
+// itemDecision says what to do with an item that has no result and is not in flight.
+type itemDecision uint8
 
 const (
-	// runnable items may be sent to an upstream.
-	runnable fate = iota
-	// held items are neither run nor given up until this host has a configuration that is new enough to tell.
-	held
-	// givenUp items are listed as abandoned: their retention is over, their route was removed or their attempts are used up.
-	givenUp
+	// runItem allows the item to be sent to an upstream.
+	runItem itemDecision = iota
+	// holdItem neither runs nor gives up the item until this host has a configuration that is new enough to tell.
+	holdItem
+	// abandonItem lists the item as abandoned: its retention is over, its route was removed or its attempts are used up.
+	abandonItem
 )
 
-// itemState is what decideFate needs to know of an item and its job.
+// itemState is what decideItem needs to know of an item and its job.
 type itemState struct {
 	accepted     berylroute.Acceptance
 	submitted    time.Time
 	serverErrors int
 }
 
-// decideFate returns the fate of an item by a host's copy of the configuration and the job's route in it, which is nil if there is
+// decideItem decides on an item by a host's copy of the configuration and the job's route in it, which is nil if there is
 // none. A result is for good, so a copy that may be older than the configuration in force gives nothing up.
-func decideFate(it itemState, config berylroute.Copy, route *berylroute.Route, now time.Time) fate {
+func decideItem(it itemState, config berylroute.Copy, route *berylroute.Route, now time.Time) itemDecision {
 	if !config.Covers(it.accepted) {
-		return held
+		return holdItem
 	}
 	expired := route != nil && route.Retention > 0 && !now.Before(it.submitted.Add(route.Retention+retentionMargin))
 	switch {
 	case route != nil && !expired && it.serverErrors < route.Attempts():
-		return runnable
+		return runItem
 	case config.Outdated():
-		return held
+		return holdItem
 	default:
-		return givenUp
+		return abandonItem
 	}
 }
 
-// fate returns the fate of an item that this host runs; the caller holds mu.
-func (m *Manager) fate(it *item, config berylroute.Copy, route *berylroute.Route, now time.Time) fate {
+// decide decides on an item that this host runs; the caller holds mu.
+func (m *Manager) decide(it *item, config berylroute.Copy, route *berylroute.Route, now time.Time) itemDecision {
 	state := itemState{accepted: it.job.acceptance(), submitted: it.job.record.submitted(), serverErrors: it.serverErrors}
-	return decideFate(state, config, route, now)
+	return decideItem(state, config, route, now)
 }
 
 // acceptance returns the configuration under which the job was accepted. It was in the store when the record was written.
--- a/internal/berylbatch/fate_test.go
+++ b/internal/berylbatch/decision_test.go
@@ -47,12 +47,12 @@
 
 // Guards against items that are given up, or run, by a configuration that may be older than the one that their job was accepted
 // under. In each row the host's knowledge grows from step to step.
-func TestFateInEachOrderOfKnowledge(t *testing.T) {
+func TestDecisionInEachOrderOfKnowledge(t *testing.T) {
 	start := time.Unix(1000, 0)
 	type step struct {
 		knows knowledge
 		after time.Duration // since the submission
-		want  fate
+		want  itemDecision
 	}
 	for _, tt := range []struct {
 		name         string
@@ -61,31 +61,31 @@
 		serverErrors int
 		steps        []step
 	}{
-		{"the job before any configuration", 4, 401, 0, []step{{knowledge{}, 0, held}, {knowledge{version: 4, through: 400}, 0, runnable}}},
-		{"the job before its route", 4, 401, 0, []step{{knowledge{version: 1, through: 399}, 0, held}, {knowledge{version: 4, through: 400}, 0, runnable}}},
+		{"the job before any configuration", 4, 401, 0, []step{{knowledge{}, 0, holdItem}, {knowledge{version: 4, through: 400}, 0, runItem}}},
+		{"the job before its route", 4, 401, 0, []step{{knowledge{version: 1, through: 399}, 0, holdItem}, {knowledge{version: 4, through: 400}, 0, runItem}}},
 		{"the job before its route, at a host that hears nothing", 4, 401, 0, []step{
-			{knowledge{version: 1, through: 100, stale: true}, time.Hour, held}, {knowledge{version: 4, through: 400, stale: true}, 0, runnable},
+			{knowledge{version: 1, through: 100, stale: true}, time.Hour, holdItem}, {knowledge{version: 4, through: 400, stale: true}, 0, runItem},
 		}},
-		{"the route before the job", 4, 401, 0, []step{{knowledge{version: 4, through: 400}, 0, runnable}}},
-		{"the job, then its removal", 4, 401, 0, []step{{knowledge{version: 1, through: 399}, 0, held}, {knowledge{version: 10, through: 1000}, 0, givenUp}}},
-		{"the route, then its removal", 4, 401, 0, []step{{knowledge{version: 4, through: 400}, 0, runnable}, {knowledge{version: 10, through: 1000}, 0, givenUp}}},
+		{"the route before the job", 4, 401, 0, []step{{knowledge{version: 4, through: 400}, 0, runItem}}},
+		{"the job, then its removal", 4, 401, 0, []step{{knowledge{version: 1, through: 399}, 0, holdItem}, {knowledge{version: 10, through: 1000}, 0, abandonItem}}},
+		{"the route, then its removal", 4, 401, 0, []step{{knowledge{version: 4, through: 400}, 0, runItem}, {knowledge{version: 10, through: 1000}, 0, abandonItem}}},
 		{"a removal that may have been undone", 4, 401, 0, []step{
-			{knowledge{version: 10, through: 1000, stale: true}, 0, held}, {knowledge{version: 10, through: 1000, inUse: 13}, 0, held},
-			{knowledge{version: 10, through: 1400, inUse: 13}, 0, givenUp},
+			{knowledge{version: 10, through: 1000, stale: true}, 0, holdItem}, {knowledge{version: 10, through: 1000, inUse: 13}, 0, holdItem},
+			{knowledge{version: 10, through: 1400, inUse: 13}, 0, abandonItem},
 		}},
-		{"the route is back before the job", 13, 1301, 0, []step{{knowledge{version: 10, through: 1000}, 0, held}}},
+		{"the route is back before the job", 13, 1301, 0, []step{{knowledge{version: 10, through: 1000}, 0, holdItem}}},
 		{"a longer retention later", 4, 401, 0, []step{
-			{knowledge{version: 7, through: 700, stale: true}, 40 * time.Second, held}, {knowledge{version: 7, through: 700}, 40 * time.Second, givenUp},
+			{knowledge{version: 7, through: 700, stale: true}, 40 * time.Second, holdItem}, {knowledge{version: 7, through: 700}, 40 * time.Second, abandonItem},
 		}},
-		{"a longer retention before the job", 10, 1001, 0, []step{{knowledge{version: 7, through: 700}, 40 * time.Second, held}}},
-		{"the retention is over", 4, 401, 0, []step{{knowledge{version: 4, through: 400}, 61 * time.Second, runnable}, {knowledge{version: 4, through: 400}, 62 * time.Second, givenUp}}},
-		{"fewer attempts than those in force", 10, 1001, 1, []step{{knowledge{version: 7, through: 700}, 0, held}}},
-		{"fewer attempts, at a host that hears nothing", 4, 401, 1, []step{{knowledge{version: 7, through: 700, stale: true}, 0, held}, {knowledge{version: 7, through: 700}, 0, givenUp}}},
-		{"attempts used up", 4, 401, 3, []step{{knowledge{version: 4, through: 400}, 0, givenUp}}},
-		{"accepted by an older build, before its route", 0, 401, 0, []step{{knowledge{version: 1, through: 399}, 0, held}, {knowledge{version: 4, through: 401}, 0, runnable}}},
-		{"accepted by an older build, a removed route", 0, 401, 0, []step{{knowledge{version: 10, through: 1000}, 0, givenUp}}},
-		{"accepted by an older build, a version that can't be read", 0, 701, 0, []step{{knowledge{version: 1, through: 699}, time.Hour, held}}},
-		{"versions that begin anew", 40, 4001, 0, []step{{knowledge{version: 1, through: 4000}, 0, held}, {knowledge{version: 1, through: 4001}, 0, givenUp}}},
+		{"a longer retention before the job", 10, 1001, 0, []step{{knowledge{version: 7, through: 700}, 40 * time.Second, holdItem}}},
+		{"the retention is over", 4, 401, 0, []step{{knowledge{version: 4, through: 400}, 61 * time.Second, runItem}, {knowledge{version: 4, through: 400}, 62 * time.Second, abandonItem}}},
+		{"fewer attempts than those in force", 10, 1001, 1, []step{{knowledge{version: 7, through: 700}, 0, holdItem}}},
+		{"fewer attempts, at a host that hears nothing", 4, 401, 1, []step{{knowledge{version: 7, through: 700, stale: true}, 0, holdItem}, {knowledge{version: 7, through: 700}, 0, abandonItem}}},
+		{"attempts used up", 4, 401, 3, []step{{knowledge{version: 4, through: 400}, 0, abandonItem}}},
+		{"accepted by an older build, before its route", 0, 401, 0, []step{{knowledge{version: 1, through: 399}, 0, holdItem}, {knowledge{version: 4, through: 401}, 0, runItem}}},
+		{"accepted by an older build, a removed route", 0, 401, 0, []step{{knowledge{version: 10, through: 1000}, 0, abandonItem}}},
+		{"accepted by an older build, a version that can't be read", 0, 701, 0, []step{{knowledge{version: 1, through: 699}, time.Hour, holdItem}}},
+		{"versions that begin anew", 40, 4001, 0, []step{{knowledge{version: 1, through: 4000}, 0, holdItem}, {knowledge{version: 1, through: 4001}, 0, abandonItem}}},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
@@ -93,7 +93,7 @@
 			for _, s := range tt.steps {
 				config := s.knows.copy()
 				state := itemState{accepted: j.acceptance(), submitted: start, serverErrors: tt.serverErrors}
-				is.Equal(decideFate(state, config, routeIn(config.Config, j), start.Add(s.after)), s.want)
+				is.Equal(decideItem(state, config, routeIn(config.Config, j), start.Add(s.after)), s.want)
 			}
 		})
 	}
--- a/internal/berylbatch/dispatch.go
+++ b/internal/berylbatch/dispatch.go
@@ -158,7 +158,7 @@
 		}
 		route := routeIn(config.Config, j)
 		for _, it := range j.items {
-			if it.isWaiting(now) && m.fate(it, config, route, now) == runnable && !m.Quarantine.HoldsBack(it.prompt) {
+			if it.isWaiting(now) && m.decide(it, config, route, now) == runItem && !m.Quarantine.HoldsBack(it.prompt) {
 				visit(it, route)
 			}
 		}
@@ -272,7 +272,7 @@
 	return c.item.events > other.item.events
 }
 
-// abandonExpired gives up the items that decideFate gives up, unless they are in flight.
+// abandonExpired gives up the items that decideItem gives up, unless they are in flight.
 func (m *Manager) abandonExpired(now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -288,10 +288,10 @@
 			if it.ended || it.running {
 				continue
 			}
-			switch m.fate(it, config, route, now) {
-			case givenUp:
+			switch m.decide(it, config, route, now) {
+			case abandonItem:
 				m.giveUp(it, config)
-			case held:
+			case holdItem:
 				heldItems++
 			}
 		}
--- a/internal/berylbatch/run.go
+++ b/internal/berylbatch/run.go
@@ -305,7 +305,7 @@
 		report.Kind = beryloutcome.Failed
 		it.serverErrors++
 		config := m.Routes.Copy()
-		if m.fate(it, config, routeIn(config.Config, j), time.Now()) == givenUp {
+		if m.decide(it, config, routeIn(config.Config, j), time.Now()) == abandonItem {
 			m.giveUp(it, config)
 			return
 		}
--- a/internal/berylstore/follower.go
+++ b/internal/berylstore/follower.go
@@ -88,17 +88,6 @@
 	return time.Time{}
 }
 
-// Through returns the revision up to which the copy holds all changes; zero means that there is no copy yet.
-func (f *Follower) Through() int64 {
-	return f.through.Load()
-}
-
-// Quiet reports whether neither the store nor a host in reach of it has confirmed the copy for longer than a watch takes.
-func (f *Follower) Quiet(now time.Time) bool {
-	at := f.confirmed.Load()
-	return at == nil || now.Sub(*at) > f.wait()+watchSlack
-}
-
 // ReconnectedAt returns when the last outage of the store ended; the zero time means that there was none.
 func (f *Follower) ReconnectedAt() time.Time {
 	return f.loadContact().reconnectedAt
@@ -197,13 +186,6 @@
 	f.answeredAt = asOf
 }
 
-// confirm records that the last answer was applied, so that the copy holds all changes up to a revision.
-func (f *Follower) confirm(through int64) {
-	f.through.Store(through)
-	at := f.answeredAt
-	f.confirmed.Store(&at)
-}
-
 // list lists all items and returns their revision. The pages may be stale, so the changes since then are applied before
 // the items are passed to Reset; an item that was deleted meanwhile is never shown again.
 func (f *Follower) list(ctx context.Context) (int64, error) {
