End a trial at the next claim, so that a failed claim reopens none

A host remembers which item it has sent as a trial, so that another prompt takes its place if the item was not run. It kept the item after the trial had crashed its upstream. If the same item then came up at the next trial, and its claim failed, the refusal by the host itself passed for a trial that was not run: one more send of a deadly part, under a claim that was used up (BUDGET). Now an attempt to claim a trial ends the one before. Evidence: TestQuarantine/items-claim failed before (sent with trials=1).

--- a/internal/berylquarantine/quarantine.go
+++ b/internal/berylquarantine/quarantine.go
@@ -188,7 +188,7 @@
 		defer q.mu.Unlock()
 		return q.refuse(v, now, prompt)
 	}
-	v.claimedAt = now
+	v.claimedAt, v.trialItem = now, "" // the trial before has ended, whatever became of it
 	if v.isOpen {
 		v.isOpen, v.trialItem = false, prompt.Item
 		q.mu.Unlock()
--- a/internal/berylquarantine/verdict.go
+++ b/internal/berylquarantine/verdict.go
@@ -97,7 +97,7 @@
 	knownSince time.Time
 	// claimedAt is when this host last tried to claim a trial.
 	claimedAt time.Time
-	// trialItem is the item that this host has sent as the last trial, and isOpen is set if that item was not run, so that another
+	// trialItem is the item that this host has sent as the last trial, until it tries to claim another one, and isOpen is set if that item was not run, so that another
 	// prompt may be sent under the same claim.
 	trialItem string
 	isOpen    bool
