--- a/internal/berylbatch/route_test.go
+++ b/internal/berylbatch/route_test.go
@@ -12,9 +12,8 @@
 // Guards against a job whose route is removed, or covered by another one, being neither run nor given up because its path matches
 // a route of another kind.
 func TestJobBelongsToTheRouteThatAcceptedIt(t *testing.T) {
-	shares := []berylroute.Share{{Service: "svc", Weight: 1}}
-	accepted := berylroute.Route{Name: "r", Host: "h", Prefix: "/jobs/", Kind: berylroute.Batch, Shares: shares, CompletionTarget: 18 * time.Second, Retention: time.Minute, MaxAttempts: 3}
-	online := berylroute.Route{Name: "online", Host: "h", Prefix: "/", Kind: berylroute.Streaming, Shares: shares}
+	accepted := batchRoute(time.Minute, 3)
+	online := berylroute.Route{Name: "online", Host: "h", Prefix: "/", Kind: berylroute.Streaming, Shares: accepted.Shares}
 	longer, renamed, elsewhere, changed, shorter := online, accepted, accepted, accepted, accepted
 	longer.Prefix = "/jobs/j"
 	renamed.Name = "r-2"
@@ -52,8 +51,8 @@
 
 // Guards against more waiting tokens than a route allows, because the jobs that it had accepted under another name are not counted.
 func TestWaitingTokensCountForTheRouteThatRunsTheJob(t *testing.T) {
-	shares := []berylroute.Share{{Service: "svc", Weight: 1}}
-	accepted := berylroute.Route{Name: "r", Host: "h", Prefix: "/jobs/", Kind: berylroute.Batch, Shares: shares, CompletionTarget: 18 * time.Second, Retention: time.Minute, MaxAttempts: 3, MaxWaitingTokens: 100}
+	accepted := batchRoute(time.Minute, 3)
+	accepted.MaxWaitingTokens = 100
 	renamed, shorter, unlike := accepted, accepted, accepted
 	renamed.Name = "r-2"
 	shorter.Name, shorter.Prefix = "all", "/"
--- a/internal/berylentry/fleet_bench_test.go
+++ b/internal/berylentry/fleet_bench_test.go
@@ -142,7 +142,7 @@
 					continue
 				}
 				request := &berylrelay.Request{
-					ID: fmt.Sprintf("%s-%d", h.Settings.Host, n), Route: &h.Routes().Routes[0], Deadline: time.Now().Add(5 * time.Second),
+					ID: fmt.Sprintf("%s-%d", h.Settings.Host, n), Route: &h.routes.Get().Routes[0], Deadline: time.Now().Add(5 * time.Second),
 				}
 				go func() {
 					if h.Relay.Do(ctx, request, benchSink{}).Kind == beryloutcome.Answered {
--- a/internal/berylentry/host.go
+++ b/internal/berylentry/host.go
@@ -181,11 +181,6 @@
 	return h
 }
 
-// Routes returns the active configuration, or nil before the first.
-func (h *Host) Routes() *berylroute.Config {
-	return h.routes.Get()
-}
-
 // ConfigCopy returns the active configuration and how far it can be relied on.
 func (h *Host) ConfigCopy() berylroute.Copy {
 	return h.routes.Copy()
--- a/internal/berylentry/limits_test.go
+++ b/internal/berylentry/limits_test.go
@@ -51,7 +51,7 @@
 	send := func(h *Host, id, account string) {
 		requests.Go(func() {
 			result := h.Relay.Do(ctx, &berylrelay.Request{
-				ID: id, Route: &h.Routes().Routes[0], Deadline: time.Now().Add(5 * time.Second), Account: accounts.ByName(account),
+				ID: id, Route: &h.routes.Get().Routes[0], Deadline: time.Now().Add(5 * time.Second), Account: accounts.ByName(account),
 			}, benchSink{})
 			mu.Lock()
 			defer mu.Unlock()
