--- a/internal/berylbatch/decision_test.go
+++ b/internal/berylbatch/decision_test.go
@@ -13,14 +13,6 @@
 	"berylroad.example/berylroad/internal/berylstore"
 )
 
-// batchRoute returns the route of the jobs in these tests.
-func batchRoute(retention time.Duration, attempts int) berylroute.Route {
-	return berylroute.Route{
-		Name: "r", Host: "h", Prefix: "/jobs/", Kind: berylroute.Batch, Shares: []berylroute.Share{{Service: "svc", Weight: 1}},
-		CompletionTarget: 18 * time.Second, Retention: retention, MaxAttempts: attempts,
-	}
-}
-
 // knowledge is what one host knows at one moment. Version 1 has no route; version 4 has the route, version 7 has it with a shorter
 // retention and one attempt, and version 10 lacks it again.
 type knowledge struct {
